--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, records and state."""
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/actions.py
@@ -0,0 +1,91 @@
+"""Type what a coordinator does."""
+
+import dataclasses
+
+from sycamoreferry_core import coordination, ids, records
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadTail:
+    """Ask the log for its tail."""
+
+
+@dataclasses.dataclass(frozen=True)
+class AskDeputy:
+    """Ask the deputy for its promise."""
+
+    deputy: ids.InstanceId
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True)
+class ProbeHolders:
+    """Ask the coordinator and the deputy whether they are there."""
+
+    holders: tuple[ids.InstanceId, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class AppendRecord:
+    """Append a record to the log."""
+
+    record: records.AnyRecord
+
+
+@dataclasses.dataclass(frozen=True)
+class FencedShards:
+    """Group shards that are granted under one fence."""
+
+    fence: ids.Fence
+    shards: tuple[ids.ShardId, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Greet:
+    """Ask a backend server to follow a term and to say what it holds."""
+
+    server: ids.ServerId
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Grant shards to a backend server until its lease lapses."""
+
+    server: ids.ServerId
+    term: ids.Term
+    stamp: int
+    lease_ms: int
+    groups: tuple[FencedShards, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Renew:
+    """Renew the lease of a backend server."""
+
+    server: ids.ServerId
+    term: ids.Term
+    stamp: int
+    lease_ms: int
+    digest: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Revoke:
+    """Take shards back from a backend server."""
+
+    server: ids.ServerId
+    term: ids.Term
+    shards: tuple[ids.ShardId, ...]
+
+
+Order = Greet | Grant | Renew | Revoke
+Action = ReadTail | AskDeputy | ProbeHolders | AppendRecord | Order
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """Hold the next state and what is to be done."""
+
+    state: coordination.CoordinatorState
+    actions: tuple[Action, ...] = ()
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/clock.py
@@ -0,0 +1,42 @@
+"""Count time in milliseconds."""
+
+import dataclasses
+import typing
+
+Millis = typing.NewType('Millis', int)
+
+MILLIS_PER_SECOND = 1000
+LONG_AGO = Millis(-MILLIS_PER_SECOND * MILLIS_PER_SECOND * MILLIS_PER_SECOND)
+
+
+class Clock(typing.Protocol):
+    """Tell the time in milliseconds since an arbitrary start."""
+
+    def now(self) -> Millis:
+        """Return the current reading in milliseconds."""
+
+
+@dataclasses.dataclass
+class ManualClock:
+    """Tell a time that only its owner moves."""
+
+    reading: Millis = Millis(0)
+
+    def now(self) -> Millis:
+        """Return the current reading in milliseconds."""
+        return self.reading
+
+    def advance(self, duration: int) -> Millis:
+        """Move the reading forward by a duration in milliseconds."""
+        self.reading = Millis(self.reading + duration)
+        return self.reading
+
+
+def later(start: Millis, duration: int) -> Millis:
+    """Return the time a duration in milliseconds after a start."""
+    return Millis(start + duration)
+
+
+def seconds(duration: int) -> float:
+    """Convert a duration in milliseconds to seconds."""
+    return duration / MILLIS_PER_SECOND
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/coordination.py
@@ -0,0 +1,87 @@
+"""Type what a coordinator knows."""
+
+import dataclasses
+import enum
+import typing
+
+from sycamoreferry_core import clock, ids, profiles, records, state
+
+
+@enum.unique
+class Member(enum.Enum):
+    """Name the states of a backend server in the instance list."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@enum.unique
+class Role(enum.Enum):
+    """Name what an instance is to a service."""
+
+    FOLLOWER = 'follower'
+    DEPUTY = 'deputy'
+    COORDINATOR = 'coordinator'
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerLink:
+    """Hold what is known of one backend server under the current term."""
+
+    server: ids.ServerId
+    member: Member = Member.LIVE
+    greeted: bool = False
+    in_flight: bool = False
+    stamp: int = 0
+    stamped_at: clock.Millis = clock.LONG_AGO
+    asked_at: clock.Millis = clock.LONG_AGO
+    lease_bound: clock.Millis = clock.LONG_AGO
+    first_asked_at: clock.Millis | None = None
+    holds: frozenset[ids.ShardId] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """Name an instance that may hold a role, and where it runs."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+
+
+@dataclasses.dataclass(frozen=True)
+class CoordinatorState:
+    """Hold one instance's view of the coordination of one service."""
+
+    me: ids.InstanceId
+    service: ids.ServiceName
+    shard_count: int
+    checks_fence: bool = True
+    timing: profiles.Timing = profiles.Timing()
+    term: state.TermState = state.TermState()
+    assignment: state.Assignment = state.Assignment()
+    candidates: tuple[Candidate, ...] = ()
+    links: typing.Mapping[ids.ServerId, ServerLink] = dataclasses.field(
+        default_factory=dict,
+    )
+    authority_until: clock.Millis = clock.LONG_AGO
+    proof_asked_at: clock.Millis = clock.LONG_AGO
+    old_authority_over: clock.Millis = clock.LONG_AGO
+    promised_until: clock.Millis = clock.LONG_AGO
+    asked_as_deputy_at: clock.Millis = clock.LONG_AGO
+    holders_heard_at: clock.Millis = clock.LONG_AGO
+    pending: records.AnyRecord | None = None
+    pending_since: clock.Millis = clock.LONG_AGO
+    log_reached: bool = True
+
+    @property
+    def role(self) -> Role:
+        """Return what this instance is to the service."""
+        if self.term.coordinator == self.me:
+            return Role.COORDINATOR
+        if self.term.deputy == self.me:
+            return Role.DEPUTY
+        return Role.FOLLOWER
+
+    def has_authority(self, now: clock.Millis) -> bool:
+        """Tell whether this instance may give orders at this time."""
+        return self.role is Role.COORDINATOR and now < self.authority_until
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/events.py
@@ -0,0 +1,111 @@
+"""Type what a coordinator meets."""
+
+import dataclasses
+
+from sycamoreferry_core import clock, coordination, ids, profiles, state
+
+
+@dataclasses.dataclass(frozen=True)
+class Ticked:
+    """Tell that time went by."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StateFolded:
+    """Tell what the log says now."""
+
+    term: state.TermState
+    assignment: state.Assignment
+    candidates: tuple[coordination.Candidate, ...]
+    timing: profiles.Timing
+    pending_folded: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class ServersListed:
+    """Tell which backend servers the instance list names."""
+
+    members: tuple[tuple[ids.ServerId, coordination.Member], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class TailRead:
+    """Tell that the tail showed no later claim."""
+
+    sent_at: clock.Millis
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True)
+class TailReadFailed:
+    """Tell that the log did not answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class AppendFailed:
+    """Tell that an append was surely not made."""
+
+    record_id: ids.RecordId
+
+
+@dataclasses.dataclass(frozen=True)
+class DeputyPromised:
+    """Tell that the deputy promised to claim nothing for a while."""
+
+    sent_at: clock.Millis
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True)
+class DeputyAsked:
+    """Tell that the coordinator asked this instance for its promise."""
+
+    term: ids.Term
+    coordinator: ids.InstanceId
+
+
+@dataclasses.dataclass(frozen=True)
+class HolderHeard:
+    """Tell that the coordinator or the deputy answered a probe."""
+
+
+@dataclasses.dataclass(frozen=True)
+class OldAuthorityReleased:
+    """Tell that every earlier authority is known to be over."""
+
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerAnswered:
+    """Tell what a backend server answered to an order."""
+
+    server: ids.ServerId
+    term: ids.Term
+    stamp: int
+    received_at: clock.Millis
+    holds: frozenset[ids.ShardId] | None
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerFailed:
+    """Tell that an order got no answer or was refused."""
+
+    server: ids.ServerId
+    term: ids.Term
+
+
+Event = (
+    Ticked
+    | StateFolded
+    | ServersListed
+    | TailRead
+    | TailReadFailed
+    | AppendFailed
+    | DeputyPromised
+    | DeputyAsked
+    | HolderHeard
+    | OldAuthorityReleased
+    | ServerAnswered
+    | ServerFailed
+)
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -0,0 +1,250 @@
+"""Fold records of the log into state, in the order of their offsets."""
+
+import dataclasses
+import functools
+import typing
+
+import pydantic
+
+from sycamoreferry_core import ids, profiles, records, result_codes, state
+
+_ACCEPTED = result_codes.ResultCode.ANSWERED
+
+KeyType = typing.TypeVar('KeyType')
+HeldType = typing.TypeVar('HeldType')
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """Hold the state after an accepted record."""
+
+    state: state.LogState
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """Hold the rule that a record broke."""
+
+    code: result_codes.ResultCode
+
+
+Verdict = Accepted | Refused
+
+
+class OffsetGapError(ValueError):
+    """Report records that do not continue the state."""
+
+
+def fold_all(
+    log_state: state.LogState,
+    logged: typing.Iterable[records.LoggedRecord],
+) -> state.LogState:
+    """Fold records in order; raise OffsetGapError where some are missing."""
+    for entry in logged:
+        log_state = fold_one(log_state, entry)
+    return log_state
+
+
+def fold_one(
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> state.LogState:
+    """Fold one record; a record that was folded before changes nothing."""
+    if entry.offset < log_state.next_offset:
+        return log_state
+    if entry.offset > log_state.next_offset:
+        raise OffsetGapError(
+            f'expected offset {log_state.next_offset}, got {entry.offset};'
+            ' start again from a snapshot',
+        )
+    advanced = dataclasses.replace(
+        log_state,
+        next_offset=ids.Offset(entry.offset + 1),
+    )
+    try:
+        record = records.decode_record(entry.payload)
+    except records.BadRecordError:
+        return advanced
+    if advanced.verdict_of(record.record_id) is not None:
+        return advanced
+    return _settle(advanced, record, apply_record(record, advanced, entry))
+
+
+def _settle(
+    before: state.LogState,
+    record: records.AnyRecord,
+    verdict: Verdict,
+) -> state.LogState:
+    if isinstance(verdict, Refused):
+        return _remember(before, record.record_id, verdict.code)
+    return _remember(verdict.state, record.record_id, _ACCEPTED)
+
+
+def _remember(
+    log_state: state.LogState,
+    record_id: ids.RecordId,
+    code: result_codes.ResultCode,
+) -> state.LogState:
+    verdicts = with_entry(log_state.verdicts, record_id, code)
+    if len(verdicts) > state.REMEMBERED_RECORDS:
+        verdicts.pop(next(iter(verdicts)))
+    return dataclasses.replace(log_state, verdicts=verdicts)
+
+
+def with_entry(
+    mapping: typing.Mapping[KeyType, HeldType],
+    key: KeyType,
+    held: HeldType,
+) -> dict[KeyType, HeldType]:
+    """Copy a mapping with one entry replaced."""
+    return {**mapping, key: held}
+
+
+@functools.singledispatch
+def apply_record(
+    record: object,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    """Apply a record to the state before it."""
+    return Refused(result_codes.ResultCode.BAD_RECORD)
+
+
+@apply_record.register
+def _apply_term_claimed(
+    record: records.TermClaimed,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.term_of(record.service)
+    follows = record.follows == current.term
+    if not follows or record.term != current.term + 1:
+        return Refused(result_codes.ResultCode.STALE_TERM)
+    claimed = dataclasses.replace(
+        current,
+        term=record.term,
+        coordinator=record.coordinator,
+        deputy=record.deputy,
+        unsettled=(*current.unsettled, record),
+    )
+    return Accepted(
+        dataclasses.replace(
+            log_state,
+            terms=with_entry(log_state.terms, record.service, claimed),
+        ),
+    )
+
+
+@apply_record.register
+def _apply_term_settled(
+    record: records.TermSettled,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.term_of(record.service)
+    if record.term != current.term:
+        return Refused(result_codes.ResultCode.STALE_TERM)
+    settled = dataclasses.replace(
+        current,
+        settled=ids.Term(record.term - 1),
+        unsettled=current.unsettled[-1:],
+    )
+    return Accepted(
+        dataclasses.replace(
+            log_state,
+            terms=with_entry(log_state.terms, record.service, settled),
+        ),
+    )
+
+
+@apply_record.register
+def _apply_assignment_revised(
+    record: records.AssignmentRevised,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    if record.term != log_state.term_of(record.service).term:
+        return Refused(result_codes.ResultCode.STALE_TERM)
+    revised = _revise(
+        log_state.assignment_of(record.service),
+        record,
+        ids.Fence(entry.offset),
+    )
+    if revised is None:
+        return Refused(result_codes.ResultCode.BAD_RECORD)
+    assignments = with_entry(log_state.assignments, record.service, revised)
+    return Accepted(dataclasses.replace(log_state, assignments=assignments))
+
+
+def _revise(
+    assignment: state.Assignment,
+    record: records.AssignmentRevised,
+    fence: ids.Fence,
+) -> state.Assignment | None:
+    count = record.shard_count
+    owners = list(assignment.owners) or [ids.ServerId('')] * count
+    fences = list(assignment.fences) or [ids.NO_FENCE] * count
+    if len(owners) != count:
+        return None
+    for change in record.changes:
+        for shard in change.shards:
+            if not 0 <= shard < count:
+                return None
+            owners[shard] = change.server
+            fences[shard] = fence
+    return state.Assignment(tuple(owners), tuple(fences))
+
+
+@apply_record.register
+def _apply_profile_published(
+    record: records.ProfilePublished,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.profiles.get(record.name)
+    number = current.number if current else ids.NO_PROFILE_NUMBER
+    if record.revises != number:
+        return Refused(result_codes.ResultCode.STALE_PROFILE)
+    try:
+        profile = profiles.parse_profile(record.body)
+    except pydantic.ValidationError:
+        return Refused(result_codes.ResultCode.BAD_RECORD)
+    published = state.PublishedProfile(
+        number=ids.ProfileNumber(number + 1),
+        profile=profile,
+        offset=entry.offset,
+    )
+    return Accepted(
+        dataclasses.replace(
+            log_state,
+            profiles=with_entry(log_state.profiles, record.name, published),
+        ),
+    )
+
+
+@apply_record.register
+def _apply_instance_joined(
+    record: records.InstanceJoined,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    joined = state.InstanceState(
+        instance=record.instance,
+        data_centre=record.data_centre,
+        peer_host=record.peer_host,
+        peer_port=record.peer_port,
+        request_port=record.request_port,
+    )
+    instances = with_entry(log_state.instances, record.instance, joined)
+    return Accepted(dataclasses.replace(log_state, instances=instances))
+
+
+@apply_record.register
+def _apply_instance_left(
+    record: records.InstanceLeft,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    instances = dict(log_state.instances)
+    instances.pop(record.instance, None)
+    return Accepted(dataclasses.replace(log_state, instances=instances))
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -0,0 +1,113 @@
+"""Check the named policy that operators publish."""
+
+import typing
+import zoneinfo
+
+import pydantic
+
+_Positive = typing.Annotated[int, pydantic.Field(gt=0)]
+_Share = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+class _Part(pydantic.BaseModel):
+    """Refuse unknown fields and changes."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Timing(_Part):
+    """Set the times of leases and terms, in milliseconds."""
+
+    authority_ms: _Positive = 500
+    lease_ms: _Positive = 1500
+    detection_ms: _Positive = 600
+    limit_without_log_ms: _Positive = 900_000
+    clock_drift_share: _Share = 0.01
+    order_delay_bound_ms: _Positive = 1000
+    drain_ms: _Positive = 2000
+
+
+class Retries(_Part):
+    """Set how requests are sent on again."""
+
+    budget_share: _Share = 0.2
+    budget_floor: _Positive = 20
+    first_delay_ms: _Positive = 10
+    longest_delay_ms: _Positive = 500
+
+
+class Limits(_Part):
+    """Bound what a service holds at once."""
+
+    default_deadline_ms: _Positive = 2000
+    longest_deadline_ms: _Positive = 60000
+    queue_length: _Positive = 200
+    slots_per_target: _Positive = 2
+    connections_per_target: _Positive = 100
+
+
+class PeakWindow(_Part):
+    """Name a daily window in local time without voluntary moves."""
+
+    zone: str
+    start: str = pydantic.Field(pattern=r'^([01]\d|2[0-3]):[0-5]\d$')
+    end: str = pydantic.Field(pattern=r'^([01]\d|2[0-3]):[0-5]\d$')
+
+    @pydantic.field_validator('zone')
+    @classmethod
+    def check_zone(cls, zone: str) -> str:
+        """Refuse a zone name that the time zone database lacks."""
+        try:
+            zoneinfo.ZoneInfo(zone)
+        except (zoneinfo.ZoneInfoNotFoundError, ValueError) as error:
+            raise ValueError(
+                f'unknown zone {zone!r}; use a name such as Asia/Manila',
+            ) from error
+        return zone
+
+
+class Moves(_Part):
+    """Set when shards move for load."""
+
+    imbalance_threshold: typing.Annotated[float, pydantic.Field(gt=1)] = 1.3
+    churn_budget_per_hour: _Positive = 64
+    batch_size: _Positive = 64
+    rest_after_move_ms: _Positive = 60000
+    peak_windows: tuple[PeakWindow, ...] = ()
+
+
+class Weights(_Part):
+    """Weigh unavailable time against churn."""
+
+    unavailable_time: _Share = 0.5
+    churn: _Share = 0.5
+
+
+class Profile(_Part):
+    """Hold the whole policy of the services that pick it."""
+
+    timing: Timing = Timing()
+    retries: Retries = Retries()
+    limits: Limits = Limits()
+    moves: Moves = Moves()
+    weights: Weights = Weights()
+
+    @pydantic.model_validator(mode='after')
+    def check_times(self) -> typing.Self:
+        """Refuse a lease that a take-over would outlast."""
+        if self.timing.lease_ms < 2 * self.timing.authority_ms:
+            raise ValueError(
+                'timing.lease_ms must be at least twice timing.authority_ms,'
+                ' or a take-over outlasts the lease',
+            )
+        return self
+
+
+def parse_profile(text: str) -> Profile:
+    """Read a profile from JSON; raise pydantic.ValidationError."""
+    return Profile.model_validate_json(text)
+
+
+def format_profile(profile: Profile) -> str:
+    """Write a profile as JSON."""
+    return profile.model_dump_json()
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -0,0 +1,107 @@
+"""Define the records of the configuration log."""
+
+import typing
+
+import msgspec
+
+from sycamoreferry_core import ids
+
+
+class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """Carry the identity that its writer chose."""
+
+    record_id: ids.RecordId
+
+
+class TermClaimed(Record, frozen=True, tag=True):
+    """Claim the next term of a service."""
+
+    service: ids.ServiceName
+    term: ids.Term
+    follows: ids.Term
+    coordinator: ids.InstanceId
+    deputy: ids.InstanceId
+
+
+class TermSettled(Record, frozen=True, tag=True):
+    """State that every earlier term is over."""
+
+    service: ids.ServiceName
+    term: ids.Term
+
+
+class Ownership(msgspec.Struct, frozen=True):
+    """Name the shards that a server is to own."""
+
+    server: ids.ServerId
+    shards: tuple[ids.ShardId, ...]
+
+
+class AssignmentRevised(Record, frozen=True, tag=True):
+    """Change the owners of some shards under a term."""
+
+    service: ids.ServiceName
+    term: ids.Term
+    shard_count: int
+    changes: tuple[Ownership, ...]
+
+
+class ProfilePublished(Record, frozen=True, tag=True):
+    """Publish a profile that revises a number."""
+
+    name: ids.ProfileName
+    revises: ids.ProfileNumber
+    body: str
+
+
+class InstanceJoined(Record, frozen=True, tag=True):
+    """Announce a new routing instance."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+    peer_host: str
+    peer_port: int
+    request_port: int
+
+
+class InstanceLeft(Record, frozen=True, tag=True):
+    """Announce that a routing instance is gone."""
+
+    instance: ids.InstanceId
+
+
+AnyRecord = (
+    TermClaimed
+    | TermSettled
+    | AssignmentRevised
+    | ProfilePublished
+    | InstanceJoined
+    | InstanceLeft
+)
+
+_encoder = msgspec.json.Encoder()
+_decoder: msgspec.json.Decoder[AnyRecord] = msgspec.json.Decoder(AnyRecord)
+
+
+class BadRecordError(ValueError):
+    """Report bytes that are no record."""
+
+
+def encode_record(record: AnyRecord) -> bytes:
+    """Write a record as bytes."""
+    return _encoder.encode(record)
+
+
+def decode_record(payload: bytes) -> AnyRecord:
+    """Read a record from bytes; raise BadRecordError."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise BadRecordError(f'not a record: {error}') from error
+
+
+class LoggedRecord(typing.NamedTuple):
+    """Pair a payload with its place in the log."""
+
+    offset: ids.Offset
+    payload: bytes
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/revisions.py
@@ -0,0 +1,68 @@
+"""Decide when the assignment of a service is revised."""
+
+import dataclasses
+
+from sycamoreferry_core import (
+    actions,
+    assignment,
+    clock,
+    coordination,
+    ids,
+    records,
+)
+
+
+def revise_assignment(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    """Append a revision where a shard has no owner that can serve it."""
+    if current.pending is not None:
+        return actions.Decision(current)
+    changes = assignment.plan_changes(
+        current.assignment,
+        current.shard_count,
+        usable_servers(current, now),
+    )
+    if not changes:
+        return actions.Decision(current)
+    record = records.AssignmentRevised(
+        record_id=ids.RecordId(f'revision/{current.me}/{now}'),
+        service=current.service,
+        term=current.term.term,
+        shard_count=current.shard_count,
+        changes=changes,
+    )
+    return actions.Decision(
+        dataclasses.replace(current, pending=record, pending_since=now),
+        (actions.AppendRecord(record),),
+    )
+
+
+def usable_servers(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> frozenset[ids.ServerId]:
+    """Return the servers that are live and have not fallen silent."""
+    return frozenset(
+        link.server
+        for link in current.links.values()
+        if link.member is coordination.Member.LIVE
+        and not is_silent(current, link, now)
+    )
+
+
+def is_silent(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    now: clock.Millis,
+) -> bool:
+    """Tell whether a server left orders unanswered for too long."""
+    if link.first_asked_at is None:
+        return not link.greeted
+    if not link.greeted:
+        return now > clock.later(
+            link.first_asked_at,
+            current.timing.detection_ms,
+        )
+    return now > clock.later(link.stamped_at, current.timing.detection_ms)
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -0,0 +1,101 @@
+"""Hold the state that every instance folds from the log."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import ids, profiles, records, result_codes
+
+# Bounds the memory of records that were seen and of those refused.
+REMEMBERED_RECORDS = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class TermState:
+    """Hold the current term of a service."""
+
+    term: ids.Term = ids.NO_TERM
+    coordinator: ids.InstanceId = ids.InstanceId('')
+    deputy: ids.InstanceId = ids.InstanceId('')
+    settled: ids.Term = ids.NO_TERM
+    unsettled: tuple[records.TermClaimed, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """Hold owner and fence of each shard; the position is the shard."""
+
+    owners: tuple[ids.ServerId, ...] = ()
+    fences: tuple[ids.Fence, ...] = ()
+
+    def owner_of(self, shard: ids.ShardId) -> ids.ServerId | None:
+        """Return the owner of a shard, if the shard is known."""
+        return self.owners[shard] if shard < len(self.owners) else None
+
+
+@dataclasses.dataclass(frozen=True)
+class PublishedProfile:
+    """Hold the newest accepted number of a profile."""
+
+    number: ids.ProfileNumber
+    profile: profiles.Profile
+    offset: ids.Offset
+
+
+@dataclasses.dataclass(frozen=True)
+class InstanceState:
+    """Hold where a routing instance is reached."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+    peer_host: str
+    peer_port: int
+    request_port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LogState:
+    """Hold all that the log has decided up to an offset."""
+
+    next_offset: ids.Offset = ids.FIRST_OFFSET
+    terms: typing.Mapping[ids.ServiceName, TermState] = dataclasses.field(
+        default_factory=dict,
+    )
+    assignments: typing.Mapping[ids.ServiceName, Assignment] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+    profiles: typing.Mapping[ids.ProfileName, PublishedProfile] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+    instances: typing.Mapping[ids.InstanceId, InstanceState] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+    verdicts: typing.Mapping[ids.RecordId, result_codes.ResultCode] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+
+    def term_of(self, service: ids.ServiceName) -> TermState:
+        """Return the term of a service; term 0 where none was claimed."""
+        return self.terms.get(service, _NO_TERM_STATE)
+
+    def assignment_of(self, service: ids.ServiceName) -> Assignment:
+        """Return the assignment of a service; empty where none is."""
+        return self.assignments.get(service, _NO_ASSIGNMENT)
+
+    def verdict_of(
+        self,
+        record_id: ids.RecordId,
+    ) -> result_codes.ResultCode | None:
+        """Return how a recent record was folded, if it was seen."""
+        return self.verdicts.get(record_id)
+
+
+_NO_TERM_STATE = TermState()
+_NO_ASSIGNMENT = Assignment()
--- /dev/null
+++ b/packages/ctl/src/sycamoreferry_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool."""
--- /dev/null
+++ b/packages/peer/src/sycamoreferry_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routing instances."""
--- /dev/null
+++ b/packages/platform/src/sycamoreferry_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform and to backend servers."""
--- /dev/null
+++ b/packages/platform/src/sycamoreferry_platform/headers.py
@@ -0,0 +1,18 @@
+"""Name the headers that requests and answers carry."""
+
+KEY = 'Ferry-Key'
+CALLER = 'Ferry-Caller'
+DEADLINE_MS = 'Ferry-Deadline-Ms'
+REQUEST_ID = 'Ferry-Request-Id'
+SHARD = 'Ferry-Shard'
+FENCE = 'Ferry-Fence'
+SERVER = 'Ferry-Server'
+INSTANCE = 'Ferry-Instance'
+DATA_CENTRE = 'Ferry-Data-Centre'
+CODE = 'Ferry-Code'
+NOT_RUN = 'Ferry-Not-Run'
+LOAD = 'Ferry-Load'
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+TRACE_PARENT = 'traceparent'
+RETRY_AFTER = 'Retry-After'
+CONTENT_LENGTH = 'Content-Length'
--- /dev/null
+++ b/packages/platform/src/sycamoreferry_platform/http_instance_list.py
@@ -0,0 +1,28 @@
+"""Read the platform's list of live and leaving instances over HTTP."""
+
+import aiohttp
+import msgspec
+
+from sycamoreferry_core import clock
+from sycamoreferry_platform import wire
+
+TIMEOUT_MS = 1000
+
+_decoder = msgspec.json.Decoder(wire.InstanceList)
+
+
+class HttpInstanceList:
+    """Read the instance list."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str) -> None:
+        self._session = session
+        self._url = f'{base_url}/instances'
+
+    async def read(self) -> tuple[wire.ListedServer, ...] | None:
+        """Return the listed servers, or nothing where the list is down."""
+        timeout = aiohttp.ClientTimeout(total=clock.seconds(TIMEOUT_MS))
+        try:
+            async with self._session.get(self._url, timeout=timeout) as answer:
+                return _decoder.decode(await answer.read()).servers
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/packages/platform/src/sycamoreferry_platform/http_orders.py
@@ -0,0 +1,105 @@
+"""Give a coordinator's orders to backend servers over HTTP."""
+
+import dataclasses
+import functools
+
+import aiohttp
+import msgspec
+
+from sycamoreferry_core import actions, clock, ids
+from sycamoreferry_platform import headers, wire
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(wire.OrderAnswer)
+
+
+@dataclasses.dataclass(frozen=True)
+class Sender:
+    """Name who gives orders, for which service."""
+
+    service: ids.ServiceName
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+
+
+@functools.singledispatch
+def to_wire(order: object, sender: Sender) -> wire.AnyOrder:
+    """Return the body that carries an order."""
+    raise TypeError(f'no body for the order {order!r}')
+
+
+@to_wire.register
+def _greet_to_wire(order: actions.Greet, sender: Sender) -> wire.AnyOrder:
+    return wire.GreetOrder(
+        service=sender.service,
+        sender=sender.instance,
+        term=order.term,
+    )
+
+
+@to_wire.register
+def _grant_to_wire(order: actions.Grant, sender: Sender) -> wire.AnyOrder:
+    return wire.GrantOrder(
+        service=sender.service,
+        sender=sender.instance,
+        term=order.term,
+        stamp=order.stamp,
+        lease_ms=order.lease_ms,
+        groups=tuple(
+            wire.FencedShards(group.fence, group.shards)
+            for group in order.groups
+        ),
+    )
+
+
+@to_wire.register
+def _renew_to_wire(order: actions.Renew, sender: Sender) -> wire.AnyOrder:
+    return wire.RenewOrder(
+        service=sender.service,
+        sender=sender.instance,
+        term=order.term,
+        stamp=order.stamp,
+        lease_ms=order.lease_ms,
+        digest=order.digest,
+    )
+
+
+@to_wire.register
+def _revoke_to_wire(order: actions.Revoke, sender: Sender) -> wire.AnyOrder:
+    return wire.RevokeOrder(
+        service=sender.service,
+        sender=sender.instance,
+        term=order.term,
+        shards=order.shards,
+    )
+
+
+class HttpOrders:
+    """Give orders to the backend servers of one service."""
+
+    def __init__(self, session: aiohttp.ClientSession, sender: Sender) -> None:
+        self._session = session
+        self._sender = sender
+
+    async def give(
+        self,
+        order: actions.Order,
+        server: wire.ListedServer,
+        timeout_ms: int,
+    ) -> wire.OrderAnswer | None:
+        """Return the server's answer, or nothing where none came in time."""
+        timeout = aiohttp.ClientTimeout(total=clock.seconds(timeout_ms))
+        url = f'http://{server.host}:{server.port}/ferry/orders'
+        try:
+            async with self._session.post(
+                url,
+                data=_encoder.encode(to_wire(order, self._sender)),
+                headers={
+                    headers.INSTANCE: self._sender.instance,
+                    headers.DATA_CENTRE: self._sender.data_centre,
+                },
+                timeout=timeout,
+            ) as answer:
+                return _decoder.decode(await answer.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/__init__.py
@@ -0,0 +1,1 @@
+"""The routing instance."""
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that a request passes, in the order of pipeline.py."""
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -0,0 +1,75 @@
+"""Forward a request to the selected backend server."""
+
+import dataclasses
+
+from sycamoreferry_core import clock, ids, outcomes, result_codes
+from sycamoreferry_platform import headers, http_forward
+from sycamoreferry_router import messages, traces
+
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Name the instance that forwards."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+
+
+async def forward(
+    selected: messages.Selected,
+    forwarder: http_forward.HttpForwarder,
+    origin: Origin,
+    now: clock.Millis,
+) -> messages.Forwarded | outcomes.NotRun:
+    """Return what became of the request at the server."""
+    remaining = selected.identified.deadline - now
+    if remaining <= 0:
+        return outcomes.NotRun(
+            result_codes.ResultCode.DEADLINE_PASSED,
+            way=selected.way,
+        )
+    incoming = selected.identified.incoming
+    request = http_forward.ForwardedRequest(
+        method=incoming.method,
+        target=incoming.target,
+        headers=_onward_headers(selected, origin, remaining),
+        body=incoming.body,
+        timeout_ms=remaining,
+    )
+    outcome = await forwarder.forward(request, selected.server)
+    return messages.Forwarded(selected, outcome)
+
+
+def _onward_headers(
+    selected: messages.Selected,
+    origin: Origin,
+    remaining: int,
+) -> dict[str, str]:
+    identified = selected.identified
+    onward = {
+        name: text
+        for name, text in identified.incoming.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    }
+    onward[headers.REQUEST_ID] = identified.request_id
+    onward[headers.DEADLINE_MS] = str(remaining)
+    onward[headers.INSTANCE] = origin.instance
+    onward[headers.DATA_CENTRE] = origin.data_centre
+    if identified.shard is not None:
+        onward[headers.SHARD] = str(identified.shard)
+        onward[headers.FENCE] = str(selected.way.fence)
+    traces.hand_on(onward)
+    return onward
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/filters/resolve.py
@@ -0,0 +1,44 @@
+"""Resolve which backend servers may run a request."""
+
+from sycamoreferry_core import ids, outcomes, result_codes
+from sycamoreferry_router import messages, view
+
+_Code = result_codes.ResultCode
+RETRY_AFTER_MS = 1000
+
+
+def resolve(
+    identified: messages.Identified,
+    seen: view.InstanceView,
+) -> messages.Resolved | outcomes.NotRun:
+    """Return the owner of a key, or the live targets of a service."""
+    if identified.shard is None:
+        return _resolve_targets(identified, seen)
+    return _resolve_owner(identified, identified.shard, seen)
+
+
+def _resolve_targets(
+    identified: messages.Identified,
+    seen: view.InstanceView,
+) -> messages.Resolved | outcomes.NotRun:
+    live = tuple(
+        listed
+        for listed in seen.servers_of(identified.service.service_name)
+        if listed.state == view.LIVE
+    )
+    if not live:
+        return outcomes.NotRun(_Code.NO_TARGET, RETRY_AFTER_MS)
+    return messages.Resolved(identified, live, ids.NO_FENCE)
+
+
+def _resolve_owner(
+    identified: messages.Identified,
+    shard: ids.ShardId,
+    seen: view.InstanceView,
+) -> messages.Resolved | outcomes.NotRun:
+    assigned = seen.log_state.assignment_of(identified.service.service_name)
+    owner = assigned.owner_of(shard)
+    listed = seen.servers.get(owner) if owner else None
+    if listed is None:
+        return outcomes.NotRun(_Code.NO_OWNER, RETRY_AFTER_MS)
+    return messages.Resolved(identified, (listed,), assigned.fences[shard])
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -0,0 +1,168 @@
+"""Serve callers, operators and probes over HTTP."""
+
+import asyncio
+import contextlib
+import http
+import typing
+
+from sanic import app as sanic_app
+from sanic import request as sanic_request
+from sanic import response
+from sanic import server as sanic_server
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_router import messages, metrics, pipeline, settings, view
+from sycamoreferry_router.filters import answer
+
+App = sanic_app.Sanic[typing.Any, typing.Any]
+
+_NOT_READY = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
+_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
+# Lets a body just over the bound reach the filter that names its code.
+_BODY_SLACK_BYTES = 65536
+# Sanic itself refuses larger headers before the filter sees them.
+_HEADER_SLACK_BYTES = 8192
+_KEEP_ALIVE_SECONDS = 75
+_RESPONSE_TIMEOUT_SECONDS = 120
+
+
+class HttpServer:
+    """Turn HTTP requests into messages and outcomes into answers."""
+
+    def __init__(
+        self,
+        chosen: settings.Settings,
+        serving: pipeline.Pipeline,
+        seen: view.InstanceView,
+        counted: metrics.Metrics,
+        instance: ids.InstanceId,
+        timer: clock.Clock,
+    ) -> None:
+        self._pipeline = serving
+        self._view = seen
+        self._metrics = counted
+        self._instance = instance
+        self._clock = timer
+        self._app = self._build_app(chosen)
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.in_flight = 0
+
+    async def start(
+        self,
+        host: str,
+        port: int,
+    ) -> sanic_server.AsyncioServer:
+        """Listen for callers."""
+        server = await self._app.create_server(
+            host=host,
+            port=port,
+            access_log=False,
+            return_asyncio_server=True,
+        )
+        if server is None:
+            raise RuntimeError('sanic gave no server to run')
+        await server.startup()  # type: ignore[no-untyped-call]
+        await server.start_serving()  # type: ignore[no-untyped-call]
+        return server
+
+    async def wait_until_idle(self, deadline: clock.Millis) -> None:
+        """Wait until no request is in flight, or until a deadline."""
+        remaining = clock.seconds(max(0, deadline - self._clock.now()))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), remaining)
+
+    def _build_app(self, chosen: settings.Settings) -> App:
+        app: App = sanic_app.Sanic(
+            chosen.instance.name,
+            configure_logging=False,
+        )
+        app.config.REQUEST_MAX_SIZE = (
+            chosen.bounds.body_bytes + _BODY_SLACK_BYTES
+        )
+        app.config.REQUEST_MAX_HEADER_SIZE = (
+            chosen.bounds.header_bytes + _HEADER_SLACK_BYTES
+        )
+        app.config.KEEP_ALIVE_TIMEOUT = _KEEP_ALIVE_SECONDS
+        app.config.RESPONSE_TIMEOUT = _RESPONSE_TIMEOUT_SECONDS
+        app.config.TOUCHUP = False
+        app.add_route(self._show_health, '/healthz')
+        app.add_route(self._show_readiness, '/readyz')
+        app.add_route(self._show_metrics, '/metrics')
+        app.add_route(
+            self._serve_caller,
+            '/<service:str>/<path:path>',
+            methods=_METHODS,
+        )
+        return app
+
+    async def _show_health(
+        self,
+        request: sanic_request.Request,
+    ) -> response.HTTPResponse:
+        return response.text('healthy')
+
+    async def _show_readiness(
+        self,
+        request: sanic_request.Request,
+    ) -> response.HTTPResponse:
+        if self._pipeline.leaving:
+            return response.text('leaving', status=_NOT_READY)
+        if not self._view.ready:
+            return response.text('starting', status=_NOT_READY)
+        return response.text('ready')
+
+    async def _show_metrics(
+        self,
+        request: sanic_request.Request,
+    ) -> response.HTTPResponse:
+        content, extra = self._metrics.render(
+            request.headers.get('accept', 'text/plain'),
+        )
+        return response.raw(content, headers=extra)
+
+    async def _serve_caller(
+        self,
+        request: sanic_request.Request,
+        service: str,
+        path: str,
+    ) -> response.HTTPResponse:
+        self._enter()
+        try:
+            outcome = await self._pipeline.serve(
+                self._to_message(request, service, path),
+            )
+        finally:
+            self._leave()
+        rendered = answer.answer(outcome, self._instance)
+        return response.raw(
+            rendered.body,
+            status=rendered.status,
+            headers=rendered.headers,
+            content_type=rendered.headers.get('Content-Type', 'text/plain'),
+        )
+
+    def _enter(self) -> None:
+        self.in_flight += 1
+        self._idle.clear()
+
+    def _leave(self) -> None:
+        self.in_flight -= 1
+        if not self.in_flight:
+            self._idle.set()
+
+    def _to_message(
+        self,
+        request: sanic_request.Request,
+        service: str,
+        path: str,
+    ) -> messages.Incoming:
+        query = f'?{request.query_string}' if request.query_string else ''
+        return messages.Incoming(
+            method=request.method,
+            service=service,
+            target=f'/{path}{query}',
+            headers=request.headers,
+            body=request.body,
+            received_at=self._clock.now(),
+        )
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -0,0 +1,66 @@
+"""Type the messages that pass from filter to filter."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, ids, outcomes
+from sycamoreferry_platform import http_forward, wire
+from sycamoreferry_router import settings
+
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """Hold a request as the caller sent it."""
+
+    method: str
+    service: str
+    target: str
+    headers: typing.Mapping[str, str]
+    body: bytes
+    received_at: clock.Millis
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identified:
+    """Hold a request whose parts are known and checked."""
+
+    incoming: Incoming
+    request_id: ids.RequestId
+    service: settings.Service
+    key: str | None
+    shard: ids.ShardId | None
+    deadline: clock.Millis
+    idempotency_key: ids.IdempotencyKey | None
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether running the request twice does no harm."""
+        return self.incoming.method in IDEMPOTENT_METHODS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resolved:
+    """Hold a request with the backend servers that may run it."""
+
+    identified: Identified
+    candidates: tuple[wire.ListedServer, ...]
+    fence: ids.Fence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selected:
+    """Hold a request with the backend server that is to run it."""
+
+    identified: Identified
+    server: wire.ListedServer
+    way: outcomes.Way
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """Hold a request with what became of it at the server."""
+
+    selected: Selected
+    outcome: http_forward.ForwardOutcome
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/metrics.py
@@ -0,0 +1,55 @@
+"""Count what the instance does."""
+
+from aioprometheus import collectors, renderer
+
+from sycamoreferry_core import outcomes
+
+
+class Metrics:
+    """Hold the metrics of one instance."""
+
+    def __init__(self) -> None:
+        self.registry = collectors.Registry()
+        self.requests = self._counter(
+            'ferry_requests_total',
+            'Requests by service and result code.',
+        )
+        self.retries = self._counter(
+            'ferry_retries_total',
+            'Requests that were sent on again, by service.',
+        )
+        self.orders = self._counter(
+            'ferry_orders_total',
+            'Orders to backend servers, by service and kind.',
+        )
+        self.in_flight = self._gauge(
+            'ferry_requests_in_flight',
+            'Requests that are being served.',
+        )
+        self.next_offset = self._gauge(
+            'ferry_log_next_offset',
+            'Offset up to which the log was folded.',
+        )
+        self.has_authority = self._gauge(
+            'ferry_coordinator_authority',
+            'Whether this instance may give orders, by service.',
+        )
+        self.profile_number = self._gauge(
+            'ferry_profile_number',
+            'Number of the profile in force, by name.',
+        )
+
+    def count_outcome(self, service: str, outcome: outcomes.Outcome) -> None:
+        """Count how a request ended."""
+        self.requests.inc({'service': service, 'code': str(int(outcome.code))})
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers."""
+        content, extra = renderer.render(self.registry, [accept])
+        return content, dict(extra)
+
+    def _counter(self, name: str, help_text: str) -> collectors.Counter:
+        return collectors.Counter(name, help_text, registry=self.registry)
+
+    def _gauge(self, name: str, help_text: str) -> collectors.Gauge:
+        return collectors.Gauge(name, help_text, registry=self.registry)
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -0,0 +1,157 @@
+"""Read and check the settings of an instance."""
+
+import pathlib
+import typing
+
+import pydantic
+import yaml
+
+from sycamoreferry_core import ids
+
+HIGHEST_PORT = 65_535
+MOST_SHARDS = 65_536
+
+_Port = typing.Annotated[int, pydantic.Field(gt=0, le=HIGHEST_PORT)]
+_Positive = typing.Annotated[int, pydantic.Field(gt=0)]
+_Name = typing.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]*$')]
+_Url = typing.Annotated[str, pydantic.Field(pattern=r'^https?://[^/]+$')]
+
+
+class _Part(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Identity(_Part):
+    """Name the instance and the data centre that it runs in."""
+
+    name: _Name
+    data_centre: _Name
+
+
+class Listen(_Part):
+    """Set where callers and peers reach the instance."""
+
+    host: pydantic.IPvAnyAddress
+    request_port: _Port
+    peer_port: _Port
+
+
+class Platform(_Part):
+    """Set where the platform's services are."""
+
+    log_url: _Url
+    stream: _Name = 'ferry'
+    instance_list_url: _Url
+    list_interval_ms: _Positive = 500
+    tail_wait_ms: _Positive = 5000
+
+
+class Service(_Part):
+    """Describe a service of backend servers."""
+
+    name: _Name
+    shards: typing.Annotated[int, pydantic.Field(ge=0, le=MOST_SHARDS)] = 0
+    checks_fence: bool = True
+    profile: _Name = 'default'
+
+    @property
+    def service_name(self) -> ids.ServiceName:
+        """Return the name as an id."""
+        return ids.ServiceName(self.name)
+
+    @property
+    def is_keyed(self) -> bool:
+        """Tell whether the service is divided by key."""
+        return self.shards > 0
+
+
+class RequestBounds(_Part):
+    """Bound what callers may send."""
+
+    body_bytes: _Positive = 1_000_000
+    header_bytes: _Positive = 8192
+    key_bytes: _Positive = 256
+
+
+class Logging(_Part):
+    """Set how much is logged."""
+
+    level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+
+class Tracing(_Part):
+    """Set where spans go."""
+
+    export: typing.Literal['none', 'log'] = 'none'
+
+
+class Settings(_Part):
+    """Hold all settings of an instance."""
+
+    instance: Identity
+    listen: Listen
+    platform: Platform
+    services: typing.Annotated[
+        tuple[Service, ...],
+        pydantic.Field(min_length=1),
+    ]
+    bounds: RequestBounds = RequestBounds()
+    logging: Logging = Logging()
+    tracing: Tracing = Tracing()
+    shutdown_ms: _Positive = 10_000
+
+    @pydantic.field_validator('services')
+    @classmethod
+    def check_names(
+        cls,
+        services: tuple[Service, ...],
+    ) -> tuple[Service, ...]:
+        """Refuse two services of one name."""
+        names = [service.name for service in services]
+        if len(set(names)) < len(names):
+            raise ValueError('two services have the same name; rename one')
+        return services
+
+
+class SettingsError(Exception):
+    """Report every error of a settings file."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__('\n'.join(problems))
+        self.problems = problems
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read settings from a YAML file; raise SettingsError."""
+    try:
+        content = yaml.safe_load(path.read_text())
+    except OSError as error:
+        raise SettingsError((f'{path}: cannot be read: {error}',)) from error
+    except yaml.YAMLError as error:
+        raise SettingsError((f'{path}: is not YAML: {error}',)) from error
+    return check_settings(content)
+
+
+def check_settings(content: object) -> Settings:
+    """Check the content of a settings file; raise SettingsError."""
+    try:
+        return Settings.model_validate(content)
+    except pydantic.ValidationError as error:
+        raise SettingsError(describe_errors(error)) from error
+
+
+def describe_errors(error: pydantic.ValidationError) -> tuple[str, ...]:
+    """Return a line for each error: its path and what to do."""
+    lines = []
+    for problem in error.errors():
+        path = '.'.join(str(part) for part in problem['loc']) or '(top)'
+        lines.append(f'{path}: {_advice(problem["type"], problem["msg"])}')
+    return tuple(lines)
+
+
+def _advice(kind: str, message: str) -> str:
+    if kind == 'extra_forbidden':
+        return 'unknown field; remove it or correct its name'
+    if kind == 'missing':
+        return 'missing; add it'
+    return message
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/tail.py
@@ -0,0 +1,104 @@
+"""Fold the log's tail into the view, and append to the log."""
+
+import asyncio
+import secrets
+
+from sycamoreferry_core import clock, fold, ids, records, result_codes
+from sycamoreferry_platform import log_port
+from sycamoreferry_router import logs, view
+
+RETRY_MS = 200
+READ_BACK_MS = 5000
+RECORD_ID_BYTES = 8
+
+_log = logs.part_logger('tail')
+
+
+def new_record_id(prefix: str) -> ids.RecordId:
+    """Return a record id that no other writer chooses."""
+    return ids.RecordId(f'{prefix}/{secrets.token_hex(RECORD_ID_BYTES)}')
+
+
+class Tail:
+    """Follow one stream of the log."""
+
+    def __init__(
+        self,
+        log_service: log_port.LogService,
+        seen: view.InstanceView,
+        wait_ms: int,
+    ) -> None:
+        self._log_service = log_service
+        self._view = seen
+        self._wait_ms = wait_ms
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            if not await self._follow_once():
+                await asyncio.sleep(clock.seconds(RETRY_MS))
+
+    async def read_now(self) -> bool:
+        """Fold what the log holds now; tell whether it answered."""
+        while True:
+            outcome = await self._log_service.read(self._next_offset(), 0)
+            if isinstance(outcome, log_port.ReadFailed):
+                return False
+            await self._fold(outcome)
+            if self._next_offset() >= outcome.end_offset:
+                return True
+
+    async def publish(
+        self,
+        record: records.AnyRecord,
+    ) -> result_codes.ResultCode | None:
+        """Append a record and read it back; nothing where that failed."""
+        appended = await self._log_service.append(
+            records.encode_record(record),
+        )
+        if isinstance(appended, log_port.NotAppended):
+            return None
+        return await self.await_verdict(record.record_id)
+
+    async def await_verdict(
+        self,
+        record_id: ids.RecordId,
+    ) -> result_codes.ResultCode | None:
+        """Wait a while until a record was folded, and tell how."""
+        try:
+            async with asyncio.timeout(clock.seconds(READ_BACK_MS)):
+                return await self._verdict(record_id)
+        except TimeoutError:
+            return None
+
+    async def _verdict(
+        self,
+        record_id: ids.RecordId,
+    ) -> result_codes.ResultCode:
+        while True:
+            verdict = self._view.log_state.verdict_of(record_id)
+            if verdict is not None:
+                return verdict
+            async with self._view.changed:
+                await self._view.changed.wait()
+
+    async def _follow_once(self) -> bool:
+        outcome = await self._log_service.read(
+            self._next_offset(),
+            self._wait_ms if self._view.caught_up else 0,
+        )
+        if isinstance(outcome, log_port.ReadFailed):
+            _log.debug('{}; trying again', outcome.reason)
+            return False
+        await self._fold(outcome)
+        self._view.caught_up = self._next_offset() >= outcome.end_offset
+        return True
+
+    def _next_offset(self) -> ids.Offset:
+        return self._view.log_state.next_offset
+
+    async def _fold(self, outcome: log_port.Tail) -> None:
+        if not outcome.logged:
+            return
+        folded = fold.fold_all(self._view.log_state, outcome.logged)
+        await self._view.advance(folded)
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/traces.py
@@ -0,0 +1,62 @@
+"""Trace each hop of a request."""
+
+import contextlib
+import typing
+
+from opentelemetry import context, trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.trace.propagation import tracecontext
+
+from sycamoreferry_router import logs, settings
+
+_log = logs.part_logger('trace')
+_propagator = tracecontext.TraceContextTextMapPropagator()
+_tracer = trace.get_tracer('sycamoreferry')
+
+
+class LogExporter(export.SpanExporter):
+    """Write ended spans to the log."""
+
+    def export(
+        self,
+        spans: typing.Sequence[sdk_trace.ReadableSpan],
+    ) -> export.SpanExportResult:
+        """Write one line for each span."""
+        for span in spans:
+            _log.info('{}', span.to_json(indent=None))
+        return export.SpanExportResult.SUCCESS
+
+
+def set_up_traces(chosen: settings.Tracing, instance: str) -> None:
+    """Send spans where the settings say."""
+    if chosen.export == 'none':
+        return
+    provider = sdk_trace.TracerProvider(
+        resource=resources.Resource({'service.instance.id': instance}),
+    )
+    provider.add_span_processor(export.SimpleSpanProcessor(LogExporter()))
+    trace.set_tracer_provider(provider)
+
+
+@contextlib.contextmanager
+def hop(
+    name: str,
+    caller_headers: typing.Mapping[str, str] | None = None,
+) -> typing.Iterator[trace.Span]:
+    """Run a block in a span, under the caller's span where it names one."""
+    token = None
+    if caller_headers is not None and 'traceparent' in caller_headers:
+        token = context.attach(_propagator.extract(dict(caller_headers)))
+    try:
+        with _tracer.start_as_current_span(name) as span:
+            yield span
+    finally:
+        if token is not None:
+            context.detach(token)
+
+
+def hand_on(onward: dict[str, str]) -> None:
+    """Name the current span as the parent of the next hop's."""
+    _propagator.inject(onward)
--- /dev/null
+++ b/packages/standins/src/sycamoreferry_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/packages/standins/src/sycamoreferry_standins/__main__.py
@@ -0,0 +1,5 @@
+"""Run the stand-ins' command line."""
+
+from sycamoreferry_standins import cli
+
+cli.main()
--- /dev/null
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -0,0 +1,130 @@
+"""Keep the grants of one backend server, by its own clock."""
+
+import functools
+
+from sycamoreferry_core import clock, digests, ids
+from sycamoreferry_platform import wire
+
+
+class GrantBook:
+    """Hold term, lease and fences; obey orders that are not stale."""
+
+    def __init__(self, timer: clock.Clock, *, checks_fence: bool) -> None:
+        self._clock = timer
+        self._checks_fence = checks_fence
+        self._term = ids.NO_TERM
+        self._lease_end = clock.LONG_AGO
+        self._fences: dict[ids.ShardId, ids.Fence] = {}
+
+    @property
+    def term(self) -> ids.Term:
+        """Return the newest term that the server follows."""
+        return self._term
+
+    @property
+    def lease_end(self) -> clock.Millis:
+        """Return the end of the lease by the server's clock."""
+        return self._lease_end
+
+    def forget(self) -> None:
+        """Lose everything, as in a crash."""
+        self._term = ids.NO_TERM
+        self._lease_end = clock.LONG_AGO
+        self._fences = {}
+
+    def holds(self, shard: ids.ShardId, fence: ids.Fence) -> bool:
+        """Tell whether a shard is granted now under a fence."""
+        self._lapse()
+        held = self._fences.get(shard)
+        if held is None:
+            return False
+        return held == fence or not self._checks_fence
+
+    def obey(self, order: wire.AnyOrder) -> wire.OrderAnswer:
+        """Carry out an order and say what is held after it."""
+        self._lapse()
+        if self._checks_fence and order.term < self._term:
+            return self._answer(accepted=False)
+        self._term = max(self._term, order.term)
+        return _obey(order, self)
+
+    def grant(self, order: wire.GrantOrder) -> wire.OrderAnswer:
+        """Take shards under their fences."""
+        if not self._extend(order.stamp, order.lease_ms):
+            return self._answer(accepted=False)
+        for group in order.groups:
+            for shard in group.shards:
+                held = self._fences.get(shard, ids.NO_FENCE)
+                self._fences[shard] = max(held, group.fence)
+        return self._answer(accepted=True)
+
+    def renew(self, order: wire.RenewOrder) -> wire.OrderAnswer:
+        """Lengthen the lease where both sides know the same shards."""
+        if digests.digest_shards(self._fences) != order.digest:
+            return self._answer(accepted=True)
+        self._extend(order.stamp, order.lease_ms)
+        return wire.OrderAnswer(
+            accepted=True,
+            term=self._term,
+            stamp=self._clock.now(),
+        )
+
+    def revoke(self, order: wire.RevokeOrder) -> wire.OrderAnswer:
+        """Give shards back."""
+        for shard in order.shards:
+            self._fences.pop(shard, None)
+        return self._answer(accepted=True)
+
+    def greet(self) -> wire.OrderAnswer:
+        """Say what is held."""
+        return self._answer(accepted=True)
+
+    def _lapse(self) -> None:
+        if self._clock.now() >= self._lease_end:
+            self._fences = {}
+
+    def _extend(self, stamp: int, lease_ms: int) -> bool:
+        end = clock.Millis(stamp + lease_ms)
+        if end <= self._clock.now():
+            return False
+        self._lease_end = max(self._lease_end, end)
+        return True
+
+    def _answer(self, *, accepted: bool) -> wire.OrderAnswer:
+        groups: dict[ids.Fence, list[ids.ShardId]] = {}
+        for shard, fence in self._fences.items():
+            groups.setdefault(fence, []).append(shard)
+        return wire.OrderAnswer(
+            accepted=accepted,
+            term=self._term,
+            stamp=self._clock.now(),
+            groups=tuple(
+                wire.FencedShards(fence, tuple(sorted(shards)))
+                for fence, shards in sorted(groups.items())
+            ),
+        )
+
+
+@functools.singledispatch
+def _obey(order: object, book: GrantBook) -> wire.OrderAnswer:
+    raise TypeError(f'no rule for the order {order!r}')
+
+
+@_obey.register
+def _obey_greet(order: wire.GreetOrder, book: GrantBook) -> wire.OrderAnswer:
+    return book.greet()
+
+
+@_obey.register
+def _obey_grant(order: wire.GrantOrder, book: GrantBook) -> wire.OrderAnswer:
+    return book.grant(order)
+
+
+@_obey.register
+def _obey_renew(order: wire.RenewOrder, book: GrantBook) -> wire.OrderAnswer:
+    return book.renew(order)
+
+
+@_obey.register
+def _obey_revoke(order: wire.RevokeOrder, book: GrantBook) -> wire.OrderAnswer:
+    return book.revoke(order)
