Let gates admit requests and learn how they ended

Cause: admission of non-idempotent requests and quarantine need to see a request before its first try and after its last one. Ruled out: one filter that knows them all.

--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -187,7 +187,7 @@
 
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
-        self._pipeline.leaving = True
+        self._pipeline.start_leaving()
         deadline = clock.later(
             self._clock.now(),
             self._settings.shutdown_ms,
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -38,7 +38,11 @@
 class Pipeline:
     """Serve requests: accept, identify, admit, then try until it ends."""
 
-    def __init__(self, parts: Parts) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        gates: typing.Sequence[admit.Gate] = (),
+    ) -> None:
         self._parts = parts
         self._selector = select.Selector(parts.chance)
         self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
@@ -49,7 +53,17 @@
             bounds=parts.chosen.bounds,
             seen=parts.seen,
         )
-        self.leaving = False
+        self._readiness = admit.ReadinessGate(parts.seen)
+        self._gates = (self._readiness, *gates)
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether new requests are refused because of a shutdown."""
+        return self._readiness.leaving
+
+    def start_leaving(self) -> None:
+        """Refuse new requests from now on."""
+        self._readiness.leaving = True
 
     async def serve(self, incoming: messages.Incoming) -> outcomes.Outcome:
         """Return how the request ended."""
@@ -69,14 +83,22 @@
         identified = identify.identify(accepted, self._known, _new_request_id)
         if isinstance(identified, outcomes.NotRun):
             return identified
-        admitted = admit.admit(
-            identified,
-            self._parts.seen,
-            leaving=self.leaving,
-        )
-        if isinstance(admitted, outcomes.NotRun):
+        return await self._pass_gates(identified, self._gates)
+
+    async def _pass_gates(
+        self,
+        identified: messages.Identified,
+        gates: typing.Sequence[admit.Gate],
+    ) -> outcomes.Outcome:
+        if not gates:
+            return await self._try_until_ended(identified)
+        gate, *others = gates
+        admitted = await gate.enter(identified)
+        if not isinstance(admitted, messages.Identified):
             return admitted
-        return await self._try_until_ended(admitted)
+        outcome = await self._pass_gates(admitted, others)
+        await gate.leave(admitted, outcome)
+        return outcome
 
     async def _try_until_ended(
         self,
@@ -142,9 +164,3 @@
 
 def _new_request_id() -> ids.RequestId:
     return ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
-
-
-Serve = typing.Callable[
-    [messages.Incoming],
-    typing.Awaitable[outcomes.Outcome],
-]
--- /dev/null
+++ b/packages/standins/src/sycamoreferry_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that print a table and write JSON."""
