Keep a coordinator's tick from walking every shard

Cause: each tick of 50 ms built the owners' shard sets anew, planned the whole assignment, and digested each server's set for its renewal. Change: shards by owner are worked out once for each assignment, an even assignment ends planning early, and digests are remembered by set.

--- a/packages/core/src/sycamoreferry_core/assignment.py
+++ b/packages/core/src/sycamoreferry_core/assignment.py
@@ -12,7 +12,7 @@
     servers: typing.Collection[ids.ServerId],
 ) -> tuple[records.Ownership, ...]:
     """Return the fewest changes that give every shard a listed owner."""
-    if not servers:
+    if not servers or _is_even(assignment, shard_count, servers):
         return ()
     owners = assignment.owners or (ids.ServerId(''),) * shard_count
     kept = _kept_shards(owners, servers)
@@ -25,6 +25,18 @@
     return _hand_out(orphans, kept, shard_count)
 
 
+def _is_even(
+    assignment: state.Assignment,
+    shard_count: int,
+    servers: typing.Collection[ids.ServerId],
+) -> bool:
+    owned = assignment.shards_by_owner
+    floor = shard_count // len(servers)
+    return owned.keys() == set(servers) and all(
+        floor <= len(shards) <= floor + 1 for shards in owned.values()
+    )
+
+
 def _kept_shards(
     owners: typing.Sequence[ids.ServerId],
     servers: typing.Collection[ids.ServerId],
--- a/packages/core/src/sycamoreferry_core/orders.py
+++ b/packages/core/src/sycamoreferry_core/orders.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import typing
 
 from sycamoreferry_core import (
     actions,
@@ -33,7 +34,7 @@
 ) -> actions.Decision:
     """Give each server that has none in flight the order it needs next."""
     current = _lapse_leases(current, now)
-    wanted = _wanted_shards(current)
+    wanted = current.assignment.shards_by_owner
     given: list[actions.Action] = []
     for server in sorted(current.links):
         link = current.links[server]
@@ -57,26 +58,19 @@
     return current
 
 
-def _wanted_shards(
-    current: coordination.CoordinatorState,
-) -> dict[ids.ServerId, set[ids.ShardId]]:
-    wanted: dict[ids.ServerId, set[ids.ShardId]] = collections.defaultdict(set)
-    for shard, owner in enumerate(current.assignment.owners):
-        wanted[owner].add(ids.ShardId(shard))
-    return wanted
-
-
 def _next_order(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    wanted: dict[ids.ServerId, set[ids.ShardId]],
+    wanted: typing.Mapping[ids.ServerId, frozenset[ids.ShardId]],
     now: clock.Millis,
 ) -> actions.Order | None:
     if link.in_flight:
         return None
     if not link.greeted:
         return _greet(current, link, now)
-    mine = wanted.get(link.server, set())
+    mine = wanted.get(link.server, frozenset())
+    if digests.digest_shards(mine) == digests.digest_shards(link.holds):
+        return _renew(current, link, now)
     surplus = link.holds - mine
     if surplus:
         return actions.Revoke(
@@ -107,14 +101,14 @@
 def _grantable(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    mine: set[ids.ShardId],
+    mine: frozenset[ids.ShardId],
     now: clock.Millis,
-) -> set[ids.ShardId]:
+) -> frozenset[ids.ShardId]:
     missing = mine - link.holds
     if not missing:
         return missing
     if not _all_others_known(current, link, now):
-        return set()
+        return frozenset()
     for other in current.links.values():
         if other.server != link.server:
             missing -= other.holds
@@ -134,7 +128,7 @@
 def _grant(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    missing: set[ids.ShardId],
+    missing: frozenset[ids.ShardId],
 ) -> actions.Order:
     by_fence: dict[ids.Fence, list[ids.ShardId]] = collections.defaultdict(list)
     for shard in sorted(missing):
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -1,6 +1,7 @@
 """Hold the state that every instance folds from the log."""
 
 import dataclasses
+import functools
 import typing
 
 from sycamoreferry_core import ids, profiles, records, result_codes
@@ -31,6 +32,16 @@
         """Return the owner of a shard, if the shard is known."""
         return self.owners[shard] if shard < len(self.owners) else None
 
+    @functools.cached_property
+    def shards_by_owner(
+        self,
+    ) -> typing.Mapping[ids.ServerId, frozenset[ids.ShardId]]:
+        """Return the shards of each owner."""
+        owned: dict[ids.ServerId, list[ids.ShardId]] = {}
+        for shard, owner in enumerate(self.owners):
+            owned.setdefault(owner, []).append(ids.ShardId(shard))
+        return {owner: frozenset(shards) for owner, shards in owned.items()}
+
 
 @dataclasses.dataclass(frozen=True)
 class PublishedProfile:
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report
+from sycamoreferry_standins.bench import control, report, slopes
 
 Measure = typing.Callable[
     [],
@@ -19,6 +19,7 @@
 
 EXPERIMENTS: dict[str, Measure] = {
     'control': control.measure,
+    'slopes': slopes.measure,
 }
 
 
--- a/packages/standins/src/sycamoreferry_standins/grant_book.py
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -60,7 +60,7 @@
 
     def renew(self, order: wire.RenewOrder) -> wire.OrderAnswer:
         """Lengthen the lease where both sides know the same shards."""
-        if digests.digest_shards(self._fences) != order.digest:
+        if digests.digest_shards(frozenset(self._fences)) != order.digest:
             return self._answer(accepted=True)
         self._extend(order.stamp, order.lease_ms)
         return wire.OrderAnswer(
