--- a/packages/core/src/sycamoreferry_core/actions.py
+++ b/packages/core/src/sycamoreferry_core/actions.py
@@ -18,6 +18,14 @@
     term: ids.Term
 
 
+@dataclasses.dataclass(frozen=True)
+class AskRelease:
+    """Ask a holder of earlier terms whether it acts no more."""
+
+    holder: ids.InstanceId
+    term: ids.Term
+
+
 @dataclasses.dataclass(frozen=True)
 class ProbeHolders:
     """Ask the coordinator and the deputy whether they are there."""
@@ -46,6 +54,7 @@
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,6 +63,7 @@
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
     stamp: int
     lease_ms: int
     groups: tuple[FencedShards, ...]
@@ -65,6 +75,7 @@
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
     stamp: int
     lease_ms: int
     digest: int
@@ -76,11 +87,12 @@
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
     shards: tuple[ids.ShardId, ...]
 
 
 Order = Greet | Grant | Renew | Revoke
-Action = ReadTail | AskDeputy | ProbeHolders | AppendRecord | Order
+Action = ReadTail | AskDeputy | AskRelease | ProbeHolders | AppendRecord | Order
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/authority.py
@@ -0,0 +1,168 @@
+"""Decide how long a term's authority lasts, and when earlier ones end."""
+
+import dataclasses
+
+from sycamoreferry_core import (
+    actions,
+    clock,
+    coordination,
+    ids,
+    profiles,
+    records,
+)
+
+PROOFS_PER_AUTHORITY = 3
+
+
+def with_drift(
+    current: coordination.CoordinatorState,
+    duration: int,
+) -> int:
+    """Lengthen a duration in milliseconds by the bound on clock drift."""
+    return int(duration * (1 + current.longest.clock_drift_share)) + 1
+
+
+def seek_proof(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    """Ask for proof that the term is current, and for releases."""
+    interval = current.timing.authority_ms // PROOFS_PER_AUTHORITY
+    if now < clock.later(current.proof_asked_at, interval):
+        return actions.Decision(current)
+    asked = dataclasses.replace(current, proof_asked_at=now)
+    return actions.Decision(
+        asked,
+        (actions.ReadTail(), *_ask_deputy(current), *_ask_releases(current)),
+    )
+
+
+def _ask_deputy(
+    current: coordination.CoordinatorState,
+) -> tuple[actions.Action, ...]:
+    refused = current.refused_for > current.term.term
+    if refused or not current.term.deputy:
+        return ()
+    return (actions.AskDeputy(current.term.deputy, current.term.term),)
+
+
+def _ask_releases(
+    current: coordination.CoordinatorState,
+) -> tuple[actions.Action, ...]:
+    holders = {
+        holder
+        for claim in _earlier_claims(current)
+        if not _is_over(current, claim)
+        for holder in (claim.coordinator, claim.deputy)
+    }
+    return tuple(
+        actions.AskRelease(holder, current.term.term)
+        for holder in sorted(holders.difference({current.me}))
+    )
+
+
+def prove_by_log(
+    current: coordination.CoordinatorState,
+    sent_at: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Extend authority from a read of the tail without a later claim."""
+    proved = dataclasses.replace(
+        current,
+        proved_at=max(current.proved_at, sent_at),
+    )
+    return _extend(proved, clock.later(sent_at, current.timing.authority_ms))
+
+
+def prove_by_deputy(
+    current: coordination.CoordinatorState,
+    sent_at: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Extend authority from a promise, up to the limit without the log."""
+    limit = clock.later(
+        current.proved_at,
+        current.timing.limit_without_log_ms,
+    )
+    until = clock.later(sent_at, current.timing.authority_ms)
+    heard = dataclasses.replace(current, deputy_heard_at=sent_at)
+    return _extend(heard, min(until, limit))
+
+
+def _extend(
+    current: coordination.CoordinatorState,
+    until: clock.Millis,
+) -> coordination.CoordinatorState:
+    return dataclasses.replace(
+        current,
+        authority_until=max(current.authority_until, until),
+    )
+
+
+def earlier_authority_over(
+    current: coordination.CoordinatorState,
+) -> clock.Millis:
+    """Return when no earlier term can have authority any more."""
+    if current.term.term <= ids.FIRST_TERM:
+        return current.entered_at
+    proved = with_drift(current, current.longest.authority_ms)
+    ends = [
+        _promise_over(current, claim)
+        for claim in _earlier_claims(current)
+        if not _is_over(current, claim)
+    ]
+    return max(clock.later(current.entered_at, proved), *ends, clock.LONG_AGO)
+
+
+def _earlier_claims(
+    current: coordination.CoordinatorState,
+) -> list[records.TermClaimed]:
+    return [
+        claim
+        for claim in current.term.unsettled
+        if claim.term < current.term.term
+    ]
+
+
+def _is_over(
+    current: coordination.CoordinatorState,
+    claim: records.TermClaimed,
+) -> bool:
+    if claim.coordinator == current.me or not claim.deputy:
+        return True
+    holders = {claim.coordinator, claim.deputy}
+    return bool(holders.intersection(current.released_by))
+
+
+def _promise_over(
+    current: coordination.CoordinatorState,
+    claim: records.TermClaimed,
+) -> clock.Millis:
+    if claim.deputy == current.me:
+        return current.earlier_promised_until
+    limit = with_drift(current, current.longest.limit_without_log_ms)
+    return clock.later(current.entered_at, limit)
+
+
+def has_released(
+    current: coordination.CoordinatorState,
+    term: ids.Term,
+    now: clock.Millis,
+) -> bool:
+    """Tell whether this instance acts and promises under no earlier term."""
+    promised = current.earlier_promised_until
+    if current.term.term < term:
+        promised = max(promised, current.promised_until)
+    # A term that was asked about is never promised again, nor acted under.
+    return now > promised and current.refused_for >= term
+
+
+def longest_of(
+    first: profiles.Timing,
+    second: profiles.Timing,
+) -> profiles.Timing:
+    """Return the longer of each time."""
+    if first is second:
+        return first
+    one, other = first.model_dump(), second.model_dump()
+    return first.model_copy(
+        update={name: max(one[name], other[name]) for name in one},
+    )
--- a/packages/core/src/sycamoreferry_core/claims.py
+++ b/packages/core/src/sycamoreferry_core/claims.py
@@ -4,17 +4,22 @@
 
 from sycamoreferry_core import (
     actions,
+    authority,
     clock,
     coordination,
     events,
     ids,
     keys,
+    links,
     records,
     state,
 )
 
+# How many followers may claim, one after another.
+LINE_LENGTH = 3
 FOLLOWER_PATIENCE = 3
-PENDING_PATIENCE = 4
+PENDING_PATIENCE = 2
+DEPUTY_PATIENCE = 5
 
 
 def enter_term(
@@ -23,44 +28,39 @@
     now: clock.Millis,
 ) -> coordination.CoordinatorState:
     """Return the state at the start of a term that the log shows."""
-    links = {
-        server: coordination.ServerLink(server, member=link.member)
-        for server, link in current.links.items()
-    }
     return dataclasses.replace(
         current,
         term=term,
-        links=links,
+        links=links.fresh_links(current),
         pending=None,
+        entered_at=now,
+        proved_at=_claim_sent_at(current, term),
         authority_until=clock.LONG_AGO,
         proof_asked_at=clock.LONG_AGO,
+        released_by=frozenset(),
+        promised_until=clock.LONG_AGO,
+        earlier_promised_until=max(
+            current.promised_until,
+            current.earlier_promised_until,
+        ),
         asked_as_deputy_at=now,
+        deputy_heard_at=now,
         holders_heard_at=now,
-        old_authority_over=_old_authority_over(current, term, now),
     )
 
 
-def _old_authority_over(
+def _claim_sent_at(
     current: coordination.CoordinatorState,
     term: state.TermState,
-    now: clock.Millis,
 ) -> clock.Millis:
-    earlier = [claim for claim in term.unsettled if claim.term != term.term]
-    if not earlier:
-        return now
-    if all(claim.deputy == current.me for claim in earlier):
-        proved = with_drift(current, current.timing.authority_ms)
-        return max(clock.later(now, proved), current.promised_until)
-    limit = with_drift(current, current.timing.limit_without_log_ms)
-    return clock.later(now, limit)
-
-
-def with_drift(
-    current: coordination.CoordinatorState,
-    duration: int,
-) -> int:
-    """Lengthen a duration in milliseconds by the bound on clock drift."""
-    return int(duration * (1 + current.timing.clock_drift_share)) + 1
+    pending = current.pending
+    newest = term.unsettled[-1:]
+    if pending is None or not newest:
+        return clock.LONG_AGO
+    if newest[0].record_id != pending.record_id:
+        return clock.LONG_AGO
+    # No later claim can precede the claim that it follows.
+    return current.pending_since
 
 
 def promise(
@@ -73,54 +73,84 @@
     asked_by_holder = event.coordinator == known.coordinator
     if event.term != known.term or not asked_by_holder:
         return current
-    if current.pending is not None or known.deputy != current.me:
+    if known.deputy != current.me or current.is_released:
+        return current
+    if current.refused_for > event.term:
         return current
-    lasting = 2 * with_drift(current, current.timing.authority_ms)
+    lasting = authority.with_drift(current, current.longest.authority_ms)
+    # A claim that is under way needs no taking back: should it land, this
+    # instance waits for its own promise before it counts the term as over.
     return dataclasses.replace(
         current,
+        pending=None,
         asked_as_deputy_at=now,
         promised_until=clock.later(now, lasting),
     )
 
 
+def hear_holder(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Return the state after a holder of the term answered a probe."""
+    return dataclasses.replace(current, holders_heard_at=now, pending=None)
+
+
+def resend_pending(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    """Append the same record again where it was not read back in time."""
+    sent_at = max(current.pending_since, current.pending_sent_at)
+    patience = PENDING_PATIENCE * current.timing.detection_ms
+    if current.pending is None or now < clock.later(sent_at, patience):
+        return actions.Decision(current)
+    return actions.Decision(
+        dataclasses.replace(current, pending_sent_at=now),
+        (actions.AppendRecord(current.pending),),
+    )
+
+
 def consider_claim(
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
     """Claim the next term where the holders of this one are silent."""
     if current.pending is not None:
-        return actions.Decision(_forget_lost_claim(current, now))
+        return resend_pending(current, now)
     if current.role is coordination.Role.DEPUTY:
-        silent_since = current.asked_as_deputy_at
-        silence = max(
-            clock.later(silent_since, current.timing.detection_ms),
-            current.promised_until,
-        )
-        return _claim(current, now) if now > silence else _stay(current)
-    if not _is_first_in_line(current):
-        return _stay(current)
-    if current.term.term == ids.NO_TERM:
-        return _claim(current, now)
-    patience = FOLLOWER_PATIENCE * current.timing.detection_ms
-    if now > clock.later(current.holders_heard_at, patience):
-        return _claim(current, now)
-    return _probe(current, now)
+        return _consider_as_deputy(current, now)
+    return _consider_as_follower(current, now)
 
 
-def _stay(
+def _consider_as_deputy(
     current: coordination.CoordinatorState,
+    now: clock.Millis,
 ) -> actions.Decision:
+    silence = max(
+        clock.later(current.asked_as_deputy_at, current.timing.detection_ms),
+        current.promised_until,
+    )
+    if now > silence:
+        return claim_term(current, now)
     return actions.Decision(current)
 
 
-def _forget_lost_claim(
+def _consider_as_follower(
     current: coordination.CoordinatorState,
     now: clock.Millis,
-) -> coordination.CoordinatorState:
-    patience = PENDING_PATIENCE * current.timing.detection_ms
-    if now < clock.later(current.pending_since, patience):
-        return current
-    return dataclasses.replace(current, pending=None)
+) -> actions.Decision:
+    place = _place_in_line(current)
+    if place is None:
+        return actions.Decision(
+            dataclasses.replace(current, holders_heard_at=now),
+        )
+    if current.term.term == ids.NO_TERM and place == 0:
+        return claim_term(current, now)
+    patience = (FOLLOWER_PATIENCE + place) * current.timing.detection_ms
+    if now > clock.later(current.holders_heard_at, patience):
+        return claim_term(current, now)
+    return _probe(current, now)
 
 
 def _probe(
@@ -128,8 +158,12 @@
     now: clock.Millis,
 ) -> actions.Decision:
     if now < clock.later(current.proof_asked_at, current.timing.detection_ms):
-        return _stay(current)
-    holders = (current.term.coordinator, current.term.deputy)
+        return actions.Decision(current)
+    holders = tuple(
+        holder
+        for holder in (current.term.coordinator, current.term.deputy)
+        if holder
+    )
     return actions.Decision(
         dataclasses.replace(current, proof_asked_at=now),
         (actions.ProbeHolders(holders),),
@@ -138,32 +172,46 @@
 
 def _rank(
     current: coordination.CoordinatorState,
+    purpose: str,
 ) -> list[coordination.Candidate]:
     return sorted(
         current.candidates,
         key=lambda candidate: keys.hash_text(
-            f'{current.service}/{candidate.instance}',
+            f'{current.service}/{purpose}/{candidate.instance}',
         ),
     )
 
 
-def _is_first_in_line(current: coordination.CoordinatorState) -> bool:
+def _place_in_line(current: coordination.CoordinatorState) -> int | None:
     holders = {current.term.coordinator, current.term.deputy}
     line = [
         candidate.instance
-        for candidate in _rank(current)
+        for candidate in _rank(current, 'claimant')
         if candidate.instance not in holders
     ]
-    return line[:1] == [current.me]
+    first = line[:LINE_LENGTH]
+    return first.index(current.me) if current.me in first else None
 
 
-def _claim(
+def keep_deputy(
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    deputy = _choose_deputy(current)
-    if deputy is None:
-        return _stay(current)
+    """Claim the next term with another deputy where this one is silent."""
+    patience = DEPUTY_PATIENCE * current.timing.detection_ms
+    silent = now > clock.later(current.deputy_heard_at, patience)
+    if current.pending is not None or not silent or not current.log_reached:
+        return actions.Decision(current)
+    if choose_deputy(current) in {'', current.term.deputy}:
+        return actions.Decision(current)
+    return claim_term(current, now)
+
+
+def claim_term(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    """Append a claim of the term that follows the current one."""
     term = ids.Term(current.term.term + 1)
     claim = records.TermClaimed(
         record_id=ids.RecordId(
@@ -173,7 +221,7 @@
         term=term,
         follows=current.term.term,
         coordinator=current.me,
-        deputy=deputy,
+        deputy=choose_deputy(current),
     )
     return actions.Decision(
         dataclasses.replace(current, pending=claim, pending_since=now),
@@ -181,23 +229,20 @@
     )
 
 
-def _choose_deputy(
+def choose_deputy(
     current: coordination.CoordinatorState,
-) -> ids.InstanceId | None:
-    mine = [
+) -> ids.InstanceId:
+    """Return a deputy, from another data centre where there is one."""
+    mine = {
         candidate.data_centre
         for candidate in current.candidates
         if candidate.instance == current.me
-    ]
+    }
+    avoided = {current.me, current.term.coordinator, current.term.deputy}
     others = [
         candidate
-        for candidate in _rank(current)
-        if candidate.instance not in {current.me, current.term.coordinator}
-    ]
-    elsewhere = [
-        candidate.instance
-        for candidate in others
-        if candidate.data_centre not in mine
+        for candidate in _rank(current, f'deputy/{current.term.term}')
+        if candidate.instance not in avoided
     ]
-    nearby = [candidate.instance for candidate in others]
-    return next(iter([*elsewhere, *nearby]), None)
+    others.sort(key=lambda candidate: candidate.data_centre in mine)
+    return others[0].instance if others else ids.InstanceId('')
--- a/packages/core/src/sycamoreferry_core/coordination.py
+++ b/packages/core/src/sycamoreferry_core/coordination.py
@@ -31,13 +31,15 @@
     server: ids.ServerId
     member: Member = Member.LIVE
     greeted: bool = False
-    in_flight: bool = False
+    awaited: ids.OrderNumber | None = None
     stamp: int = 0
     stamped_at: clock.Millis = clock.LONG_AGO
     asked_at: clock.Millis = clock.LONG_AGO
     lease_bound: clock.Millis = clock.LONG_AGO
     first_asked_at: clock.Millis | None = None
     holds: frozenset[ids.ShardId] = frozenset()
+    lingering: frozenset[ids.ShardId] = frozenset()
+    lingers_until: clock.Millis = clock.LONG_AGO
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,20 +59,37 @@
     shard_count: int
     checks_fence: bool = True
     timing: profiles.Timing = profiles.Timing()
+    # The longest of each time since this instance began: a lease that runs
+    # may be older than the profile in force.
+    longest: profiles.Timing = profiles.Timing()
+    longest_deadline_ms: int = 0
     term: state.TermState = state.TermState()
     assignment: state.Assignment = state.Assignment()
+    wanted: typing.Mapping[ids.ServerId, frozenset[ids.ShardId]] = (
+        dataclasses.field(default_factory=dict)
+    )
     candidates: tuple[Candidate, ...] = ()
     links: typing.Mapping[ids.ServerId, ServerLink] = dataclasses.field(
         default_factory=dict,
     )
+    order_count: int = 0
+    ticked_at: clock.Millis = clock.LONG_AGO
+    ordered_at: clock.Millis = clock.LONG_AGO
+    resumed_at: clock.Millis = clock.LONG_AGO
+    entered_at: clock.Millis = clock.LONG_AGO
+    proved_at: clock.Millis = clock.LONG_AGO
     authority_until: clock.Millis = clock.LONG_AGO
     proof_asked_at: clock.Millis = clock.LONG_AGO
-    old_authority_over: clock.Millis = clock.LONG_AGO
+    refused_for: ids.Term = ids.NO_TERM
+    released_by: frozenset[ids.InstanceId] = frozenset()
     promised_until: clock.Millis = clock.LONG_AGO
+    earlier_promised_until: clock.Millis = clock.LONG_AGO
     asked_as_deputy_at: clock.Millis = clock.LONG_AGO
+    deputy_heard_at: clock.Millis = clock.LONG_AGO
     holders_heard_at: clock.Millis = clock.LONG_AGO
     pending: records.AnyRecord | None = None
     pending_since: clock.Millis = clock.LONG_AGO
+    pending_sent_at: clock.Millis = clock.LONG_AGO
     log_reached: bool = True
 
     @property
@@ -82,6 +101,24 @@
             return Role.DEPUTY
         return Role.FOLLOWER
 
+    @property
+    def is_released(self) -> bool:
+        """Tell whether an operator said that the holders are gone."""
+        return not self.term.unsettled
+
+    def is_acting(self, now: clock.Millis) -> bool:
+        """Tell whether this instance does what its role asks for."""
+        if self.role is Role.COORDINATOR:
+            return self.has_authority(now)
+        return now <= clock.later(
+            self.asked_as_deputy_at,
+            self.timing.detection_ms,
+        )
+
     def has_authority(self, now: clock.Millis) -> bool:
         """Tell whether this instance may give orders at this time."""
-        return self.role is Role.COORDINATOR and now < self.authority_until
+        if self.role is not Role.COORDINATOR or self.is_released:
+            return False
+        if self.refused_for > self.term.term:
+            return False
+        return now < self.authority_until
--- a/packages/core/src/sycamoreferry_core/coordinator.py
+++ b/packages/core/src/sycamoreferry_core/coordinator.py
@@ -1,19 +1,28 @@
 """Decide what an instance does to coordinate one service."""
 
+import collections
 import dataclasses
 import functools
+import typing
 
 from sycamoreferry_core import (
     actions,
+    authority,
     claims,
     clock,
     coordination,
     events,
+    ids,
+    links,
     orders,
     revisions,
+    settlement,
 )
 
-PROOFS_PER_AUTHORITY = 3
+Step = typing.Callable[
+    [coordination.CoordinatorState, clock.Millis],
+    actions.Decision,
+]
 
 
 @functools.singledispatch
@@ -32,32 +41,58 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
+    current = _note_tick(current, now)
     if current.role is not coordination.Role.COORDINATOR:
         return claims.consider_claim(current, now)
-    proof = _seek_proof(current, now)
+    proof = authority.seek_proof(current, now)
     if not proof.state.has_authority(now):
         return proof
-    revised = revisions.revise_assignment(proof.state, now)
-    ordered = orders.give_orders(revised.state, now)
-    return actions.Decision(
-        ordered.state,
-        (*proof.actions, *revised.actions, *ordered.actions),
+    return _run_steps(
+        actions.Decision(_note_authority(proof.state, now), proof.actions),
+        now,
     )
 
 
-def _seek_proof(
-    current: coordination.CoordinatorState,
+def _run_steps(
+    decision: actions.Decision,
     now: clock.Millis,
 ) -> actions.Decision:
-    interval = current.timing.authority_ms // PROOFS_PER_AUTHORITY
-    if now < clock.later(current.proof_asked_at, interval):
-        return actions.Decision(current)
-    asked = dataclasses.replace(current, proof_asked_at=now)
-    ask_deputy = actions.AskDeputy(
-        deputy=current.term.deputy,
-        term=current.term.term,
+    for step in _COORDINATOR_STEPS:
+        taken = step(decision.state, now)
+        decision = actions.Decision(
+            taken.state,
+            (*decision.actions, *taken.actions),
+        )
+    return decision
+
+
+def _note_tick(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    gap = now - current.ticked_at
+    current = dataclasses.replace(current, ticked_at=now)
+    if gap <= current.timing.authority_ms:
+        return current
+    # Silence that this instance slept through says nothing of others.
+    return dataclasses.replace(
+        current,
+        asked_as_deputy_at=now,
+        deputy_heard_at=now,
+        holders_heard_at=now,
     )
-    return actions.Decision(asked, (actions.ReadTail(), ask_deputy))
+
+
+def _note_authority(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    gap = now - current.ordered_at
+    current = dataclasses.replace(current, ordered_at=now)
+    if gap <= current.timing.detection_ms // 2:
+        return current
+    # Servers were asked nothing meanwhile, so their silence counts from now.
+    return dataclasses.replace(current, resumed_at=now)
 
 
 @decide.register
@@ -66,17 +101,52 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    folded = dataclasses.replace(
+    if event.term.term < current.term.term:
+        return actions.Decision(current)
+    folded = _take_assignment(_take_policy(current, event), event)
+    if event.term.term > current.term.term:
+        folded = claims.enter_term(folded, event.term, now)
+    pending = None if event.pending_folded else folded.pending
+    folded = dataclasses.replace(folded, term=event.term, pending=pending)
+    return actions.Decision(links.link_owners(folded))
+
+
+def _take_policy(
+    current: coordination.CoordinatorState,
+    event: events.StateFolded,
+) -> coordination.CoordinatorState:
+    longest = event.timing
+    deadline = event.longest_deadline_ms
+    if current.term.term != ids.NO_TERM:
+        longest = authority.longest_of(current.longest, event.timing)
+        deadline = max(deadline, current.longest_deadline_ms)
+    return dataclasses.replace(
         current,
-        assignment=event.assignment,
         candidates=event.candidates,
         timing=event.timing,
+        longest=longest,
+        longest_deadline_ms=deadline,
+    )
+
+
+def _take_assignment(
+    current: coordination.CoordinatorState,
+    event: events.StateFolded,
+) -> coordination.CoordinatorState:
+    if event.assignment is current.assignment:
+        return current
+    wanted: dict[ids.ServerId, set[ids.ShardId]] = collections.defaultdict(set)
+    for shard, owner in enumerate(event.assignment.owners):
+        wanted[owner].add(ids.ShardId(shard))
+    return dataclasses.replace(
+        current,
+        assignment=event.assignment,
+        wanted={
+            server: frozenset(shards)
+            for server, shards in wanted.items()
+            if server
+        },
     )
-    if event.pending_folded:
-        folded = dataclasses.replace(folded, pending=None)
-    if event.term.term != current.term.term:
-        return actions.Decision(claims.enter_term(folded, event.term, now))
-    return actions.Decision(dataclasses.replace(folded, term=event.term))
 
 
 @decide.register
@@ -85,15 +155,8 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    links = {
-        server: link
-        for server, link in current.links.items()
-        if link.holds or now < link.lease_bound
-    }
-    for server, member in event.members:
-        known = current.links.get(server, coordination.ServerLink(server))
-        links[server] = dataclasses.replace(known, member=member)
-    return actions.Decision(dataclasses.replace(current, links=links))
+    listed = links.list_members(current, dict(event.members), now)
+    return actions.Decision(listed)
 
 
 @decide.register
@@ -102,10 +165,10 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    reached = dataclasses.replace(current, log_reached=True)
-    return actions.Decision(
-        _extend_authority(reached, event.term, event.sent_at),
-    )
+    current = dataclasses.replace(current, log_reached=True)
+    if event.term != current.term.term:
+        return actions.Decision(current)
+    return actions.Decision(authority.prove_by_log(current, event.sent_at))
 
 
 @decide.register
@@ -125,35 +188,9 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    return actions.Decision(
-        _extend_authority(current, event.term, event.sent_at),
-    )
-
-
-def _extend_authority(
-    current: coordination.CoordinatorState,
-    term: int,
-    sent_at: clock.Millis,
-) -> coordination.CoordinatorState:
-    if term != current.term.term:
-        return current
-    until = clock.later(sent_at, current.timing.authority_ms)
-    return dataclasses.replace(
-        current,
-        authority_until=max(current.authority_until, until),
-    )
-
-
-@decide.register
-def _decide_append_failed(
-    event: events.AppendFailed,
-    current: coordination.CoordinatorState,
-    now: clock.Millis,
-) -> actions.Decision:
-    pending = current.pending
-    if pending is None or pending.record_id != event.record_id:
+    if event.term != current.term.term:
         return actions.Decision(current)
-    return actions.Decision(dataclasses.replace(current, pending=None))
+    return actions.Decision(authority.prove_by_deputy(current, event.sent_at))
 
 
 @decide.register
@@ -170,23 +207,35 @@
     event: events.HolderHeard,
     current: coordination.CoordinatorState,
     now: clock.Millis,
+) -> actions.Decision:
+    return actions.Decision(claims.hear_holder(current, now))
+
+
+@decide.register
+def _decide_release_asked(
+    event: events.ReleaseAsked,
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
 ) -> actions.Decision:
     return actions.Decision(
-        dataclasses.replace(current, holders_heard_at=now),
+        dataclasses.replace(
+            current,
+            refused_for=max(current.refused_for, event.term),
+        ),
     )
 
 
 @decide.register
-def _decide_old_authority_released(
-    event: events.OldAuthorityReleased,
+def _decide_holder_released(
+    event: events.HolderReleased,
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
     if event.term != current.term.term:
         return actions.Decision(current)
-    over = min(current.old_authority_over, now)
+    released_by = current.released_by | {event.holder}
     return actions.Decision(
-        dataclasses.replace(current, old_authority_over=over),
+        dataclasses.replace(current, released_by=released_by),
     )
 
 
@@ -196,24 +245,21 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    link = current.links.get(event.server)
-    if link is None or event.term != current.term.term:
+    if not links.expects(current, event):
         return actions.Decision(current)
-    lease = claims.with_drift(current, current.timing.lease_ms)
-    bound = clock.later(event.received_at, lease)
+    return actions.Decision(links.note_answer(current, event))
+
+
+@decide.register
+def _decide_server_refused(
+    event: events.ServerRefused,
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
     return actions.Decision(
-        orders.with_link(
+        dataclasses.replace(
             current,
-            dataclasses.replace(
-                link,
-                lease_bound=link.lease_bound if link.greeted else bound,
-                greeted=True,
-                in_flight=False,
-                stamp=event.stamp,
-                stamped_at=event.received_at,
-                first_asked_at=None,
-                holds=link.holds if event.holds is None else event.holds,
-            ),
+            refused_for=max(current.refused_for, event.follows),
         ),
     )
 
@@ -224,9 +270,15 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    link = current.links.get(event.server)
-    if link is None or event.term != current.term.term:
+    if not links.expects(current, event):
         return actions.Decision(current)
-    return actions.Decision(
-        orders.with_link(current, dataclasses.replace(link, in_flight=False)),
-    )
+    return actions.Decision(links.note_failure(current, event.server))
+
+
+_COORDINATOR_STEPS: tuple[Step, ...] = (
+    claims.resend_pending,
+    claims.keep_deputy,
+    revisions.revise_assignment,
+    settlement.settle_term,
+    orders.give_orders,
+)
--- a/packages/core/src/sycamoreferry_core/events.py
+++ b/packages/core/src/sycamoreferry_core/events.py
@@ -19,6 +19,7 @@
     candidates: tuple[coordination.Candidate, ...]
     timing: profiles.Timing
     pending_folded: bool
+    longest_deadline_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,13 +42,6 @@
     """Tell that the log did not answer."""
 
 
-@dataclasses.dataclass(frozen=True)
-class AppendFailed:
-    """Tell that an append was surely not made."""
-
-    record_id: ids.RecordId
-
-
 @dataclasses.dataclass(frozen=True)
 class DeputyPromised:
     """Tell that the deputy promised to claim nothing for a while."""
@@ -70,29 +64,49 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OldAuthorityReleased:
-    """Tell that every earlier authority is known to be over."""
+class ReleaseAsked:
+    """Tell that the coordinator of a term asked for a release."""
 
     term: ids.Term
 
 
+@dataclasses.dataclass(frozen=True)
+class HolderReleased:
+    """Tell that a holder of earlier terms acts and promises no more."""
+
+    term: ids.Term
+    holder: ids.InstanceId
+
+
 @dataclasses.dataclass(frozen=True)
 class ServerAnswered:
-    """Tell what a backend server answered to an order."""
+    """Tell what a backend server answered to an order of its term."""
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
     stamp: int
     received_at: clock.Millis
     holds: frozenset[ids.ShardId] | None
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerRefused:
+    """Tell that a backend server follows a later term."""
+
+    server: ids.ServerId
+    term: ids.Term
+    number: ids.OrderNumber
+    follows: ids.Term
+
+
 @dataclasses.dataclass(frozen=True)
 class ServerFailed:
-    """Tell that an order got no answer or was refused."""
+    """Tell that an order got no answer; the server may still obey it."""
 
     server: ids.ServerId
     term: ids.Term
+    number: ids.OrderNumber
 
 
 Event = (
@@ -101,11 +115,12 @@
     | ServersListed
     | TailRead
     | TailReadFailed
-    | AppendFailed
     | DeputyPromised
     | DeputyAsked
     | HolderHeard
-    | OldAuthorityReleased
+    | ReleaseAsked
+    | HolderReleased
     | ServerAnswered
+    | ServerRefused
     | ServerFailed
 )
--- a/packages/core/src/sycamoreferry_core/fold.py
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -148,13 +148,36 @@
         current,
         settled=ids.Term(record.term - 1),
         unsettled=current.unsettled[-1:],
+        past_owners=(),
     )
-    return Accepted(
-        dataclasses.replace(
-            log_state,
-            terms=with_entry(log_state.terms, record.service, settled),
+    return Accepted(_with_term(log_state, record.service, settled))
+
+
+@apply_record.register
+def _apply_holders_released(
+    record: records.HoldersReleased,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.term_of(record.service)
+    if record.term > current.term:
+        return Refused(result_codes.ResultCode.STALE_TERM)
+    released = dataclasses.replace(
+        current,
+        unsettled=tuple(
+            claim for claim in current.unsettled if claim.term > record.term
         ),
     )
+    return Accepted(_with_term(log_state, record.service, released))
+
+
+def _with_term(
+    log_state: state.LogState,
+    service: ids.ServiceName,
+    term: state.TermState,
+) -> state.LogState:
+    terms = with_entry(log_state.terms, service, term)
+    return dataclasses.replace(log_state, terms=terms)
 
 
 @apply_record.register
@@ -173,7 +196,27 @@
     if revised is None:
         return Refused(result_codes.ResultCode.BAD_RECORD)
     assignments = with_entry(log_state.assignments, record.service, revised)
-    return Accepted(dataclasses.replace(log_state, assignments=assignments))
+    noted = _note_past_owners(log_state, record)
+    return Accepted(dataclasses.replace(noted, assignments=assignments))
+
+
+def _note_past_owners(
+    log_state: state.LogState,
+    record: records.AssignmentRevised,
+) -> state.LogState:
+    before = log_state.assignment_of(record.service)
+    losers = {
+        owner
+        for change in record.changes
+        for owner in map(before.owner_of, change.shards)
+        if owner
+    }
+    current = log_state.term_of(record.service)
+    noted = dataclasses.replace(
+        current,
+        past_owners=tuple(sorted(losers.union(current.past_owners))),
+    )
+    return _with_term(log_state, record.service, noted)
 
 
 def _revise(
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/links.py
@@ -0,0 +1,207 @@
+"""Keep what a coordinator knows of each backend server."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import (
+    actions,
+    authority,
+    clock,
+    coordination,
+    events,
+    fold,
+    ids,
+)
+
+Links = typing.Mapping[ids.ServerId, coordination.ServerLink]
+
+
+def with_link(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+) -> coordination.CoordinatorState:
+    """Return the state with one server's link replaced."""
+    return dataclasses.replace(
+        current,
+        links=fold.with_entry(current.links, link.server, link),
+    )
+
+
+def fresh_links(current: coordination.CoordinatorState) -> Links:
+    """Return links to the same servers, none of them greeted."""
+    return {
+        server: coordination.ServerLink(server, member=link.member)
+        for server, link in current.links.items()
+    }
+
+
+def may_hold_shards(
+    current: coordination.CoordinatorState,
+) -> frozenset[ids.ServerId]:
+    """Return the servers that the log says may hold a shard."""
+    return frozenset((*current.wanted, *current.term.past_owners))
+
+
+def link_owners(
+    current: coordination.CoordinatorState,
+) -> coordination.CoordinatorState:
+    """Link to every server that may hold a shard."""
+    unlinked = may_hold_shards(current).difference(current.links)
+    if not unlinked:
+        return current
+    added = {server: coordination.ServerLink(server) for server in unlinked}
+    return dataclasses.replace(current, links={**current.links, **added})
+
+
+def list_members(
+    current: coordination.CoordinatorState,
+    members: typing.Mapping[ids.ServerId, coordination.Member],
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Link to the listed servers and to any other that may hold shards."""
+    owners = may_hold_shards(current)
+    kept = {
+        server: link
+        for server, link in current.links.items()
+        if server in owners or is_leased(current, link, now)
+    }
+    for server, member in members.items():
+        known = current.links.get(server, coordination.ServerLink(server))
+        if known.member is not member:
+            known = dataclasses.replace(known, member=member)
+        kept[server] = known
+    return link_owners(dataclasses.replace(current, links=kept))
+
+
+def fence_wait(current: coordination.CoordinatorState) -> int:
+    """Return how long an old order may act at servers without fence checks."""
+    if current.checks_fence:
+        return 0
+    return current.longest.order_delay_bound_ms + current.longest_deadline_ms
+
+
+def is_leased(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    now: clock.Millis,
+) -> bool:
+    """Tell whether a server may hold shards or run requests for them."""
+    bound = clock.later(link.lease_bound, fence_wait(current))
+    return now <= max(bound, link.lingers_until)
+
+
+def lapse_leases(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Forget the shards of servers whose lease is surely over."""
+    for link in tuple(current.links.values()):
+        if link.holds and not is_leased(current, link, now):
+            current = with_link(
+                current,
+                dataclasses.replace(link, holds=frozenset()),
+            )
+    return current
+
+
+def expects(
+    current: coordination.CoordinatorState,
+    event: events.ServerAnswered | events.ServerRefused | events.ServerFailed,
+) -> bool:
+    """Tell whether an answer is to the order that the link awaits."""
+    link = current.links.get(event.server)
+    if link is None or event.term != current.term.term:
+        return False
+    return link.awaited == event.number
+
+
+def note_answer(
+    current: coordination.CoordinatorState,
+    event: events.ServerAnswered,
+) -> coordination.CoordinatorState:
+    """Take what a server says it holds, and its stamp."""
+    link = current.links[event.server]
+    lease = authority.with_drift(current, current.longest.lease_ms)
+    answered = dataclasses.replace(
+        link,
+        greeted=True,
+        awaited=None,
+        stamp=event.stamp,
+        stamped_at=event.received_at,
+        first_asked_at=None,
+        asked_at=link.asked_at if link.greeted else clock.LONG_AGO,
+    )
+    if event.holds is None:
+        return with_link(current, answered)
+    held = dataclasses.replace(
+        answered,
+        holds=event.holds,
+        lease_bound=max(
+            link.lease_bound,
+            clock.later(event.received_at, lease),
+        ),
+    )
+    return with_link(current, _linger(current, held, link.holds))
+
+
+def _linger(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    held_before: frozenset[ids.ShardId],
+) -> coordination.ServerLink:
+    freed = held_before - link.holds
+    if current.checks_fence or not freed:
+        return link
+    bound = clock.later(link.lease_bound, fence_wait(current))
+    return dataclasses.replace(
+        link,
+        lingering=link.lingering | freed,
+        lingers_until=max(link.lingers_until, bound),
+    )
+
+
+def note_failure(
+    current: coordination.CoordinatorState,
+    server: ids.ServerId,
+) -> coordination.CoordinatorState:
+    """Await no answer any more; what was granted still counts as held."""
+    link = current.links[server]
+    return with_link(current, dataclasses.replace(link, awaited=None))
+
+
+def note_order(
+    current: coordination.CoordinatorState,
+    order: actions.Order,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Count an order as obeyed before it is sent."""
+    link = current.links[order.server]
+    noted = dataclasses.replace(
+        link,
+        awaited=order.number,
+        asked_at=now,
+        first_asked_at=link.first_asked_at or now,
+    )
+    if isinstance(order, actions.Grant | actions.Renew):
+        noted = _note_lease(current, noted, order)
+    return dataclasses.replace(
+        with_link(current, noted),
+        order_count=order.number,
+    )
+
+
+def _note_lease(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    order: actions.Grant | actions.Renew,
+) -> coordination.ServerLink:
+    lease = authority.with_drift(current, order.lease_ms)
+    granted: set[ids.ShardId] = set()
+    if isinstance(order, actions.Grant):
+        granted.update(*(group.shards for group in order.groups))
+    return dataclasses.replace(
+        link,
+        lease_bound=max(link.lease_bound, clock.later(link.stamped_at, lease)),
+        holds=link.holds | granted,
+        lingering=link.lingering - granted,
+    )
--- a/packages/core/src/sycamoreferry_core/orders.py
+++ b/packages/core/src/sycamoreferry_core/orders.py
@@ -1,30 +1,20 @@
 """Decide which order each backend server gets next."""
 
 import collections
-import dataclasses
 
 from sycamoreferry_core import (
     actions,
-    claims,
+    authority,
     clock,
     coordination,
     digests,
-    fold,
     ids,
+    links,
 )
 
 RENEWALS_PER_LEASE = 6
 
-
-def with_link(
-    current: coordination.CoordinatorState,
-    link: coordination.ServerLink,
-) -> coordination.CoordinatorState:
-    """Return the state with one server's link replaced."""
-    return dataclasses.replace(
-        current,
-        links=fold.with_entry(current.links, link.server, link),
-    )
+_NO_SHARDS: frozenset[ids.ShardId] = frozenset()
 
 
 def give_orders(
@@ -32,66 +22,61 @@
     now: clock.Millis,
 ) -> actions.Decision:
     """Give each server that has none in flight the order it needs next."""
-    current = _lapse_leases(current, now)
-    wanted = _wanted_shards(current)
+    current = links.lapse_leases(current, now)
     given: list[actions.Action] = []
     for server in sorted(current.links):
-        link = current.links[server]
-        order = _next_order(current, link, wanted, now)
+        order = _next_order(current, current.links[server], now)
         if order is not None:
             given.append(order)
-            current = with_link(current, _note_order(current, link, order, now))
+            current = links.note_order(current, order, now)
     return actions.Decision(current, tuple(given))
 
 
-def _lapse_leases(
-    current: coordination.CoordinatorState,
-    now: clock.Millis,
-) -> coordination.CoordinatorState:
-    for link in tuple(current.links.values()):
-        if link.greeted and link.holds and now > link.lease_bound:
-            current = with_link(
-                current,
-                dataclasses.replace(link, holds=frozenset()),
-            )
-    return current
-
-
-def _wanted_shards(
-    current: coordination.CoordinatorState,
-) -> dict[ids.ServerId, set[ids.ShardId]]:
-    wanted: dict[ids.ServerId, set[ids.ShardId]] = collections.defaultdict(set)
-    for shard, owner in enumerate(current.assignment.owners):
-        wanted[owner].add(ids.ShardId(shard))
-    return wanted
-
-
 def _next_order(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    wanted: dict[ids.ServerId, set[ids.ShardId]],
     now: clock.Millis,
 ) -> actions.Order | None:
-    if link.in_flight:
+    if _is_awaited(current, link, now):
         return None
     if not link.greeted:
         return _greet(current, link, now)
-    mine = wanted.get(link.server, set())
+    mine = current.wanted.get(link.server, _NO_SHARDS)
     surplus = link.holds - mine
     if surplus:
         return actions.Revoke(
             server=link.server,
             term=current.term.term,
+            number=_next_number(current),
             shards=tuple(sorted(surplus)),
         )
-    missing = _grantable(current, link, mine, now)
+    missing = grantable_shards(current, link, now)
     if missing:
         return _grant(current, link, missing)
     return _renew(current, link, now)
 
 
-def _interval(current: coordination.CoordinatorState) -> int:
-    return current.timing.lease_ms // RENEWALS_PER_LEASE
+def _is_awaited(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    now: clock.Millis,
+) -> bool:
+    if link.awaited is None:
+        return False
+    return now < clock.later(link.asked_at, current.timing.detection_ms)
+
+
+def _next_number(current: coordination.CoordinatorState) -> ids.OrderNumber:
+    return ids.OrderNumber(current.order_count + 1)
+
+
+def _is_due(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    now: clock.Millis,
+) -> bool:
+    interval = current.timing.lease_ms // RENEWALS_PER_LEASE
+    return now >= clock.later(link.asked_at, interval)
 
 
 def _greet(
@@ -99,42 +84,66 @@
     link: coordination.ServerLink,
     now: clock.Millis,
 ) -> actions.Order | None:
-    if now < clock.later(link.asked_at, _interval(current)):
+    if not _is_due(current, link, now):
         return None
-    return actions.Greet(link.server, current.term.term)
+    return actions.Greet(
+        server=link.server,
+        term=current.term.term,
+        number=_next_number(current),
+    )
 
 
-def _grantable(
+def grantable_shards(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    mine: set[ids.ShardId],
     now: clock.Millis,
-) -> set[ids.ShardId]:
+) -> frozenset[ids.ShardId]:
+    """Return the shards a server lacks that no other server may hold."""
+    mine = current.wanted.get(link.server, _NO_SHARDS)
     missing = mine - link.holds
-    if not missing:
-        return missing
-    if not _all_others_known(current, link, now):
-        return set()
+    if not missing or not knows_others(current, link, now):
+        return _NO_SHARDS
     for other in current.links.values():
         if other.server != link.server:
             missing -= other.holds
+            if now <= other.lingers_until:
+                missing -= other.lingering
     return missing
 
 
-def _all_others_known(
+def knows_others(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
     now: clock.Millis,
 ) -> bool:
-    lease = claims.with_drift(current, current.timing.lease_ms)
-    lapsed = now > clock.later(current.old_authority_over, lease)
-    return lapsed or all(other.greeted for other in current.links.values())
+    """Tell whether every shard that another server holds is known."""
+    if earlier_leases_over(current, now):
+        return True
+    if not current.checks_fence:
+        return False
+    return all(
+        other.greeted
+        for other in current.links.values()
+        if other.server != link.server
+    )
+
+
+def earlier_leases_over(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> bool:
+    """Tell whether every lease of an earlier term has surely lapsed."""
+    if current.term.term <= ids.FIRST_TERM:
+        return True
+    lease = authority.with_drift(current, current.longest.lease_ms)
+    lapsed = clock.later(authority.earlier_authority_over(current), lease)
+    return now > clock.later(lapsed, links.fence_wait(current))
 
 
 def _grant(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
-    missing: set[ids.ShardId],
+    missing: frozenset[ids.ShardId],
 ) -> actions.Order:
     by_fence: dict[ids.Fence, list[ids.ShardId]] = collections.defaultdict(list)
     for shard in sorted(missing):
@@ -142,6 +151,7 @@
     return actions.Grant(
         server=link.server,
         term=current.term.term,
+        number=_next_number(current),
         stamp=link.stamp,
         lease_ms=current.timing.lease_ms,
         groups=tuple(
@@ -156,38 +166,13 @@
     link: coordination.ServerLink,
     now: clock.Millis,
 ) -> actions.Order | None:
-    if now < clock.later(link.asked_at, _interval(current)):
+    if not _is_due(current, link, now):
         return None
     return actions.Renew(
         server=link.server,
         term=current.term.term,
+        number=_next_number(current),
         stamp=link.stamp,
         lease_ms=current.timing.lease_ms,
         digest=digests.digest_shards(link.holds),
     )
-
-
-def _note_order(
-    current: coordination.CoordinatorState,
-    link: coordination.ServerLink,
-    order: actions.Order,
-    now: clock.Millis,
-) -> coordination.ServerLink:
-    noted = dataclasses.replace(
-        link,
-        in_flight=True,
-        asked_at=now,
-        first_asked_at=link.first_asked_at or now,
-    )
-    if isinstance(order, actions.Greet | actions.Revoke):
-        return noted
-    lease = claims.with_drift(current, current.timing.lease_ms)
-    bound = clock.later(link.stamped_at, lease)
-    granted: set[ids.ShardId] = set()
-    if isinstance(order, actions.Grant):
-        granted.update(*(group.shards for group in order.groups))
-    return dataclasses.replace(
-        noted,
-        lease_bound=max(link.lease_bound, bound),
-        holds=link.holds | granted,
-    )
--- a/packages/core/src/sycamoreferry_core/records.py
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -30,6 +30,13 @@
     term: ids.Term
 
 
+class HoldersReleased(Record, frozen=True, tag=True):
+    """Carry the operator's word that the holders up to a term are gone."""
+
+    service: ids.ServiceName
+    term: ids.Term
+
+
 class Ownership(msgspec.Struct, frozen=True):
     """Name the shards that a server is to own."""
 
@@ -73,6 +80,7 @@
 AnyRecord = (
     TermClaimed
     | TermSettled
+    | HoldersReleased
     | AssignmentRevised
     | ProfilePublished
     | InstanceJoined
--- a/packages/core/src/sycamoreferry_core/revisions.py
+++ b/packages/core/src/sycamoreferry_core/revisions.py
@@ -65,4 +65,5 @@
             link.first_asked_at,
             current.timing.detection_ms,
         )
-    return now > clock.later(link.stamped_at, current.timing.detection_ms)
+    silent_since = max(link.stamped_at, current.resumed_at)
+    return now > clock.later(silent_since, current.timing.detection_ms)
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -18,6 +18,7 @@
     deputy: ids.InstanceId = ids.InstanceId('')
     settled: ids.Term = ids.NO_TERM
     unsettled: tuple[records.TermClaimed, ...] = ()
+    past_owners: tuple[ids.ServerId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -54,6 +54,14 @@
         """Ask a deputy for its promise; nothing where it does not answer."""
         return await self._call(self._stub(address).Promise, request)
 
+    async def release(
+        self,
+        address: PeerAddress,
+        request: peer_pb2.ReleaseRequest,
+    ) -> peer_pb2.ReleaseReply | None:
+        """Ask a holder of earlier terms whether it acts no more."""
+        return await self._call(self._stub(address).Release, request)
+
     async def probe(
         self,
         address: PeerAddress,
--- a/packages/platform/src/sycamoreferry_platform/http_orders.py
+++ b/packages/platform/src/sycamoreferry_platform/http_orders.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from sycamoreferry_core import actions, clock, ids
+from sycamoreferry_core import actions, clock, events, ids
 from sycamoreferry_platform import headers, wire
 
 _encoder = msgspec.json.Encoder()
@@ -34,6 +34,7 @@
         service=sender.service,
         sender=sender.instance,
         term=order.term,
+        number=order.number,
     )
 
 
@@ -43,6 +44,7 @@
         service=sender.service,
         sender=sender.instance,
         term=order.term,
+        number=order.number,
         stamp=order.stamp,
         lease_ms=order.lease_ms,
         groups=tuple(
@@ -58,6 +60,7 @@
         service=sender.service,
         sender=sender.instance,
         term=order.term,
+        number=order.number,
         stamp=order.stamp,
         lease_ms=order.lease_ms,
         digest=order.digest,
@@ -70,10 +73,44 @@
         service=sender.service,
         sender=sender.instance,
         term=order.term,
+        number=order.number,
         shards=order.shards,
     )
 
 
+def _held_shards(
+    answer: wire.OrderAnswer,
+) -> frozenset[ids.ShardId] | None:
+    if answer.groups is None:
+        return None
+    return frozenset(shard for group in answer.groups for shard in group.shards)
+
+
+def to_event(
+    order: actions.Order,
+    answer: wire.OrderAnswer | None,
+    now: clock.Millis,
+) -> events.Event:
+    """Return the event that an answer is, or that its absence is."""
+    if answer is None:
+        return events.ServerFailed(order.server, order.term, order.number)
+    if answer.term > order.term:
+        return events.ServerRefused(
+            server=order.server,
+            term=order.term,
+            number=order.number,
+            follows=answer.term,
+        )
+    return events.ServerAnswered(
+        server=order.server,
+        term=order.term,
+        number=order.number,
+        stamp=answer.stamp,
+        received_at=now,
+        holds=_held_shards(answer),
+    )
+
+
 class HttpOrders:
     """Give orders to the backend servers of one service."""
 
--- a/packages/platform/src/sycamoreferry_platform/wire.py
+++ b/packages/platform/src/sycamoreferry_platform/wire.py
@@ -56,6 +56,7 @@
     service: ids.ServiceName
     sender: ids.InstanceId
     term: ids.Term
+    number: ids.OrderNumber
 
 
 class GreetOrder(Order, frozen=True, tag=True):
--- a/packages/router/src/sycamoreferry_router/coordination_loop.py
+++ b/packages/router/src/sycamoreferry_router/coordination_loop.py
@@ -7,6 +7,7 @@
 
 from sycamoreferry_core import (
     actions,
+    authority,
     clock,
     coordination,
     coordinator,
@@ -69,6 +70,11 @@
         """Tell whether this instance may give orders now."""
         return self._state.has_authority(self._parts.clock.now())
 
+    @property
+    def is_acting(self) -> bool:
+        """Tell whether this instance does what its role asks for."""
+        return self._state.is_acting(self._parts.clock.now())
+
     async def run(self) -> None:
         """Decide at every tick until cancelled."""
         while True:
@@ -86,7 +92,7 @@
         before = self._state
         decision = coordinator.decide(event, before, self._parts.clock.now())
         self._state = decision.state
-        self._log_change(before, decision.state)
+        _log_change(self._service.name, before, decision.state)
         for action in decision.actions:
             self._start(carry_out(action, self))
 
@@ -118,6 +124,34 @@
         if reply is not None and reply.promised:
             self.feed(events.DeputyPromised(sent_at, action.term))
 
+    async def carry_out_release(self, action: actions.AskRelease) -> None:
+        """Ask a holder of earlier terms whether it acts no more."""
+        address = self._peer_address(action.holder)
+        if address is None:
+            return
+        reply = await self._parts.peers.release(
+            address,
+            peer_pb2.ReleaseRequest(
+                service=self._service.name,
+                term=action.term,
+                holder=action.holder,
+            ),
+        )
+        if reply is not None and reply.released:
+            self.feed(events.HolderReleased(action.term, action.holder))
+
+    def promise(self, term: ids.Term, coordinator: ids.InstanceId) -> bool:
+        """Promise to claim nothing for a while; tell whether it did."""
+        before = self._state.promised_until
+        self.feed(events.DeputyAsked(term, coordinator))
+        return self._state.promised_until > before
+
+    def release(self, term: ids.Term) -> bool:
+        """Act under no term before this one; tell whether none is left."""
+        self.feed(events.ReleaseAsked(term))
+        now = self._parts.clock.now()
+        return authority.has_released(self._state, term, now)
+
     async def carry_out_probe(self, action: actions.ProbeHolders) -> None:
         """Ask the holders of the term whether they are there."""
         for holder in action.holders:
@@ -126,9 +160,12 @@
                 continue
             reply = await self._parts.peers.probe(
                 address,
-                peer_pb2.ProbeRequest(instance=holder),
+                peer_pb2.ProbeRequest(
+                    instance=holder,
+                    service=self._service.name,
+                ),
             )
-            if reply is not None and reply.instance == holder:
+            if reply is not None and reply.acting:
                 self.feed(events.HolderHeard())
                 return
 
@@ -138,16 +175,16 @@
         verdict = await self._parts.tail.publish(record)
         self._feed_view()
         if verdict is None:
-            self.feed(events.AppendFailed(record.record_id))
-            return
-        if verdict is not result_codes.ResultCode.ANSWERED:
+            _log.warning('{} was not read back yet', record.record_id)
+        elif verdict is not result_codes.ResultCode.ANSWERED:
             _log.info('{} was refused with code {}', record, int(verdict))
 
     async def carry_out_order(self, order: actions.Order) -> None:
         """Give an order to a backend server, if it may still be given."""
         listed = self._parts.seen.servers.get(order.server)
         answer: wire.OrderAnswer | None = None
-        if listed is not None and self.has_authority:
+        is_current = order.term == self._state.term.term
+        if listed is not None and is_current and self.has_authority:
             self._parts.metrics.orders.inc(
                 {'service': self._service.name, 'kind': type(order).__name__},
             )
@@ -156,18 +193,8 @@
                 listed,
                 self._state.timing.detection_ms // 2,
             )
-        if answer is None or not answer.accepted:
-            self.feed(events.ServerFailed(order.server, order.term))
-            return
-        self.feed(
-            events.ServerAnswered(
-                server=order.server,
-                term=order.term,
-                stamp=answer.stamp,
-                received_at=self._parts.clock.now(),
-                holds=_held_shards(answer),
-            ),
-        )
+        now = self._parts.clock.now()
+        self.feed(http_orders.to_event(order, answer, now))
 
     def _start(self, work: Work) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -188,6 +215,7 @@
 
     def _feed_view(self) -> None:
         seen = self._parts.seen
+        profile = seen.profile(self._service.profile)
         pending = self._state.pending
         folded = pending is not None and (
             seen.log_state.verdict_of(pending.record_id) is not None
@@ -202,7 +230,8 @@
                     coordination.Candidate(known.instance, known.data_centre)
                     for known in seen.log_state.instances.values()
                 ),
-                timing=seen.profile(self._service.profile).timing,
+                timing=profile.timing,
+                longest_deadline_ms=profile.limits.longest_deadline_ms,
                 pending_folded=folded,
             ),
         )
@@ -215,26 +244,19 @@
             ),
         )
 
-    def _log_change(
-        self,
-        before: coordination.CoordinatorState,
-        after: coordination.CoordinatorState,
-    ) -> None:
-        if before.term.term != after.term.term:
-            _log.info(
-                '{}: term {} began; this instance is its {}',
-                self._service.name,
-                after.term.term,
-                after.role.value,
-            )
-
 
-def _held_shards(
-    answer: wire.OrderAnswer,
-) -> frozenset[ids.ShardId] | None:
-    if answer.groups is None:
-        return None
-    return frozenset(shard for group in answer.groups for shard in group.shards)
+def _log_change(
+    service: str,
+    before: coordination.CoordinatorState,
+    after: coordination.CoordinatorState,
+) -> None:
+    if before.term.term != after.term.term:
+        _log.info(
+            '{}: term {} began; this instance is its {}',
+            service,
+            after.term.term,
+            after.role.value,
+        )
 
 
 @functools.singledispatch
@@ -262,6 +284,14 @@
     return loop.carry_out_ask(action)
 
 
+@carry_out.register
+def _carry_out_release(
+    action: actions.AskRelease,
+    loop: CoordinationLoop,
+) -> Work:
+    return loop.carry_out_release(action)
+
+
 @carry_out.register
 def _carry_out_probe(
     action: actions.ProbeHolders,
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -4,7 +4,7 @@
 
 from grpclib import server as grpc_server
 
-from sycamoreferry_core import events, ids
+from sycamoreferry_core import ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
 from sycamoreferry_router import coordination_loop, view
 
@@ -47,23 +47,36 @@
         loop = self._loops.get(request.service)
         promised = False
         if loop is not None and request.deputy == self._me:
-            before = loop.current.promised_until
-            loop.feed(
-                events.DeputyAsked(
-                    ids.Term(request.term),
-                    ids.InstanceId(request.coordinator),
-                ),
+            promised = loop.promise(
+                ids.Term(request.term),
+                ids.InstanceId(request.coordinator),
             )
-            promised = loop.current.promised_until > before
         await stream.send_message(peer_pb2.PromiseReply(promised=promised))
 
+    async def Release(
+        self,
+        stream: _Stream[peer_pb2.ReleaseRequest, peer_pb2.ReleaseReply],
+    ) -> None:
+        """Act under no earlier term, and say when no promise is left."""
+        request = required(await stream.recv_message())
+        loop = self._loops.get(request.service)
+        released = False
+        if loop is not None and request.holder == self._me:
+            released = loop.release(ids.Term(request.term))
+        await stream.send_message(peer_pb2.ReleaseReply(released=released))
+
     async def Probe(
         self,
         stream: _Stream[peer_pb2.ProbeRequest, peer_pb2.ProbeReply],
     ) -> None:
-        """Say that this instance is there."""
-        await stream.recv_message()
-        await stream.send_message(peer_pb2.ProbeReply(instance=self._me))
+        """Say whether this instance does what its role asks for."""
+        request = required(await stream.recv_message())
+        loop = self._loops.get(request.service)
+        mine = loop is not None and request.instance == self._me
+        acting = mine and loop is not None and loop.is_acting
+        await stream.send_message(
+            peer_pb2.ProbeReply(instance=self._me, acting=acting),
+        )
 
     async def ReadTail(
         self,
--- a/packages/standins/src/sycamoreferry_standins/grant_book.py
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -5,6 +5,8 @@
 from sycamoreferry_core import clock, digests, ids
 from sycamoreferry_platform import wire
 
+_NO_ORDER = ids.OrderNumber(0)
+
 
 class GrantBook:
     """Hold term, lease and fences; obey orders that are not stale."""
@@ -13,6 +15,8 @@
         self._clock = timer
         self._checks_fence = checks_fence
         self._term = ids.NO_TERM
+        self._number = _NO_ORDER
+        self._started_at = timer.now()
         self._lease_end = clock.LONG_AGO
         self._fences: dict[ids.ShardId, ids.Fence] = {}
 
@@ -29,6 +33,8 @@
     def forget(self) -> None:
         """Lose everything, as in a crash."""
         self._term = ids.NO_TERM
+        self._number = _NO_ORDER
+        self._started_at = self._clock.now()
         self._lease_end = clock.LONG_AGO
         self._fences = {}
 
@@ -43,9 +49,10 @@
     def obey(self, order: wire.AnyOrder) -> wire.OrderAnswer:
         """Carry out an order and say what is held after it."""
         self._lapse()
-        if self._checks_fence and order.term < self._term:
+        if self._checks_fence and self._is_stale(order):
             return self._answer(accepted=False)
         self._term = max(self._term, order.term)
+        self._number = order.number
         return _obey(order, self)
 
     def grant(self, order: wire.GrantOrder) -> wire.OrderAnswer:
@@ -60,7 +67,7 @@
 
     def renew(self, order: wire.RenewOrder) -> wire.OrderAnswer:
         """Lengthen the lease where both sides know the same shards."""
-        if digests.digest_shards(self._fences) != order.digest:
+        if digests.digest_shards(frozenset(self._fences)) != order.digest:
             return self._answer(accepted=True)
         self._extend(order.stamp, order.lease_ms)
         return wire.OrderAnswer(
@@ -83,9 +90,15 @@
         if self._clock.now() >= self._lease_end:
             self._fences = {}
 
+    def _is_stale(self, order: wire.AnyOrder) -> bool:
+        last = (self._term, self._number)
+        return (order.term, order.number) <= last
+
     def _extend(self, stamp: int, lease_ms: int) -> bool:
+        now = self._clock.now()
         end = clock.Millis(stamp + lease_ms)
-        if end <= self._clock.now():
+        # A stamp from before the start was given by an earlier process.
+        if end <= now or not self._started_at <= stamp <= now:
             return False
         self._lease_end = max(self._lease_end, end)
         return True
