--- a/packages/core/src/sycamoreferry_core/assignment.py
+++ b/packages/core/src/sycamoreferry_core/assignment.py
@@ -32,8 +32,11 @@
 ) -> bool:
     owned = assignment.shards_by_owner
     floor = shard_count // len(servers)
-    return owned.keys() == set(servers) and all(
-        floor <= len(shards) <= floor + 1 for shards in owned.values()
+    sizes = [len(shards) for shards in owned.values()]
+    return (
+        owned.keys() == set(servers)
+        and sum(sizes) == shard_count
+        and all(floor <= size <= floor + 1 for size in sizes)
     )
 
 
--- a/packages/core/src/sycamoreferry_core/digests.py
+++ b/packages/core/src/sycamoreferry_core/digests.py
@@ -6,11 +6,11 @@
 
 from sycamoreferry_core import ids, keys
 
-# Holds the sets of every server of a group, before and after a move.
-REMEMBERED_DIGESTS = 2048
+# One set for each of the backend servers of a large service.
+REMEMBERED_DIGESTS = 4096
 
 
-@functools.lru_cache(maxsize=REMEMBERED_DIGESTS)
+@functools.lru_cache(REMEMBERED_DIGESTS)
 def digest_shards(shards: frozenset[ids.ShardId]) -> int:
     """Return a digest of a set of shards, whatever its order."""
     text = ','.join(str(shard) for shard in sorted(shards))
