--- a/packages/standins/src/sycamoreferry_standins/web.py
+++ b/packages/standins/src/sycamoreferry_standins/web.py
@@ -13,7 +13,9 @@
 LOOPBACK = '127.0.0.1'
 _BACKLOG = 1024
 # Lies below the ports that the system gives to outgoing connections.
-_PORTS = range(12_000, 32_000)
+_LOWEST_PORT = 12_000
+_HIGHEST_PORT = 31_999
+_PORTS = range(_LOWEST_PORT, _HIGHEST_PORT + 1)
 
 
 def new_app(name: str) -> App:
