--- a/packages/core/src/sycamoreferry_core/clock.py
+++ b/packages/core/src/sycamoreferry_core/clock.py
@@ -4,8 +4,12 @@
 import typing
 
 Millis = typing.NewType('Millis', int)
+# Counts from 1970 in UTC; used for times of day, never for leases.
+UnixMillis = typing.NewType('UnixMillis', int)
 
 MILLIS_PER_SECOND = 1000
+MILLIS_PER_HOUR = 3_600_000
+UNIX_EPOCH = UnixMillis(0)
 LONG_AGO = Millis(-MILLIS_PER_SECOND * MILLIS_PER_SECOND * MILLIS_PER_SECOND)
 
 
--- a/packages/core/src/sycamoreferry_core/fold.py
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -6,7 +6,15 @@
 
 import pydantic
 
-from sycamoreferry_core import ids, profiles, records, result_codes, state
+from sycamoreferry_core import (
+    clock,
+    ids,
+    profiles,
+    records,
+    result_codes,
+    snapshot_marks,
+    state,
+)
 
 _ACCEPTED = result_codes.ResultCode.ANSWERED
 
@@ -67,28 +75,22 @@
         return advanced
     if advanced.verdict_of(record.record_id) is not None:
         return advanced
-    return _settle(advanced, record, apply_record(record, advanced, entry))
+    verdict = apply_record(record, advanced, entry)
+    return _settle(advanced, record, entry.offset, verdict)
 
 
 def _settle(
     before: state.LogState,
     record: records.AnyRecord,
+    offset: ids.Offset,
     verdict: Verdict,
 ) -> state.LogState:
-    if isinstance(verdict, Refused):
-        return _remember(before, record.record_id, verdict.code)
-    return _remember(verdict.state, record.record_id, _ACCEPTED)
-
-
-def _remember(
-    log_state: state.LogState,
-    record_id: ids.RecordId,
-    code: result_codes.ResultCode,
-) -> state.LogState:
-    verdicts = with_entry(log_state.verdicts, record_id, code)
-    if len(verdicts) > state.REMEMBERED_RECORDS:
-        verdicts.pop(next(iter(verdicts)))
-    return dataclasses.replace(log_state, verdicts=verdicts)
+    code = _ACCEPTED if isinstance(verdict, Accepted) else verdict.code
+    after = verdict.state if isinstance(verdict, Accepted) else before
+    return dataclasses.replace(
+        after,
+        remembered=before.remembered.remember(offset, record.record_id, code),
+    )
 
 
 def with_entry(
@@ -173,7 +175,38 @@
     if revised is None:
         return Refused(result_codes.ResultCode.BAD_RECORD)
     assignments = with_entry(log_state.assignments, record.service, revised)
-    return Accepted(dataclasses.replace(log_state, assignments=assignments))
+    return Accepted(
+        dataclasses.replace(
+            log_state,
+            assignments=assignments,
+            recent_moves=_note_moves(log_state, record),
+        ),
+    )
+
+
+def _note_moves(
+    log_state: state.LogState,
+    record: records.AssignmentRevised,
+) -> typing.Mapping[ids.ServiceName, tuple[state.RecentMove, ...]]:
+    if not record.cause.is_voluntary:
+        return log_state.recent_moves
+    oldest = record.decided_at - clock.MILLIS_PER_HOUR
+    kept = tuple(
+        move
+        for move in log_state.recent_moves.get(record.service, ())
+        if move.decided_at > oldest
+    )
+    moved = state.RecentMove(
+        decided_at=record.decided_at,
+        shards=tuple(
+            shard for change in record.changes for shard in change.shards
+        ),
+    )
+    return with_entry(
+        log_state.recent_moves,
+        record.service,
+        (*kept, moved),
+    )
 
 
 def _revise(
@@ -239,12 +272,66 @@
     return Accepted(dataclasses.replace(log_state, instances=instances))
 
 
+@apply_record.register
+def _apply_drain_requested(
+    record: records.DrainRequested,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.wishes_of(record.service)
+    drained = set(current.drained) - {record.server}
+    if record.drain:
+        drained.add(record.server)
+    wishes = dataclasses.replace(current, drained=tuple(sorted(drained)))
+    return _wish(log_state, record.service, wishes)
+
+
+@apply_record.register
+def _apply_shard_pinned(
+    record: records.ShardPinned,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    current = log_state.wishes_of(record.service)
+    pins = dict(current.pins)
+    pins.pop(record.shard, None)
+    if record.server is not None:
+        pins[record.shard] = record.server
+    wishes = dataclasses.replace(current, pins=pins)
+    return _wish(log_state, record.service, wishes)
+
+
+def _wish(
+    log_state: state.LogState,
+    service: ids.ServiceName,
+    wishes: state.Wishes,
+) -> Verdict:
+    every = with_entry(log_state.wishes, service, wishes)
+    return Accepted(dataclasses.replace(log_state, wishes=every))
+
+
+@apply_record.register
+def _apply_state_snapshot(
+    record: records.StateSnapshot,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    if record.covers <= log_state.snapshots.covers:
+        return Refused(result_codes.ResultCode.STALE_SNAPSHOT)
+    if not 0 <= record.part < record.parts or record.covers > entry.offset:
+        return Refused(result_codes.ResultCode.BAD_RECORD)
+    marks = snapshot_marks.note_part(log_state.snapshots, record)
+    return Accepted(dataclasses.replace(log_state, snapshots=marks))
+
+
 @apply_record.register
 def _apply_instance_left(
     record: records.InstanceLeft,
     log_state: state.LogState,
     entry: records.LoggedRecord,
 ) -> Verdict:
+    if record.instance not in log_state.instances:
+        return Refused(result_codes.ResultCode.UNKNOWN_INSTANCE)
     instances = dict(log_state.instances)
-    instances.pop(record.instance, None)
+    instances.pop(record.instance)
     return Accepted(dataclasses.replace(log_state, instances=instances))
--- a/packages/core/src/sycamoreferry_core/records.py
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -1,10 +1,11 @@
 """Define the records of the configuration log."""
 
+import enum
 import typing
 
 import msgspec
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import clock, ids
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -37,6 +38,22 @@
     shards: tuple[ids.ShardId, ...]
 
 
+@enum.unique
+class MoveCause(enum.Enum):
+    """Name why shards change owner."""
+
+    LOSS = 'loss'
+    DRAIN = 'drain'
+    PIN = 'pin'
+    ARRIVAL = 'arrival'
+    LOAD = 'load'
+
+    @property
+    def is_voluntary(self) -> bool:
+        """Tell whether the move could wait and counts as churn."""
+        return self in {MoveCause.ARRIVAL, MoveCause.LOAD}
+
+
 class AssignmentRevised(Record, frozen=True, tag=True):
     """Change the owners of some shards under a term."""
 
@@ -44,6 +61,34 @@
     term: ids.Term
     shard_count: int
     changes: tuple[Ownership, ...]
+    cause: MoveCause = MoveCause.LOSS
+    decided_at: clock.UnixMillis = clock.UNIX_EPOCH
+
+
+class DrainRequested(Record, frozen=True, tag=True):
+    """Ask that a backend server be emptied, or end that wish."""
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    drain: bool = True
+
+
+class ShardPinned(Record, frozen=True, tag=True):
+    """Give a shard a server of its own; no server ends that."""
+
+    service: ids.ServiceName
+    shard: ids.ShardId
+    server: ids.ServerId | None
+
+
+class StateSnapshot(Record, frozen=True, tag=True):
+    """Carry one part of the state before an offset."""
+
+    snapshot: ids.SnapshotId
+    covers: ids.Offset
+    part: int
+    parts: int
+    content: bytes
 
 
 class ProfilePublished(Record, frozen=True, tag=True):
@@ -74,6 +119,9 @@
     TermClaimed
     | TermSettled
     | AssignmentRevised
+    | DrainRequested
+    | ShardPinned
+    | StateSnapshot
     | ProfilePublished
     | InstanceJoined
     | InstanceLeft
--- a/packages/core/src/sycamoreferry_core/result_codes.py
+++ b/packages/core/src/sycamoreferry_core/result_codes.py
@@ -39,6 +39,8 @@
     STALE_PROFILE = 6002
     UNKNOWN_PROFILE = 6003
     BAD_RECORD = 6004
+    STALE_SNAPSHOT = 6005
+    UNKNOWN_INSTANCE = 6006
 
 
 @dataclasses.dataclass(frozen=True)
@@ -208,6 +210,16 @@
         'the record breaks a rule of the log',
         'correct it and append it again',
     ),
+    ResultCode.STALE_SNAPSHOT: CodeMeaning(
+        _CONFLICT,
+        'the log has a newer snapshot',
+        'nothing is to be done',
+    ),
+    ResultCode.UNKNOWN_INSTANCE: CodeMeaning(
+        int(http.HTTPStatus.NOT_FOUND),
+        'no joined instance has this id',
+        'look at the instances with ferryctl status',
+    ),
 }
 
 
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/snapshots.py
@@ -0,0 +1,153 @@
+"""Write the state to the log in parts, and find it there again."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import (
+    ids,
+    images,
+    keys,
+    records,
+    state,
+)
+
+# Keeps each record well under what a log service takes in one append.
+PART_BYTES = 32_768
+
+
+@dataclasses.dataclass(frozen=True)
+class SnapshotPolicy:
+    """Set how often the state is written to the log."""
+
+    records: int
+    interval_ms: int
+    patience_ms: int
+
+
+def write_parts(
+    log_state: state.LogState,
+    author: ids.InstanceId,
+) -> tuple[records.StateSnapshot, ...]:
+    """Return the records of a snapshot of a state."""
+    content = images.encode_state(log_state)
+    covers = log_state.next_offset
+    snapshot = ids.SnapshotId(f'{covers}/{author}')
+    pieces = split(content)
+    return tuple(
+        records.StateSnapshot(
+            record_id=ids.RecordId(f'snapshot/{snapshot}/{part}'),
+            snapshot=snapshot,
+            covers=covers,
+            part=part,
+            parts=len(pieces),
+            content=piece,
+        )
+        for part, piece in enumerate(pieces)
+    )
+
+
+def split(content: bytes) -> tuple[bytes, ...]:
+    """Cut bytes into parts of bounded size."""
+    return tuple(
+        content[start : start + PART_BYTES]
+        for start in range(0, len(content), PART_BYTES)
+    )
+
+
+def is_due(
+    log_state: state.LogState,
+    me: ids.InstanceId,
+    policy: SnapshotPolicy,
+    age_ms: int,
+) -> bool:
+    """Tell whether it is this instance's turn to write a snapshot."""
+    line = _line_of_authors(log_state)
+    if me not in line:
+        return False
+    grown = log_state.next_offset - log_state.snapshots.covers
+    late_ms = age_ms - policy.interval_ms
+    by_time = late_ms >= line.index(me) * policy.patience_ms
+    by_growth = grown >= policy.records * (line.index(me) + 1)
+    return by_time or by_growth
+
+
+def _line_of_authors(
+    log_state: state.LogState,
+) -> list[ids.InstanceId]:
+    covers = log_state.snapshots.covers
+    return sorted(
+        log_state.instances,
+        key=lambda instance: keys.hash_text(f'{covers}/{instance}'),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class SnapshotFinder:
+    """Collect the parts of snapshots while the log is read."""
+
+    begins: ids.Offset
+    parts: typing.Mapping[ids.SnapshotId, tuple[records.StateSnapshot, ...]]
+    newest: state.LogState | None = None
+
+    def read(
+        self,
+        logged: typing.Iterable[records.LoggedRecord],
+    ) -> 'SnapshotFinder':
+        """Return the finder after some records more."""
+        finder = self
+        for entry in logged:
+            finder = finder.read_one(entry)
+        return finder
+
+    def read_one(self, entry: records.LoggedRecord) -> 'SnapshotFinder':
+        """Return the finder after one record more."""
+        try:
+            record = records.decode_record(entry.payload)
+        except records.BadRecordError:
+            return self
+        if not isinstance(record, records.StateSnapshot):
+            return self
+        if record.covers < self.begins:
+            return self
+        return self._add(record)
+
+    def _add(self, record: records.StateSnapshot) -> 'SnapshotFinder':
+        known = [
+            held
+            for held in self.parts.get(record.snapshot, ())
+            if held.part != record.part
+        ]
+        parts = {**self.parts, record.snapshot: (*known, record)}
+        if len(parts[record.snapshot]) < record.parts:
+            return dataclasses.replace(self, parts=parts)
+        found = _assemble(parts.pop(record.snapshot))
+        return dataclasses.replace(
+            self,
+            parts=parts,
+            newest=newer_state(self.newest, found),
+        )
+
+
+def find_from(begins: ids.Offset) -> SnapshotFinder:
+    """Return a finder for snapshots that the log from an offset continues."""
+    return SnapshotFinder(begins=begins, parts={})
+
+
+def newer_state(
+    known: state.LogState | None,
+    offered: state.LogState | None,
+) -> state.LogState | None:
+    """Return the state with the higher offset; the known one when equal."""
+    if known is None or offered is None:
+        return known or offered
+    return offered if offered.next_offset > known.next_offset else known
+
+
+def _assemble(
+    parts: tuple[records.StateSnapshot, ...],
+) -> state.LogState | None:
+    in_order = sorted(parts, key=lambda held: held.part)
+    try:
+        return images.decode_state(b''.join(held.content for held in in_order))
+    except images.BadImageError:
+        return None
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -3,10 +3,14 @@
 import dataclasses
 import typing
 
-from sycamoreferry_core import ids, profiles, records, result_codes
-
-# Bounds the memory of records that were seen and of those refused.
-REMEMBERED_RECORDS = 4096
+from sycamoreferry_core import (
+    clock,
+    ids,
+    profiles,
+    records,
+    result_codes,
+    verdicts,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +56,41 @@
     request_port: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RecentMove:
+    """Hold a voluntary move that still counts as churn."""
+
+    decided_at: clock.UnixMillis
+    shards: tuple[ids.ShardId, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Wishes:
+    """Hold what operators ask of the assignment of a service."""
+
+    drained: tuple[ids.ServerId, ...] = ()
+    pins: typing.Mapping[ids.ShardId, ids.ServerId] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class OpenSnapshot:
+    """Hold which parts of a snapshot the log has so far."""
+
+    snapshot: ids.SnapshotId
+    covers: ids.Offset
+    missing: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class SnapshotMarks:
+    """Hold how far the newest whole snapshot covers the log."""
+
+    covers: ids.Offset = ids.FIRST_OFFSET
+    unfinished: tuple[OpenSnapshot, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class LogState:
     """Hold all that the log has decided up to an offset."""
@@ -75,11 +114,16 @@
             default_factory=dict,
         )
     )
-    verdicts: typing.Mapping[ids.RecordId, result_codes.ResultCode] = (
+    wishes: typing.Mapping[ids.ServiceName, Wishes] = dataclasses.field(
+        default_factory=dict,
+    )
+    recent_moves: typing.Mapping[ids.ServiceName, tuple[RecentMove, ...]] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
+    snapshots: SnapshotMarks = SnapshotMarks()
+    remembered: verdicts.VerdictMemory = verdicts.VerdictMemory()
 
     def term_of(self, service: ids.ServiceName) -> TermState:
         """Return the term of a service; term 0 where none was claimed."""
@@ -89,13 +133,18 @@
         """Return the assignment of a service; empty where none is."""
         return self.assignments.get(service, _NO_ASSIGNMENT)
 
+    def wishes_of(self, service: ids.ServiceName) -> Wishes:
+        """Return what operators ask of a service."""
+        return self.wishes.get(service, _NO_WISHES)
+
     def verdict_of(
         self,
         record_id: ids.RecordId,
     ) -> result_codes.ResultCode | None:
         """Return how a recent record was folded, if it was seen."""
-        return self.verdicts.get(record_id)
+        return self.remembered.code_of(record_id)
 
 
 _NO_TERM_STATE = TermState()
 _NO_ASSIGNMENT = Assignment()
+_NO_WISHES = Wishes()
