--- a/packages/ctl/src/sycamoreferry_ctl/publishing.py
+++ b/packages/ctl/src/sycamoreferry_ctl/publishing.py
@@ -6,14 +6,13 @@
 
 from sycamoreferry_core import (
     clock,
-    fold,
     ids,
     profiles,
     records,
     result_codes,
     state,
 )
-from sycamoreferry_platform import log_port
+from sycamoreferry_platform import log_port, log_state
 
 RECORD_ID_BYTES = 8
 READ_BACK_TRIES = 50
@@ -40,17 +39,16 @@
 
 async def read_state(
     log_service: log_port.LogService,
-    log_state: state.LogState | None = None,
+    known: state.LogState | None = None,
 ) -> state.LogState:
     """Fold the whole log; raise LogUnreachableError."""
-    folded = log_state or state.LogState()
-    while True:
-        outcome = await log_service.read(folded.next_offset, 0)
-        if isinstance(outcome, log_port.ReadFailed):
-            raise LogUnreachableError(outcome.reason)
-        folded = fold.fold_all(folded, outcome.logged)
-        if folded.next_offset >= outcome.end_offset:
-            return folded
+    try:
+        return await log_state.read_state(
+            log_service,
+            known or state.LogState(),
+        )
+    except log_state.LogUnreadableError as error:
+        raise LogUnreachableError(str(error)) from error
 
 
 async def publish_profile(
--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -70,6 +70,17 @@
         """Read records of the log that an instance still holds."""
         return await self._call(self._stub(address).ReadTail, request)
 
+    async def read_state(
+        self,
+        address: PeerAddress,
+    ) -> list[peer_pb2.StateReply]:
+        """Read the folded state of an instance; empty without an answer."""
+        replies = await self._call(
+            self._stub(address).ReadState,
+            peer_pb2.StateRequest(),
+        )
+        return list(replies or ())
+
     async def status(
         self,
         address: PeerAddress,
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -9,7 +9,7 @@
 import aiohttp
 from grpclib import server as grpc_server
 
-from sycamoreferry_core import clock, ids, records
+from sycamoreferry_core import clock, ids, records, snapshots
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
@@ -26,7 +26,9 @@
     metrics,
     peer_service,
     pipeline,
+    relay,
     settings,
+    snapshot_loop,
     tail,
     view,
 )
@@ -60,6 +62,12 @@
             session,
             chosen.platform.instance_list_url,
         )
+        self._relay = relay.Relay(
+            self._view,
+            self._peers,
+            _seeds(chosen),
+            random.Random(),
+        )
         self._tail = tail.Tail(
             http_log.HttpLog(
                 session,
@@ -67,8 +75,20 @@
                 chosen.platform.stream,
             ),
             self._view,
+            self._relay,
             chosen.platform.tail_wait_ms,
         )
+        self._snapshots = snapshot_loop.SnapshotLoop(
+            self._me,
+            self._view,
+            self._tail,
+            self._clock,
+            snapshots.SnapshotPolicy(
+                records=chosen.platform.snapshot_records,
+                interval_ms=chosen.platform.snapshot_interval_ms,
+                patience_ms=chosen.platform.snapshot_patience_ms,
+            ),
+        )
         self._loops = {
             service.name: self._coordination(service, session)
             for service in chosen.services
@@ -107,6 +127,7 @@
                     self._data_centre,
                     self._view,
                     self._loops,
+                    self._relay,
                 ),
             ]
         )
@@ -132,6 +153,8 @@
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
             self._tail.run(),
+            self._tail.run_relay(),
+            self._snapshots.run(),
             self._follow_instance_list(),
             self._join(),
             *(loop.run() for loop in self._loops.values()),
@@ -202,6 +225,15 @@
         )
 
 
+def _seeds(
+    chosen: settings.Settings,
+) -> tuple[peer_client.PeerAddress, ...]:
+    return tuple(
+        peer_client.PeerAddress(str(peer.host), peer.port)
+        for peer in chosen.peers
+    )
+
+
 async def run_instance(chosen: settings.Settings) -> None:
     """Run an instance with sessions of its own."""
     connector = aiohttp.TCPConnector(limit=0)
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -6,7 +6,7 @@
 
 from sycamoreferry_core import events, ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
-from sycamoreferry_router import coordination_loop, view
+from sycamoreferry_router import coordination_loop, relay, view
 
 _Stream = grpc_server.Stream
 MessageType = typing.TypeVar('MessageType')
@@ -32,11 +32,13 @@
         data_centre: str,
         seen: view.InstanceView,
         loops: typing.Mapping[str, coordination_loop.CoordinationLoop],
+        relaying: relay.Relay,
     ) -> None:
         self._me = me
         self._data_centre = data_centre
         self._view = seen
         self._loops = loops
+        self._relay = relaying
 
     async def Promise(
         self,
@@ -71,12 +73,17 @@
     ) -> None:
         """Hand out records of the log that this instance still holds."""
         request = required(await stream.recv_message())
-        await stream.send_message(
-            peer_pb2.TailReply(
-                first_offset=request.start,
-                end_offset=self._view.log_state.next_offset,
-            ),
-        )
+        start = ids.Offset(request.start)
+        await stream.send_message(self._relay.read_recent(start))
+
+    async def ReadState(
+        self,
+        stream: _Stream[peer_pb2.StateRequest, peer_pb2.StateReply],
+    ) -> None:
+        """Hand out the folded state in parts."""
+        await stream.recv_message()
+        for reply in self._relay.write_state():
+            await stream.send_message(reply)
 
     async def Status(
         self,
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/relay.py
@@ -0,0 +1,134 @@
+"""Take state and records from peers while the log does not answer."""
+
+import random
+import typing
+
+from sycamoreferry_core import fold, ids, images, records, snapshots, state
+from sycamoreferry_peer import client as peer_client
+from sycamoreferry_peer.generated import peer_pb2
+from sycamoreferry_router import logs, recent_records, view
+
+# An instance that starts asks more peers, since each may be behind.
+ASKED_AT_START = 10
+ASKED_PER_ROUND = 2
+RECORDS_PER_CALL = 256
+
+_log = logs.part_logger('relay')
+
+
+class Relay:
+    """Catch up from the peer that has read furthest."""
+
+    def __init__(
+        self,
+        seen: view.InstanceView,
+        peers: peer_client.PeerClients,
+        seeds: tuple[peer_client.PeerAddress, ...],
+        chance: random.Random,
+    ) -> None:
+        self.recent = recent_records.RecentRecords()
+        self._view = seen
+        self._peers = peers
+        self._seeds = seeds
+        self._chance = chance
+
+    async def catch_up(self) -> None:
+        """Take what the furthest of some peers has read more."""
+        furthest = await self._find_furthest()
+        if furthest is None:
+            return
+        if not await self._take_records(furthest):
+            await self._take_state(furthest)
+        started = self._next_offset > ids.FIRST_OFFSET
+        self._view.started_from_peer = started
+
+    def read_recent(self, start: ids.Offset) -> peer_pb2.TailReply:
+        """Return the reply to a peer that asks for records."""
+        held = self.recent.read(start, RECORDS_PER_CALL)
+        return peer_pb2.TailReply(
+            first_offset=held[0].offset if held else self._next_offset,
+            end_offset=self._next_offset,
+            entries=[
+                peer_pb2.TailEntry(offset=entry.offset, payload=entry.payload)
+                for entry in held
+            ],
+        )
+
+    def write_state(self) -> typing.Iterator[peer_pb2.StateReply]:
+        """Return the parts of the state for a peer that asks for it."""
+        covers = self._next_offset
+        pieces = snapshots.split(images.encode_state(self._view.log_state))
+        for part, piece in enumerate(pieces):
+            yield peer_pb2.StateReply(
+                covers=covers,
+                part=part,
+                parts=len(pieces),
+                content=piece,
+            )
+
+    @property
+    def _next_offset(self) -> ids.Offset:
+        return self._view.log_state.next_offset
+
+    def _addresses(self) -> list[peer_client.PeerAddress]:
+        joined = self._view.log_state.instances.values()
+        known = {
+            peer_client.PeerAddress(found.peer_host, found.peer_port)
+            for found in joined
+        }
+        every = sorted(
+            known.union(self._seeds),
+            key=lambda address: (address.host, address.port),
+        )
+        starting = self._next_offset == ids.FIRST_OFFSET
+        wanted = ASKED_AT_START if starting else ASKED_PER_ROUND
+        return self._chance.sample(every, min(wanted, len(every)))
+
+    async def _find_furthest(self) -> peer_client.PeerAddress | None:
+        furthest = None
+        highest = int(self._next_offset)
+        for address in self._addresses():
+            status = await self._peers.status(address)
+            if status is not None and status.next_offset > highest:
+                furthest = address
+                highest = status.next_offset
+        return furthest
+
+    async def _take_records(self, address: peer_client.PeerAddress) -> bool:
+        reply = await self._peers.read_tail(
+            address,
+            peer_pb2.TailRequest(start=self._next_offset),
+        )
+        if reply is None or not reply.entries:
+            return False
+        if reply.first_offset > self._next_offset:
+            return False
+        logged = tuple(
+            records.LoggedRecord(ids.Offset(entry.offset), entry.payload)
+            for entry in reply.entries
+        )
+        self.recent.add(logged)
+        folded = fold.fold_all(self._view.log_state, logged)
+        await self._view.advance(folded)
+        return True
+
+    async def _take_state(self, address: peer_client.PeerAddress) -> None:
+        offered = _assemble(await self._peers.read_state(address))
+        if offered is None:
+            return
+        _log.info('a peer offered the state before {}', offered.next_offset)
+        await self._view.advance(offered)
+
+
+def _assemble(
+    replies: typing.Sequence[peer_pb2.StateReply],
+) -> state.LogState | None:
+    in_order = sorted(replies, key=lambda reply: reply.part)
+    whole = bool(in_order) and len(in_order) == in_order[0].parts
+    same = len({reply.covers for reply in in_order}) == 1
+    if not whole or not same:
+        return None
+    try:
+        return images.decode_state(b''.join(part.content for part in in_order))
+    except images.BadImageError:
+        return None
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -44,6 +44,16 @@
     instance_list_url: _Url
     list_interval_ms: _Positive = 500
     tail_wait_ms: _Positive = 5000
+    snapshot_records: _Positive = 2000
+    snapshot_interval_ms: _Positive = 900_000
+    snapshot_patience_ms: _Positive = 30_000
+
+
+class Peer(_Part):
+    """Set where another instance listens for its peers."""
+
+    host: pydantic.IPvAnyAddress
+    port: _Port
 
 
 class Service(_Part):
@@ -95,6 +105,7 @@
         tuple[Service, ...],
         pydantic.Field(min_length=1),
     ]
+    peers: tuple[Peer, ...] = ()
     bounds: RequestBounds = RequestBounds()
     logging: Logging = Logging()
     tracing: Tracing = Tracing()
--- a/packages/router/src/sycamoreferry_router/tail.py
+++ b/packages/router/src/sycamoreferry_router/tail.py
@@ -4,10 +4,11 @@
 import secrets
 
 from sycamoreferry_core import clock, fold, ids, records, result_codes
-from sycamoreferry_platform import log_port
-from sycamoreferry_router import logs, view
+from sycamoreferry_platform import log_port, log_state
+from sycamoreferry_router import logs, relay, view
 
 RETRY_MS = 200
+RELAY_INTERVAL_MS = 1000
 READ_BACK_MS = 5000
 RECORD_ID_BYTES = 8
 
@@ -26,25 +27,37 @@
         self,
         log_service: log_port.LogService,
         seen: view.InstanceView,
+        relaying: relay.Relay,
         wait_ms: int,
     ) -> None:
         self._log_service = log_service
         self._view = seen
+        self._relay = relaying
         self._wait_ms = wait_ms
+        self._reached = True
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
         while True:
-            if not await self._follow_once():
+            self._reached = await self._follow_once()
+            if not self._reached:
                 await asyncio.sleep(clock.seconds(RETRY_MS))
 
+    async def run_relay(self) -> None:
+        """Follow peers while the log does not answer, until cancelled."""
+        while True:
+            if not self._reached:
+                await self._relay.catch_up()
+            await asyncio.sleep(clock.seconds(RELAY_INTERVAL_MS))
+
     async def read_now(self) -> bool:
         """Fold what the log holds now; tell whether it answered."""
         while True:
             outcome = await self._log_service.read(self._next_offset(), 0)
             if isinstance(outcome, log_port.ReadFailed):
                 return False
-            await self._fold(outcome)
+            if not await self._fold(outcome):
+                return False
             if self._next_offset() >= outcome.end_offset:
                 return True
 
@@ -90,15 +103,29 @@
         if isinstance(outcome, log_port.ReadFailed):
             _log.debug('{}; trying again', outcome.reason)
             return False
-        await self._fold(outcome)
+        if not await self._fold(outcome):
+            return False
         self._view.caught_up = self._next_offset() >= outcome.end_offset
         return True
 
     def _next_offset(self) -> ids.Offset:
         return self._view.log_state.next_offset
 
-    async def _fold(self, outcome: log_port.Tail) -> None:
-        if not outcome.logged:
-            return
-        folded = fold.fold_all(self._view.log_state, outcome.logged)
-        await self._view.advance(folded)
+    async def _fold(self, outcome: log_port.Tail) -> bool:
+        if outcome.first_offset > self._next_offset():
+            return await self._start_from_snapshot()
+        if outcome.logged:
+            self._relay.recent.add(outcome.logged)
+            folded = fold.fold_all(self._view.log_state, outcome.logged)
+            await self._view.advance(folded)
+        return True
+
+    async def _start_from_snapshot(self) -> bool:
+        try:
+            found = await log_state.find_snapshot(self._log_service)
+        except log_state.LogUnreadableError as error:
+            _log.error('{}', error)
+            return False
+        _log.info('starting from the state before {}', found.next_offset)
+        await self._view.advance(found)
+        return True
--- a/packages/router/src/sycamoreferry_router/view.py
+++ b/packages/router/src/sycamoreferry_router/view.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self.log_state = state.LogState()
         self.caught_up = False
+        self.started_from_peer = False
         self.servers: dict[ids.ServerId, wire.ListedServer] = {}
         self.changed = asyncio.Condition()
         self._by_service: dict[
@@ -27,7 +28,8 @@
     @property
     def ready(self) -> bool:
         """Tell whether requests can be routed."""
-        return self.caught_up and bool(self.servers)
+        started = self.caught_up or self.started_from_peer
+        return started and bool(self.servers)
 
     def replace_servers(
         self,
--- /dev/null
+++ b/packages/router/tests/test_tail.py
@@ -0,0 +1,232 @@
+import dataclasses
+import random
+import typing
+
+import pytest
+
+from sycamoreferry_core import fold, ids, records, snapshots, state
+from sycamoreferry_peer import client as peer_client
+from sycamoreferry_peer.generated import peer_pb2
+from sycamoreferry_platform import log_port
+from sycamoreferry_router import recent_records, relay, tail, view
+
+WAIT_MS = 10
+SEEDS = tuple(peer_client.PeerAddress('127.0.0.1', port) for port in (1, 2, 3))
+
+
+class FakeLog:
+    """Hold a stream in memory, with faults."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+        self.first_offset = 0
+        self.shown: int | None = None
+        self.down = False
+        self.read_limit = 5
+
+    async def append(self, payload: bytes) -> log_port.AppendOutcome:
+        self.payloads.append(payload)
+        return log_port.Appended(ids.Offset(len(self.payloads) - 1))
+
+    async def read(
+        self,
+        start: ids.Offset,
+        wait_ms: int,
+    ) -> log_port.ReadOutcome:
+        if self.down:
+            return log_port.ReadFailed('down')
+        end = len(self.payloads) if self.shown is None else self.shown
+        begin = max(start, self.first_offset)
+        return log_port.Tail(
+            first_offset=ids.Offset(self.first_offset),
+            end_offset=ids.Offset(end),
+            logged=tuple(
+                records.LoggedRecord(ids.Offset(offset), self.payloads[offset])
+                for offset in range(begin, min(end, begin + self.read_limit))
+            ),
+        )
+
+    def add(self, *added: records.AnyRecord) -> None:
+        self.payloads.extend(records.encode_record(record) for record in added)
+
+    def folded(self) -> state.LogState:
+        return fold.fold_all(
+            state.LogState(),
+            (
+                records.LoggedRecord(ids.Offset(offset), payload)
+                for offset, payload in enumerate(self.payloads)
+            ),
+        )
+
+
+class FakePeers:
+    """Answer for other instances from their relays."""
+
+    def __init__(self, relays: typing.Sequence[relay.Relay | None]) -> None:
+        self._relays = dict(zip(SEEDS, relays, strict=False))
+        self.states_read = 0
+
+    async def status(
+        self,
+        address: peer_client.PeerAddress,
+    ) -> peer_pb2.StatusReply | None:
+        answering = self._relays.get(address)
+        if answering is None:
+            return None
+        end = answering.read_recent(ids.FIRST_OFFSET).end_offset
+        return peer_pb2.StatusReply(next_offset=end)
+
+    async def read_tail(
+        self,
+        address: peer_client.PeerAddress,
+        request: peer_pb2.TailRequest,
+    ) -> peer_pb2.TailReply | None:
+        answering = self._relays[address]
+        assert answering is not None
+        return answering.read_recent(ids.Offset(request.start))
+
+    async def read_state(
+        self,
+        address: peer_client.PeerAddress,
+    ) -> list[peer_pb2.StateReply]:
+        answering = self._relays[address]
+        assert answering is not None
+        self.states_read += 1
+        return list(answering.write_state())
+
+
+@dataclasses.dataclass
+class Reader:
+    seen: view.InstanceView
+    relay: relay.Relay
+    tail: tail.Tail
+
+
+def _reader(
+    log: FakeLog,
+    peers: FakePeers | None = None,
+) -> Reader:
+    seen = view.InstanceView()
+    relaying = relay.Relay(
+        seen,
+        typing.cast(peer_client.PeerClients, peers or FakePeers(())),
+        SEEDS if peers else (),
+        random.Random(0),
+    )
+    return Reader(seen, relaying, tail.Tail(log, seen, relaying, WAIT_MS))
+
+
+def _joined(name: str) -> records.AnyRecord:
+    return records.InstanceJoined(
+        record_id=ids.RecordId(f'join/{name}'),
+        instance=ids.InstanceId(name),
+        data_centre=ids.DataCentre('north'),
+        peer_host='127.0.0.1',
+        peer_port=9,
+        request_port=10,
+    )
+
+
+def _log_with(count: int) -> FakeLog:
+    log = FakeLog()
+    log.add(*(_joined(str(number)) for number in range(count)))
+    return log
+
+
+async def test_start_past_retention_uses_the_newest_snapshot() -> None:
+    log = _log_with(12)
+    log.add(*snapshots.write_parts(log.folded(), ids.InstanceId('1')))
+    log.add(_joined('late'))
+    log.first_offset = 7
+    reader = _reader(log)
+    assert await reader.tail.read_now()
+    assert reader.seen.log_state == log.folded()
+
+
+async def test_start_without_any_snapshot_reads_nothing() -> None:
+    log = _log_with(12)
+    log.first_offset = 7
+    reader = _reader(log)
+    assert not await reader.tail.read_now()
+    assert reader.seen.log_state == state.LogState()
+
+
+async def test_follower_overtaken_by_retention_catches_up() -> None:
+    log = _log_with(4)
+    reader = _reader(log)
+    assert await reader.tail.read_now()
+    log.add(*(_joined(f'more-{number}') for number in range(20)))
+    log.add(*snapshots.write_parts(log.folded(), ids.InstanceId('1')))
+    log.first_offset = 15
+    assert await reader.tail.read_now()
+    assert reader.seen.log_state == log.folded()
+
+
+async def test_late_read_takes_nothing_back() -> None:
+    log = _log_with(8)
+    reader = _reader(log)
+    assert await reader.tail.read_now()
+    log.shown = 3
+    assert await reader.tail.read_now()
+    assert reader.seen.log_state == log.folded()
+
+
+@pytest.mark.parametrize('order', [(3, 9, 6), (9, 6, 3), (6, 3, 9)])
+async def test_start_from_the_furthest_peer(order: tuple[int, ...]) -> None:
+    log = _log_with(9)
+    others = []
+    for shown in order:
+        log.shown = shown
+        other = _reader(log)
+        assert await other.tail.read_now()
+        others.append(other.relay)
+    log.down = True
+    reader = _reader(log, FakePeers(others))
+    assert not await reader.tail.read_now()
+    await reader.relay.catch_up()
+    assert reader.seen.log_state == log.folded()
+    assert reader.seen.started_from_peer
+
+
+async def test_peer_behind_takes_nothing_back() -> None:
+    log = _log_with(9)
+    log.shown = 4
+    behind = _reader(log)
+    assert await behind.tail.read_now()
+    log.shown = None
+    reader = _reader(log, FakePeers((behind.relay, None, None)))
+    assert await reader.tail.read_now()
+    log.down = True
+    await reader.relay.catch_up()
+    assert reader.seen.log_state == log.folded()
+    await reader.seen.advance(behind.seen.log_state)
+    assert reader.seen.log_state == log.folded()
+
+
+async def test_state_is_taken_where_records_are_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(recent_records, 'KEPT_RECORDS', 2)
+    monkeypatch.setattr(snapshots, 'PART_BYTES', 100)
+    log = _log_with(9)
+    other = _reader(log)
+    assert await other.tail.read_now()
+    peers = FakePeers((other.relay,))
+    reader = _reader(log, peers)
+    await reader.relay.catch_up()
+    assert reader.seen.log_state == log.folded()
+    assert peers.states_read == 1
+    log.add(_joined('late'))
+    assert await other.tail.read_now()
+    # A round asks two peers at random, so it may miss the one that answers.
+    for _ in range(10):
+        await reader.relay.catch_up()
+    assert reader.seen.log_state == log.folded()
+    assert peers.states_read == 1
+
+
+async def test_no_peer_answers() -> None:
+    reader = _reader(FakeLog(), FakePeers((None, None, None)))
+    await reader.relay.catch_up()
+    assert not reader.seen.started_from_peer
+    assert not reader.seen.ready
--- a/packages/standins/src/sycamoreferry_standins/cluster.py
+++ b/packages/standins/src/sycamoreferry_standins/cluster.py
@@ -70,6 +70,7 @@
         directory: pathlib.Path,
         entries: int = 3,
         profiles: typing.Mapping[str, str] | None = None,
+        platform_settings: typing.Mapping[str, object] | None = None,
     ) -> None:
         self.workload = workload
         self.directory = directory
@@ -79,6 +80,7 @@
         )
         self.started: dict[str, processes.Started] = {}
         self._profiles = profiles or {}
+        self._platform_settings = platform_settings or {}
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -203,7 +205,13 @@
             'platform': {
                 'log_url': self.platform_url,
                 'instance_list_url': self.platform_url,
+                **self._platform_settings,
             },
+            'peers': [
+                {'host': web.LOOPBACK, 'port': other.peer_port}
+                for other in self.entries
+                if other is not entry
+            ],
             'services': [
                 {
                     'name': size.name,
