Replay three recorded traces against a running system

ferryctl replays a trace against a running system and scripts/replay sets one up for each shipped trace. Lines may name the owner of a key instead.

--- a/packages/ctl/src/sycamoreferry_ctl/cli.py
+++ b/packages/ctl/src/sycamoreferry_ctl/cli.py
@@ -10,7 +10,7 @@
 import yaml
 
 from sycamoreferry_core import ids, profiles, result_codes
-from sycamoreferry_ctl import publishing
+from sycamoreferry_ctl import log_access, publishing
 from sycamoreferry_platform import http_log
 from sycamoreferry_router import settings
 
@@ -90,7 +90,7 @@
                 profile,
                 ids.ProfileNumber(revises),
             )
-        except publishing.LogUnreachableError as error:
+        except log_access.LogUnreachableError as error:
             typer.echo(f'the log cannot be reached: {error}', err=True)
             raise typer.Exit(UNREACHABLE_STATUS) from error
 
--- /dev/null
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the operators' tool."""
--- /dev/null
+++ b/packages/ctl/src/sycamoreferry_ctl/log_access.py
@@ -0,0 +1,62 @@
+"""Read the state that the log holds, and append records to it."""
+
+import asyncio
+import secrets
+
+from sycamoreferry_core import clock, fold, ids, records, result_codes, state
+from sycamoreferry_platform import log_port
+
+RECORD_ID_BYTES = 8
+READ_BACK_TRIES = 50
+READ_BACK_PAUSE_MS = 100
+
+
+class LogUnreachableError(Exception):
+    """Report that the log did not answer."""
+
+
+def new_record_id(prefix: str) -> ids.RecordId:
+    """Return a record id that no other writer chooses."""
+    return ids.RecordId(f'{prefix}/{secrets.token_hex(RECORD_ID_BYTES)}')
+
+
+async def read_state(
+    log_service: log_port.LogService,
+    log_state: state.LogState | None = None,
+) -> state.LogState:
+    """Fold the whole log; raise LogUnreachableError."""
+    folded = log_state or state.LogState()
+    while True:
+        outcome = await log_service.read(folded.next_offset, 0)
+        if isinstance(outcome, log_port.ReadFailed):
+            raise LogUnreachableError(outcome.reason)
+        folded = fold.fold_all(folded, outcome.logged)
+        if folded.next_offset >= outcome.end_offset:
+            return folded
+
+
+async def append_record(
+    log_service: log_port.LogService,
+    record: records.AnyRecord,
+) -> result_codes.ResultCode:
+    """Append a record and return how it was folded."""
+    appended = await log_service.append(records.encode_record(record))
+    if isinstance(appended, log_port.NotAppended):
+        raise LogUnreachableError(appended.reason)
+    return await _await_verdict(log_service, record.record_id)
+
+
+async def _await_verdict(
+    log_service: log_port.LogService,
+    record_id: ids.RecordId,
+) -> result_codes.ResultCode:
+    folded = state.LogState()
+    for _ in range(READ_BACK_TRIES):
+        folded = await read_state(log_service, folded)
+        code = folded.verdict_of(record_id)
+        if code is not None:
+            return code
+        await asyncio.sleep(clock.seconds(READ_BACK_PAUSE_MS))
+    raise LogUnreachableError(
+        'the record is not in the log; look at its state, then try again',
+    )
--- a/packages/ctl/src/sycamoreferry_ctl/publishing.py
+++ b/packages/ctl/src/sycamoreferry_ctl/publishing.py
@@ -1,28 +1,11 @@
 """Publish profiles to the log and read them back."""
 
-import asyncio
 import dataclasses
-import secrets
 
-from sycamoreferry_core import (
-    clock,
-    fold,
-    ids,
-    profiles,
-    records,
-    result_codes,
-    state,
-)
+from sycamoreferry_core import ids, profiles, records, result_codes
+from sycamoreferry_ctl import log_access
 from sycamoreferry_platform import log_port
 
-RECORD_ID_BYTES = 8
-READ_BACK_TRIES = 50
-READ_BACK_PAUSE_MS = 100
-
-
-class LogUnreachableError(Exception):
-    """Report that the log did not answer."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Published:
@@ -38,21 +21,6 @@
     code: result_codes.ResultCode
 
 
-async def read_state(
-    log_service: log_port.LogService,
-    log_state: state.LogState | None = None,
-) -> state.LogState:
-    """Fold the whole log; raise LogUnreachableError."""
-    folded = log_state or state.LogState()
-    while True:
-        outcome = await log_service.read(folded.next_offset, 0)
-        if isinstance(outcome, log_port.ReadFailed):
-            raise LogUnreachableError(outcome.reason)
-        folded = fold.fold_all(folded, outcome.logged)
-        if folded.next_offset >= outcome.end_offset:
-            return folded
-
-
 async def publish_profile(
     log_service: log_port.LogService,
     name: ids.ProfileName,
@@ -61,31 +29,12 @@
 ) -> Published | PublishRefused:
     """Publish a profile that revises a number, and read it back."""
     record = records.ProfilePublished(
-        record_id=ids.RecordId(
-            f'profile/{secrets.token_hex(RECORD_ID_BYTES)}',
-        ),
+        record_id=log_access.new_record_id('profile'),
         name=name,
         revises=revises,
         body=profiles.format_profile(profile),
     )
-    appended = await log_service.append(records.encode_record(record))
-    if isinstance(appended, log_port.NotAppended):
-        raise LogUnreachableError(appended.reason)
-    code = await _await_verdict(log_service, record.record_id)
+    code = await log_access.append_record(log_service, record)
     if code is result_codes.ResultCode.ANSWERED:
         return Published(ids.ProfileNumber(revises + 1))
     return PublishRefused(code)
-
-
-async def _await_verdict(
-    log_service: log_port.LogService,
-    record_id: ids.RecordId,
-) -> result_codes.ResultCode:
-    folded = state.LogState()
-    for _ in range(READ_BACK_TRIES):
-        folded = await read_state(log_service, folded)
-        code = folded.verdict_of(record_id)
-        if code is not None:
-            return code
-        await asyncio.sleep(clock.seconds(READ_BACK_PAUSE_MS))
-    raise LogUnreachableError('the record is not in the log; publish again')
--- a/packages/standins/src/sycamoreferry_standins/control.py
+++ b/packages/standins/src/sycamoreferry_standins/control.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from sycamoreferry_platform import wire
-from sycamoreferry_standins import backend_server, log_service
+from sycamoreferry_standins import (
+    backend_server,
+    instance_list,
+    log_service,
+)
 
 
 class Control:
@@ -43,6 +47,15 @@
         """Make the log do wrong."""
         await self._post(f'{self._platform_url}/log/faults', faults)
 
+    async def set_list_faults(self, faults: instance_list.ListFaults) -> None:
+        """Make the instance list do wrong."""
+        await self._post(f'{self._platform_url}/list/faults', faults)
+
+    async def list_server(self, server: wire.ListedServer) -> None:
+        """Put a server into the instance list, or change its state."""
+        content = wire.InstanceList((server,))
+        await self._post(f'{self._platform_url}/instances', content)
+
     async def set_server_faults(
         self,
         server: wire.ListedServer,
--- a/packages/standins/src/sycamoreferry_standins/demo.py
+++ b/packages/standins/src/sycamoreferry_standins/demo.py
@@ -9,14 +9,12 @@
 import time
 
 import aiohttp
-import msgspec
-import xxhash
 from rich import console, table
 
 from sycamoreferry_core import clock
 from sycamoreferry_platform import headers
 from sycamoreferry_standins import (
-    backend_server,
+    answers,
     cluster,
     processes,
     workloads,
@@ -107,20 +105,17 @@
         fence=answer.headers.get(headers.FENCE, ''),
         code=answer.headers.get(headers.CODE, ''),
         millis=elapsed,
-        whole=answer.status == http.HTTPStatus.OK and is_own(content, call),
-    )
-
-
-def is_own(content: bytes, call: Call) -> bool:
-    """Tell whether an answer is whole and belongs to its request."""
-    try:
-        body = msgspec.json.decode(content, type=backend_server.AnswerBody)
-    except msgspec.MsgspecError:
-        return False
-    return (
-        body.request_id == call.request_id
-        and body.body_digest == xxhash.xxh3_64_hexdigest(call.body)
-        and len(body.padding) == call.service.answer_bytes
+        whole=(
+            answer.status == http.HTTPStatus.OK
+            and answers.is_own(
+                content,
+                answers.Expected(
+                    request_id=call.request_id,
+                    body=call.body,
+                    answer_bytes=call.service.answer_bytes,
+                ),
+            )
+        ),
     )
 
 
--- a/packages/standins/src/sycamoreferry_standins/trace.py
+++ b/packages/standins/src/sycamoreferry_standins/trace.py
@@ -42,24 +42,33 @@
     faults: instance_list.ListFaults
 
 
-class ServerFaultsSet(Line, frozen=True, tag=True):
+class OwnedKey(msgspec.Struct, frozen=True):
+    """Name a key by its service."""
+
+    service: ids.ServiceName
+    key: str
+
+
+class ServerLine(Line, frozen=True, tag=True, omit_defaults=True):
+    """Name a backend server, or the key that it owns as the replay begins."""
+
+    server: ids.ServerId = ids.ServerId('')
+    owner_of: OwnedKey | None = None
+
+
+class ServerFaultsSet(ServerLine, frozen=True, tag=True, kw_only=True):
     """Change what a backend server does wrong."""
 
-    server: ids.ServerId
     faults: backend_server.ServerFaults
 
 
-class ServerLeaving(Line, frozen=True, tag=True):
+class ServerLeaving(ServerLine, frozen=True, tag=True):
     """List a backend server as leaving, as a planned stop begins."""
 
-    server: ids.ServerId
 
-
-class ServerArriving(Line, frozen=True, tag=True):
+class ServerArriving(ServerLine, frozen=True, tag=True):
     """List a backend server as live."""
 
-    server: ids.ServerId
-
 
 class ProfilePublished(Line, frozen=True, tag=True):
     """Publish the next number of a profile; the body is YAML."""
--- a/packages/standins/src/sycamoreferry_standins/trace_judging.py
+++ b/packages/standins/src/sycamoreferry_standins/trace_judging.py
@@ -7,7 +7,7 @@
 import math
 import typing
 
-from sycamoreferry_core import clock, outcomes
+from sycamoreferry_core import clock, ids, outcomes
 from sycamoreferry_standins import (
     backend_server,
     trace_observations,
@@ -58,18 +58,32 @@
     stated: trace_statements.AnsweredShare,
     observed: trace_observations.Observed,
 ) -> typing.Iterator[str]:
-    sent = {attempt.line.request_id for attempt in observed.attempts}
-    answered = {
-        attempt.line.request_id
-        for attempt in observed.attempts
-        if attempt.kind is outcomes.Kind.ANSWERED
-    }
+    sent = sent_requests(observed.attempts)
+    answered = answered_requests(observed.attempts)
     if not sent:
         yield 'no request was sent'
     elif len(answered) < stated.at_least * len(sent):
         yield f'{len(answered)} of {len(sent)} requests were answered'
 
 
+def sent_requests(
+    attempts: typing.Iterable[trace_observations.Attempt],
+) -> set[ids.RequestId]:
+    """Return the requests that were sent at least once."""
+    return {attempt.line.request_id for attempt in attempts}
+
+
+def answered_requests(
+    attempts: typing.Iterable[trace_observations.Attempt],
+) -> set[ids.RequestId]:
+    """Return the requests that were answered in the end."""
+    return sent_requests(
+        attempt
+        for attempt in attempts
+        if attempt.kind is outcomes.Kind.ANSWERED
+    )
+
+
 @judge.register
 def _judge_at_most_once(
     stated: trace_statements.AtMostOnce,
--- a/packages/standins/src/sycamoreferry_standins/trace_statements.py
+++ b/packages/standins/src/sycamoreferry_standins/trace_statements.py
@@ -98,7 +98,7 @@
     """Name the system that a trace needs and the outcomes it must have."""
 
     title: str
-    workload: str
+    workload: typing.Literal['bantay-daan', 'dyfed']
     entries: _Positive = 3
     profile: dict[str, object] = {}
     outcomes: typing.Annotated[
