--- a/packages/ctl/src/sycamoreferry_ctl/commands/replay.py
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/replay.py
@@ -61,9 +61,6 @@
     """Replay a trace against a running system that has the stand-ins.
 
     Ends with status 1 where a stated outcome does not hold.
-
-    Example: ferryctl replay traces/launch.jsonl
-    --log-url http://127.0.0.1:9000
     """
     recorded = load_or_exit(path)
     target = replaying.Target(
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -48,6 +48,11 @@
         self._idle.set()
         self.in_flight = 0
 
+    @property
+    def ready(self) -> bool:
+        """Tell whether new requests are served."""
+        return self._view.ready and not self._pipeline.leaving
+
     async def start(
         self,
         host: str,
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -27,6 +27,7 @@
     peer_service,
     pipeline,
     settings,
+    status_report,
     tail,
     view,
 )
@@ -104,9 +105,9 @@
             [
                 peer_service.PeerService(
                     self._me,
-                    self._data_centre,
                     self._view,
                     self._loops,
+                    self._reporter(),
                 ),
             ]
         )
@@ -127,6 +128,16 @@
         peers.close()
         self._peers.close()
 
+    def _reporter(self) -> status_report.StatusReporter:
+        return status_report.StatusReporter(
+            instance=self._me,
+            data_centre=self._data_centre,
+            seen=self._view,
+            loops=self._loops,
+            server=self._server,
+            clock=self._clock,
+        )
+
     def _background(
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -6,7 +6,7 @@
 
 from sycamoreferry_core import events, ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
-from sycamoreferry_router import coordination_loop, view
+from sycamoreferry_router import coordination_loop, status_report, view
 
 _Stream = grpc_server.Stream
 MessageType = typing.TypeVar('MessageType')
@@ -29,14 +29,14 @@
     def __init__(
         self,
         me: ids.InstanceId,
-        data_centre: str,
         seen: view.InstanceView,
         loops: typing.Mapping[str, coordination_loop.CoordinationLoop],
+        reporter: status_report.StatusReporter,
     ) -> None:
         self._me = me
-        self._data_centre = data_centre
         self._view = seen
         self._loops = loops
+        self._reporter = reporter
 
     async def Promise(
         self,
@@ -84,33 +84,4 @@
     ) -> None:
         """Report what this instance has in force."""
         await stream.recv_message()
-        log_state = self._view.log_state
-        await stream.send_message(
-            peer_pb2.StatusReply(
-                instance=self._me,
-                data_centre=self._data_centre,
-                next_offset=log_state.next_offset,
-                profiles=[
-                    peer_pb2.ProfileInForce(name=name, number=held.number)
-                    for name, held in log_state.profiles.items()
-                ],
-                services=[
-                    _service_status(name, loop)
-                    for name, loop in self._loops.items()
-                ],
-            ),
-        )
-
-
-def _service_status(
-    name: str,
-    loop: coordination_loop.CoordinationLoop,
-) -> peer_pb2.ServiceStatus:
-    return peer_pb2.ServiceStatus(
-        service=name,
-        term=loop.current.term.term,
-        coordinator=loop.current.term.coordinator,
-        deputy=loop.current.term.deputy,
-        role=loop.current.role.value,
-        has_authority=loop.has_authority,
-    )
+        await stream.send_message(self._reporter.report())
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/status_report.py
@@ -0,0 +1,71 @@
+"""Report what an instance has in force."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, coordination, ids
+from sycamoreferry_peer.generated import peer_pb2
+from sycamoreferry_router import coordination_loop, http_server, view
+
+
+@dataclasses.dataclass(frozen=True)
+class StatusReporter:
+    """Put together the status of one instance."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+    seen: view.InstanceView
+    loops: typing.Mapping[str, coordination_loop.CoordinationLoop]
+    server: http_server.HttpServer
+    clock: clock.Clock
+
+    def report(self) -> peer_pb2.StatusReply:
+        """Return what the instance has in force now."""
+        log_state = self.seen.log_state
+        return peer_pb2.StatusReply(
+            instance=self.instance,
+            data_centre=self.data_centre,
+            next_offset=log_state.next_offset,
+            profiles=[
+                peer_pb2.ProfileInForce(name=name, number=held.number)
+                for name, held in log_state.profiles.items()
+            ],
+            services=[
+                _service_status(name, loop, self.clock.now())
+                for name, loop in self.loops.items()
+            ],
+            ready=self.server.ready,
+            in_flight=self.server.in_flight,
+        )
+
+
+def _service_status(
+    name: str,
+    loop: coordination_loop.CoordinationLoop,
+    now: clock.Millis,
+) -> peer_pb2.ServiceStatus:
+    current = loop.current
+    return peer_pb2.ServiceStatus(
+        service=name,
+        term=current.term.term,
+        coordinator=current.term.coordinator,
+        deputy=current.term.deputy,
+        role=current.role.value,
+        has_authority=loop.has_authority,
+        leases=leases_of(current, now) if loop.has_authority else (),
+    )
+
+
+def leases_of(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> list[peer_pb2.ServerLease]:
+    """Return the leases that a coordinator knows."""
+    return [
+        peer_pb2.ServerLease(
+            server=link.server,
+            lasts_ms=max(0, link.lease_bound - now),
+            shards=len(link.holds),
+        )
+        for link in current.links.values()
+    ]
