--- a/packages/ctl/src/sycamoreferry_ctl/cli.py
+++ b/packages/ctl/src/sycamoreferry_ctl/cli.py
@@ -3,7 +3,7 @@
 import typer
 
 from sycamoreferry_ctl import exit_status
-from sycamoreferry_ctl.commands import profile, replay, show
+from sycamoreferry_ctl.commands import change, profile, replay, show
 
 _STATUSES = '; '.join(
     f'{int(status)} {meaning}'
@@ -38,6 +38,10 @@
     name='status',
     epilog='Example: FERRY_LOG_URL=http://127.0.0.1:9000 ferryctl status',
 )(show.show_status)
+app.command(
+    name='release',
+    epilog='Example: ferryctl release imbentaryo 7 --sure',
+)(change.release)
 app.command(
     name='replay',
     epilog='Example: ferryctl replay traces/launch.jsonl',
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -67,6 +67,7 @@
         operator = Operator(system)
         await _check_views(operator)
         await _check_profiles(operator, tmp_path)
+        await _check_release(operator)
         await _check_replay(operator, tmp_path)
         await system.started['entry-2'].kill()
         silent = await operator.call('status')
@@ -113,6 +114,17 @@
     assert 'lease_ms: 1600' in shown.stdout
 
 
+async def _check_release(operator: Operator) -> None:
+    refused = await operator.call('release', KEYED.name, '999', '--sure')
+    assert refused.exit_code == 1
+    assert 'refused with code 6001' in refused.stderr
+    unsure = await operator.call('release', KEYED.name, '1')
+    assert unsure.exit_code == 2
+    released = await operator.call('release', KEYED.name, '1', '--sure')
+    assert released.exit_code == 0
+    assert (await operator.rows('terms'))[0]['unsettled'] == 0
+
+
 async def _check_replay(operator: Operator, path: pathlib.Path) -> None:
     for name, lines, status in (
         ('good', GOOD_TRACE, 0),
