--- /dev/null
+++ b/packages/core/tests/test_profiles.py
@@ -0,0 +1,78 @@
+import typing
+
+import pydantic
+import pytest
+
+from sycamoreferry_core import profiles
+
+WINDOW = {'zone': 'Asia/Manila', 'start': '18:00', 'end': '22:00'}
+
+
+def _numbers(part: str, model: type[pydantic.BaseModel]) -> list[str]:
+    return [
+        f'{part}.{name}'
+        for name, field in model.model_fields.items()
+        if field.annotation in {int, float}
+    ]
+
+
+NUMBERS = [
+    path
+    for part, field in profiles.Profile.model_fields.items()
+    for path in _numbers(
+        part,
+        typing.cast(type[pydantic.BaseModel], field.annotation),
+    )
+]
+
+
+def _problems(content: object) -> list[tuple[str, str]]:
+    with pytest.raises(pydantic.ValidationError) as raised:
+        profiles.Profile.model_validate(content)
+    return [
+        ('.'.join(map(str, problem['loc'])), problem['type'])
+        for problem in raised.value.errors()
+    ]
+
+
+@pytest.mark.parametrize('path', NUMBERS)
+@pytest.mark.parametrize('value', [-1, 'soon', None])
+def test_each_number_is_bounded(path: str, value: object) -> None:
+    part, name = path.split('.')
+    problems = _problems({part: {name: value}})
+    assert [where for where, _ in problems] == [path]
+
+
+@pytest.mark.parametrize('part', list(profiles.Profile.model_fields))
+def test_unknown_fields_are_refused(part: str) -> None:
+    problems = _problems({part: {'colour': 'red'}, 'other': 1})
+    assert sorted(problems) == sorted(
+        [(f'{part}.colour', 'extra_forbidden'), ('other', 'extra_forbidden')],
+    )
+
+
+@pytest.mark.parametrize(
+    ('changes', 'path'),
+    [
+        ({'zone': 'Asia/Atlantis'}, 'zone'),
+        ({'zone': ''}, 'zone'),
+        ({'start': '24:00'}, 'start'),
+        ({'end': '9:00'}, 'end'),
+    ],
+)
+def test_peak_window_is_checked(changes: dict[str, str], path: str) -> None:
+    problems = _problems({'moves': {'peak_windows': [WINDOW | changes]}})
+    assert [where for where, _ in problems] == [f'moves.peak_windows.0.{path}']
+
+
+def test_lease_must_outlast_a_take_over() -> None:
+    timing = {'lease_ms': 900, 'authority_ms': 500}
+    assert _problems({'timing': timing}) == [('', 'value_error')]
+
+
+def test_profile_survives_writing_and_reading() -> None:
+    profile = profiles.Profile.model_validate(
+        {'moves': {'peak_windows': [WINDOW]}},
+    )
+    text = profiles.format_profile(profile)
+    assert profiles.parse_profile(text) == profile
--- a/packages/router/src/sycamoreferry_router/metrics.py
+++ b/packages/router/src/sycamoreferry_router/metrics.py
@@ -2,7 +2,7 @@
 
 from aioprometheus import collectors, renderer
 
-from sycamoreferry_core import outcomes
+from sycamoreferry_core import outcomes, state
 
 
 class Metrics:
@@ -43,6 +43,13 @@
         """Count how a request ended."""
         self.requests.inc({'service': service, 'code': str(int(outcome.code))})
 
+    def observe(self, log_state: state.LogState, in_flight: int) -> None:
+        """Take what is true at the moment of a scrape."""
+        self.in_flight.set({}, in_flight)
+        self.next_offset.set({}, log_state.next_offset)
+        for name, held in log_state.profiles.items():
+            self.profile_number.set({'profile': name}, held.number)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the exposition and its headers."""
         content, extra = renderer.render(self.registry, [accept])
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -47,6 +47,7 @@
     method: str
     started: int
     ended: int = 0
+    trace_parent: str = ''
     cancelled: bool = False
 
 
@@ -242,6 +243,7 @@
             fence=int(request.headers.get(headers.FENCE, '-1')),
             method=request.method,
             started=self._clock.now(),
+            trace_parent=request.headers.get(headers.TRACE_PARENT, ''),
         )
         self.runs.append(run)
         return run
