--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -48,6 +48,11 @@
         self._idle.set()
         self.in_flight = 0
 
+    @property
+    def ready(self) -> bool:
+        """Tell whether new requests are served."""
+        return self._view.ready and not self._pipeline.leaving
+
     async def start(
         self,
         host: str,
@@ -116,6 +121,7 @@
         self,
         request: sanic_request.Request,
     ) -> response.HTTPResponse:
+        self._metrics.observe(self._view.log_state, self.in_flight)
         content, extra = self._metrics.render(
             request.headers.get('accept', 'text/plain'),
         )
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -29,6 +29,7 @@
     relay,
     settings,
     snapshot_loop,
+    status_report,
     tail,
     view,
 )
@@ -124,10 +125,10 @@
             [
                 peer_service.PeerService(
                     self._me,
-                    self._data_centre,
                     self._view,
                     self._loops,
                     self._relay,
+                    self._reporter(),
                 ),
             ]
         )
@@ -148,6 +149,16 @@
         peers.close()
         self._peers.close()
 
+    def _reporter(self) -> status_report.StatusReporter:
+        return status_report.StatusReporter(
+            instance=self._me,
+            data_centre=self._data_centre,
+            seen=self._view,
+            loops=self._loops,
+            server=self._server,
+            clock=self._clock,
+        )
+
     def _background(
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
