Pass requests and answers on as they are, whole or cut for all to see

Cause: the thin path kept one of two equal headers, decoded paths, let a server set Ferry-Code and a caller set Ferry-Shard, dropped the Content-Length of HEAD, and let aiohttp resend a GET on a lost connection by itself, after which a refused connection was told as not run. An unknown attempt followed by one that was not sent was told as not run too. Gates never learnt how a request ended whose caller had gone.

Now: hop_headers passes all but the hop's own and ours; the URL is handed on encoded; a middleware turns lost connections into errors that aiohttp does not resend; Attempt keeps an unknown outcome; a connection serves again only at a server whose answers name the request; an answer without length or chunks is cut off; past bounds.whole_answer_bytes it is streamed, and a cut or a passed deadline aborts the caller's connection.

Ruled out: closing a connection after an answer without the echo, since aiohttp hands it back to its pool before the caller sees the answer.

--- a/packages/core/src/sycamoreferry_core/outcomes.py
+++ b/packages/core/src/sycamoreferry_core/outcomes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import typing
 
 from sycamoreferry_core import ids, result_codes
 
@@ -24,14 +25,36 @@
     fence: ids.Fence = ids.NO_FENCE
 
 
+class DownloadCutError(Exception):
+    """Report that the rest of an answer did not come."""
+
+
+class Download(typing.Protocol):
+    """Read a body that is too long to hold."""
+
+    def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yield the whole body; raise DownloadCutError where it is cut."""
+
+    def seconds_left(self) -> float:
+        """Return how long the rest may take."""
+
+    def when_closed(self, call: typing.Callable[[], None]) -> None:
+        """Call back once the download has ended, whole or not."""
+
+    def close(self) -> None:
+        """Free what the download holds."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Answered:
-    """Hold the whole answer of a backend server."""
+    """Hold the whole answer of a backend server, or its download."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     way: Way = Way()
+    request_id: ids.RequestId = ids.RequestId('')
+    download: Download | None = None
     code: result_codes.ResultCode = result_codes.ResultCode.ANSWERED
     kind: Kind = Kind.ANSWERED
 
--- a/packages/core/src/sycamoreferry_core/retries.py
+++ b/packages/core/src/sycamoreferry_core/retries.py
@@ -16,6 +16,9 @@
     ),
 )
 
+# Leaves time for a second target where the first one is frozen.
+_ATTEMPTS_IN_A_DEADLINE = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class RetryBudget:
@@ -45,6 +48,22 @@
     number: int
     idempotent: bool
     deadline: clock.Millis
+    unknown: outcomes.Unknown | None = None
+
+    def after(self, failure: outcomes.Failure) -> 'Attempt':
+        """Return the next attempt; an unknown outcome is not forgotten."""
+        unknown = self.unknown
+        if isinstance(failure, outcomes.Unknown):
+            unknown = failure
+        return dataclasses.replace(
+            self,
+            number=self.number + 1,
+            unknown=unknown,
+        )
+
+    def conclude(self, failure: outcomes.Failure) -> outcomes.Failure:
+        """Return what is true of all attempts when one ends the request."""
+        return self.unknown or failure
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,6 +87,17 @@
     return idempotent and failure.code is not _Code.ANSWER_TOO_LATE
 
 
+def attempt_timeout(
+    remaining: int,
+    *,
+    can_run_elsewhere: bool,
+) -> int:
+    """Return how long one attempt may take, in milliseconds."""
+    if can_run_elsewhere:
+        return max(1, remaining // _ATTEMPTS_IN_A_DEADLINE)
+    return remaining
+
+
 def decide_retry(
     failure: outcomes.Failure,
     attempt: Attempt,
@@ -78,14 +108,14 @@
 ) -> RetryAfter | GiveUp:
     """Retry after a jittered exponential delay, or give up at once."""
     if not may_run_again(failure, attempt.idempotent):
-        return GiveUp(failure)
+        return GiveUp(attempt.conclude(failure))
     if not budget.has_token:
-        return GiveUp(failure)
+        return GiveUp(attempt.conclude(failure))
     longest = min(
         policy.longest_delay_ms,
         policy.first_delay_ms * 2**attempt.number,
     )
     delay = 1 + int(longest * jitter)
     if clock.later(now, delay) >= attempt.deadline:
-        return GiveUp(failure)
+        return GiveUp(attempt.conclude(failure))
     return RetryAfter(delay)
--- a/packages/platform/src/sycamoreferry_platform/http_forward.py
+++ b/packages/platform/src/sycamoreferry_platform/http_forward.py
@@ -1,15 +1,35 @@
 """Forward requests to backend servers over HTTP."""
 
+import asyncio
+import contextlib
 import dataclasses
+import http
 import typing
 
 import aiohttp
+import yarl
+from aiohttp import hdrs
 
-from sycamoreferry_core import clock
-from sycamoreferry_platform import wire
+from sycamoreferry_core import clock, ids, outcomes
+from sycamoreferry_platform import headers, wire
 
+# A server opens a connection in about a millisecond.
+CONNECT_TIMEOUT_MS = 300
+CHUNK_BYTES = 65_536
+DEFAULT_WHOLE_BYTES = 262_144
 
-@dataclasses.dataclass(frozen=True)
+_BODILESS = frozenset(
+    (int(http.HTTPStatus.NO_CONTENT), int(http.HTTPStatus.NOT_MODIFIED)),
+)
+_NO_AUTO_HEADERS = (
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+    hdrs.USER_AGENT,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class ForwardedRequest:
     """Hold a request as a backend server is to get it."""
 
@@ -18,32 +38,76 @@
     headers: typing.Mapping[str, str]
     body: bytes
     timeout_ms: int
+    remaining_ms: int
+    request_id: ids.RequestId
+
+
+class Download:
+    """Read the rest of an answer that is too long to hold."""
+
+    def __init__(
+        self,
+        answer: aiohttp.ClientResponse,
+        first: bytes,
+        ends_at: float,
+    ) -> None:
+        self._answer = answer
+        self._first = first
+        self._ends_at = ends_at
+        self._on_close: list[typing.Callable[[], None]] = []
+
+    def when_closed(self, call: typing.Callable[[], None]) -> None:
+        """Call back once the download has ended, whole or not."""
+        self._on_close.append(call)
+
+    def seconds_left(self) -> float:
+        """Return how long the rest may take."""
+        return self._ends_at - _loop_time()
+
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yield the whole body; raise DownloadCutError where it is cut."""
+        yield self._first
+        rest = self._answer.content.iter_chunked(CHUNK_BYTES)
+        try:
+            async for chunk in rest:
+                yield chunk
+        except aiohttp.ClientError as error:
+            raise outcomes.DownloadCutError(repr(error)) from error
+
+    def close(self) -> None:
+        """Close the connection unless the answer was read whole."""
+        self._answer.close()
+        while self._on_close:
+            self._on_close.pop()()
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Received:
-    """Hold a whole answer as it came."""
+    """Hold a whole answer, or the start of a long one."""
 
     status: int
     headers: typing.Mapping[str, str]
     body: bytes
+    download: Download | None = None
+    # On a connection that served others, only an echoed id proves the answer.
+    needs_echo: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
     """Promise that nothing was written to the server."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class CutOff:
     """Tell that the answer did not come, or not whole."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
     """Tell that the answer did not come in time."""
 
@@ -51,11 +115,63 @@
 ForwardOutcome = Received | NotSent | CutOff | TimedOut
 
 
+class _LostConnectionError(aiohttp.ClientError):
+    """Report a lost connection in a way that aiohttp does not resend."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest,
+    send: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    try:
+        return await send(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _LostConnectionError(repr(error)) from error
+
+
+def _open_session(*, pooled: bool) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=not pooled),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            connect=clock.seconds(CONNECT_TIMEOUT_MS)
+        ),
+        skip_auto_headers=_NO_AUTO_HEADERS,
+        middlewares=(_send_once,),
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_forwarder(
+    whole_bytes: int = DEFAULT_WHOLE_BYTES,
+) -> typing.AsyncIterator['HttpForwarder']:
+    """Run a forwarder with sessions of its own."""
+    async with (
+        _open_session(pooled=True) as pooled,
+        _open_session(pooled=False) as single,
+    ):
+        yield HttpForwarder(pooled, single, whole_bytes)
+
+
 class HttpForwarder:
-    """Forward one request at a time on each connection."""
+    """Forward one request at a time on each connection.
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    A connection serves again only at servers whose answers name the request.
+    """
+
+    def __init__(
+        self,
+        pooled: aiohttp.ClientSession,
+        single: aiohttp.ClientSession,
+        whole_bytes: int = DEFAULT_WHOLE_BYTES,
+    ) -> None:
+        self._pooled = pooled
+        self._single = single
+        self._whole_bytes = whole_bytes
+        self._echoes: dict[ids.ServerId, bool] = {}
 
     async def forward(
         self,
@@ -65,7 +181,10 @@
         """Return the answer, or how it failed."""
         try:
             return await self._forward(request, server)
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             return NotSent(f'{server.server} took no connection: {error}')
         except aiohttp.ClientError as error:
             return CutOff(f'{server.server} cut the answer off: {error!r}')
@@ -76,15 +195,94 @@
         self,
         request: ForwardedRequest,
         server: wire.ListedServer,
-    ) -> Received:
-        timeout = aiohttp.ClientTimeout(total=clock.seconds(request.timeout_ms))
-        async with self._session.request(
+    ) -> ForwardOutcome:
+        reusable = self._echoes.get(server.server, False)
+        ends_at = _loop_time() + clock.seconds(request.remaining_ms)
+        async with asyncio.timeout(clock.seconds(request.timeout_ms)):
+            answer = await self._send(request, server, reusable=reusable)
+            try:
+                received = await self._receive(answer, ends_at)
+            except BaseException:
+                answer.close()
+                raise
+        if isinstance(received, Received):
+            return dataclasses.replace(received, needs_echo=reusable)
+        return received
+
+    async def _send(
+        self,
+        request: ForwardedRequest,
+        server: wire.ListedServer,
+        *,
+        reusable: bool,
+    ) -> aiohttp.ClientResponse:
+        session = self._pooled if reusable else self._single
+        answer = await session.request(
             request.method,
-            f'http://{server.host}:{server.port}{request.target}',
+            _url(server, request.target),
             headers=request.headers,
             data=request.body or None,
-            timeout=timeout,
             allow_redirects=False,
-        ) as answer:
-            body = await answer.read()
-            return Received(answer.status, answer.headers, body)
+        )
+        self._note_echo(server.server, answer, request.request_id)
+        return answer
+
+    def _note_echo(
+        self,
+        server: ids.ServerId,
+        answer: aiohttp.ClientResponse,
+        request_id: ids.RequestId,
+    ) -> None:
+        # A server that once failed to name the request stays unpooled.
+        echoed = answer.headers.get(headers.REQUEST_ID) == request_id
+        self._echoes[server] = echoed and self._echoes.get(server, True)
+
+    async def _receive(
+        self,
+        answer: aiohttp.ClientResponse,
+        ends_at: float,
+    ) -> Received | CutOff:
+        if not _is_framed(answer):
+            answer.close()
+            return CutOff('the answer has neither a length nor chunks')
+        body = await _read_up_to(answer, self._whole_bytes)
+        download = None
+        if not answer.content.at_eof():
+            download = Download(answer, body, ends_at)
+        return Received(answer.status, answer.headers, body, download)
+
+
+def _url(server: wire.ListedServer, target: str) -> yarl.URL:
+    # Encoded already: the server must see the path as the caller wrote it.
+    return yarl.URL(
+        f'http://{server.host}:{server.port}{target}',
+        encoded=True,
+    )
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _is_framed(answer: aiohttp.ClientResponse) -> bool:
+    if answer.method == hdrs.METH_HEAD or answer.status in _BODILESS:
+        return True
+    if hdrs.CONTENT_LENGTH in answer.headers:
+        return True
+    coding = answer.headers.get(hdrs.TRANSFER_ENCODING, '')
+    return coding.lower() == 'chunked'
+
+
+async def _read_up_to(answer: aiohttp.ClientResponse, most: int) -> bytes:
+    length = answer.content_length
+    if length is not None and length <= most:
+        return await answer.read()
+    parts = []
+    size = 0
+    while size <= most:
+        chunk = await answer.content.readany()
+        if not chunk:
+            break
+        parts.append(chunk)
+        size += len(chunk)
+    return b''.join(parts)
--- /dev/null
+++ b/packages/platform/tests/test_http_forward.py
@@ -0,0 +1,300 @@
+import asyncio
+
+import pytest
+
+from sycamoreferry_core import ids, outcomes
+from sycamoreferry_platform import headers, http_forward, wire
+from sycamoreferry_standins import scripted_server, web
+
+
+def _request(
+    number: int = 1,
+    method: str = 'GET',
+    timeout_ms: int = 2000,
+    target: str = '/a',
+) -> http_forward.ForwardedRequest:
+    request_id = ids.RequestId(f'r{number}')
+    return http_forward.ForwardedRequest(
+        method,
+        target,
+        {headers.REQUEST_ID: request_id},
+        b'',
+        timeout_ms,
+        timeout_ms,
+        request_id,
+    )
+
+
+async def _answer(
+    head: scripted_server.Head,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.write(scripted_server.answer_bytes(head))
+
+
+@pytest.mark.parametrize('cancelled', [False, True])
+async def test_late_answer_closes_its_connection(cancelled: bool) -> None:
+    given_up = asyncio.Event()
+    sent_late = asyncio.Event()
+    third_came = asyncio.Event()
+
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if head.request_id == 'r2':
+            third_came.set()
+            await given_up.wait()
+        body = head.request_id.encode()
+        writer.write(scripted_server.answer_bytes(head, body))
+        if head.request_id == 'r2':
+            sent_late.set()
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        await forwarder.forward(_request(1), server.listed)
+        # The first connection showed the echo; the second is pooled.
+        await forwarder.forward(_request(10), server.listed)
+        pending = asyncio.ensure_future(
+            forwarder.forward(_request(2, timeout_ms=100), server.listed),
+        )
+        if cancelled:
+            await third_came.wait()
+            pending.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await pending
+        else:
+            assert await pending == http_forward.TimedOut()
+        given_up.set()
+        await sent_late.wait()
+        after = await forwarder.forward(_request(3), server.listed)
+        assert isinstance(after, http_forward.Received)
+        assert after.body == b'r3'
+        used = [head.connection for head in server.heads]
+        assert used[2] not in used[3:]
+
+
+async def test_connection_serves_again_once_it_named_the_request() -> None:
+    async with (
+        scripted_server.ScriptedServer(_answer) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        for number in range(4):
+            await forwarder.forward(_request(number), server.listed)
+        assert [head.connection for head in server.heads] == [1, 2, 2, 2]
+
+
+async def test_silent_server_gets_a_connection_for_each_request() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        stale = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale'
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright')
+        writer.write(stale)
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        for number in range(3):
+            outcome = await forwarder.forward(_request(number), server.listed)
+            assert isinstance(outcome, http_forward.Received)
+            assert outcome.body == b'right'
+        assert server.connections == 3
+
+
+async def test_server_that_forgets_to_echo_loses_its_pool() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if head.request_id == 'r2':
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx')
+        else:
+            writer.write(scripted_server.answer_bytes(head))
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        needed = []
+        for number in range(6):
+            outcome = await forwarder.forward(_request(number), server.listed)
+            assert isinstance(outcome, http_forward.Received)
+            needed.append(outcome.needs_echo)
+        assert needed == [False, True, True, False, False, False]
+        assert [head.connection for head in server.heads] == [1, 2, 2, 3, 4, 5]
+
+
+CUTS: list[tuple[str, bytes]] = [
+    (
+        'shorter than its length',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc',
+    ),
+    (
+        'chunks without an end',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+    ),
+    ('no framing', b'HTTP/1.1 200 OK\r\n\r\nabc'),
+    ('half a head', b'HTTP/1.1 200 OK\r\nContent-Le'),
+    ('nothing', b''),
+    ('no http', b'SSH-2.0-x\r\n\r\n'),
+    (
+        'two lengths',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nabc',
+    ),
+]
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    'sent', [cut[1] for cut in CUTS], ids=[cut[0] for cut in CUTS]
+)
+async def test_answer_that_is_not_whole_is_cut_off(
+    sent: bytes,
+    method: str,
+) -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(sent)
+        writer.close()
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        outcome = await forwarder.forward(
+            _request(method=method),
+            server.listed,
+        )
+        assert isinstance(outcome, http_forward.CutOff), outcome
+
+
+async def test_lost_connection_is_not_sent_on_behind_our_back() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if head.request_id == 'r3':
+            writer.transport.abort()
+        else:
+            writer.write(scripted_server.answer_bytes(head))
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        for number in (1, 2):
+            await forwarder.forward(_request(number), server.listed)
+        lost = await forwarder.forward(_request(3), server.listed)
+        assert isinstance(lost, http_forward.CutOff)
+        sent = [head.request_id for head in server.heads]
+        assert sent == ['r1', 'r2', 'r3']
+
+
+async def test_refused_connection_was_not_sent() -> None:
+    nobody = wire.ListedServer(
+        ids.ServerId('nobody'),
+        ids.ServiceName('plain'),
+        ids.DataCentre('north'),
+        web.LOOPBACK,
+        web.free_port(),
+        'live',
+    )
+    async with http_forward.open_forwarder() as forwarder:
+        outcome = await forwarder.forward(_request(), nobody)
+    assert isinstance(outcome, http_forward.NotSent)
+
+
+async def test_request_reaches_the_server_as_it_was_written() -> None:
+    target = '/a%2Fb//%7Ec/%2E%2e/%E2%82%AC/..;x?q=a+b%20c&q=&%3D'
+    async with (
+        scripted_server.ScriptedServer(_answer) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        await forwarder.forward(_request(target=target), server.listed)
+        head = server.heads[0]
+    assert head.start_line == f'GET {target} HTTP/1.1'
+    names = {name.lower() for name, _ in head.headers}
+    assert names == {'host', 'connection', headers.REQUEST_ID.lower()}
+
+
+async def test_cookie_of_one_answer_goes_to_no_other_server() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(
+            scripted_server.answer_bytes(
+                head,
+                b'x',
+                None,
+                ('Set-Cookie: a=1; Path=/', 'Set-Cookie: b=2; Path=/'),
+            ),
+        )
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        for number in range(3):
+            await forwarder.forward(_request(number), server.listed)
+        assert not any(head.find('Cookie') for head in server.heads)
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+@pytest.mark.parametrize('cut', [False, True])
+async def test_long_answer_is_read_as_it_comes(
+    chunked: bool,
+    cut: bool,
+) -> None:
+    body = bytes(range(256)) * 1000
+    expected = None if cut else body
+    parts = (body[:90_000],) if cut else (body[:90_000], body[90_000:])
+
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        framing = f'Content-Length: {len(body)}'
+        if chunked:
+            framing = 'Transfer-Encoding: chunked'
+        writer.write(f'HTTP/1.1 200 OK\r\n{framing}\r\n\r\n'.encode())
+        for part in parts:
+            writer.write(_chunk(part) if chunked else part)
+        if chunked and not cut:
+            writer.write(b'0\r\n\r\n')
+        if cut:
+            await writer.drain()
+            writer.close()
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder(whole_bytes=1000) as forwarder,
+    ):
+        outcome = await forwarder.forward(_request(), server.listed)
+        assert isinstance(outcome, http_forward.Received)
+        assert outcome.download is not None
+        collected = await _collect(outcome.download)
+        assert collected == expected
+
+
+def _chunk(part: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+async def _collect(download: http_forward.Download) -> bytes | None:
+    parts = []
+    try:
+        async for part in download.chunks():
+            parts.append(part)
+    except outcomes.DownloadCutError:
+        return None
+    finally:
+        download.close()
+    return b''.join(parts)
--- a/packages/router/src/sycamoreferry_router/filters/answer.py
+++ b/packages/router/src/sycamoreferry_router/filters/answer.py
@@ -2,14 +2,17 @@
 
 import dataclasses
 import functools
+import http
 
 import msgspec
+import multidict
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers
+from sycamoreferry_platform import headers, hop_headers
 
-_HOP_HEADERS = frozenset(
-    ('connection', 'content-length', 'keep-alive', 'transfer-encoding'),
+DEFAULT_RETRY_AFTER_MS = 1000
+_BODILESS = frozenset(
+    (int(http.HTTPStatus.NO_CONTENT), int(http.HTTPStatus.NOT_MODIFIED)),
 )
 
 
@@ -18,8 +21,9 @@
     """Hold an answer in the terms of HTTP."""
 
     status: int
-    headers: dict[str, str]
+    headers: multidict.CIMultiDict[str]
     body: bytes
+    download: outcomes.Download | None = None
 
 
 class FailureBody(msgspec.Struct, frozen=True):
@@ -51,13 +55,26 @@
     outcome: outcomes.Answered,
     instance: ids.InstanceId,
 ) -> HttpAnswer:
-    onward = {
-        name: text
-        for name, text in outcome.headers
-        if name.lower() not in _HOP_HEADERS
-    }
-    onward.update(_way_headers(outcome, instance))
-    return HttpAnswer(outcome.status, onward, outcome.body)
+    received = multidict.CIMultiDict(outcome.headers)
+    onward = hop_headers.of_answer(received)
+    length = received.get(headers.CONTENT_LENGTH)
+    if length is not None and _may_name_length(outcome):
+        onward[headers.CONTENT_LENGTH] = length
+    onward.extend(_way_headers(outcome, instance))
+    onward[headers.REQUEST_ID] = outcome.request_id
+    return HttpAnswer(
+        outcome.status,
+        onward,
+        outcome.body,
+        outcome.download,
+    )
+
+
+def _may_name_length(outcome: outcomes.Answered) -> bool:
+    if outcome.status in _BODILESS:
+        return False
+    # An answer to HEAD names the length of a body that does not come.
+    return outcome.download is not None or not outcome.body
 
 
 @_render.register(outcomes.NotRun)
@@ -67,12 +84,13 @@
     instance: ids.InstanceId,
 ) -> HttpAnswer:
     means = result_codes.meaning(outcome.code)
-    onward = _way_headers(outcome, instance)
+    retry_after_ms = _retry_after_ms(outcome, means)
+    onward = multidict.CIMultiDict(_way_headers(outcome, instance))
     onward['Content-Type'] = 'application/json'
     if outcome.kind is outcomes.Kind.NOT_RUN:
         onward[headers.NOT_RUN] = outcome.code.name.lower()
-    if outcome.retry_after_ms:
-        whole = -(-outcome.retry_after_ms // clock.MILLIS_PER_SECOND)
+    if retry_after_ms:
+        whole = -(-retry_after_ms // clock.MILLIS_PER_SECOND)
         onward[headers.RETRY_AFTER] = str(whole)
     body = FailureBody(
         code=int(outcome.code),
@@ -80,11 +98,22 @@
         outcome=outcome.kind.value,
         summary=means.summary,
         advice=means.advice,
-        retry_after_ms=outcome.retry_after_ms,
+        retry_after_ms=retry_after_ms,
     )
     return HttpAnswer(means.status, onward, msgspec.json.encode(body))
 
 
+def _retry_after_ms(
+    outcome: outcomes.Failure,
+    means: result_codes.CodeMeaning,
+) -> int:
+    if outcome.retry_after_ms:
+        return outcome.retry_after_ms
+    if means.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return DEFAULT_RETRY_AFTER_MS
+    return 0
+
+
 def _way_headers(
     outcome: outcomes.Outcome,
     instance: ids.InstanceId,
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -2,22 +2,11 @@
 
 import dataclasses
 
-from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers, http_forward
-from sycamoreferry_router import messages, traces
+import multidict
 
-_HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    ),
-)
+from sycamoreferry_core import clock, ids, outcomes, result_codes, retries
+from sycamoreferry_platform import headers, hop_headers, http_forward
+from sycamoreferry_router import messages, traces
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,7 +36,12 @@
         target=incoming.target,
         headers=_onward_headers(selected, origin, remaining),
         body=incoming.body,
-        timeout_ms=remaining,
+        timeout_ms=retries.attempt_timeout(
+            remaining,
+            can_run_elsewhere=selected.can_run_elsewhere,
+        ),
+        remaining_ms=remaining,
+        request_id=selected.identified.request_id,
     )
     outcome = await forwarder.forward(request, selected.server)
     return messages.Forwarded(selected, outcome)
@@ -57,13 +51,9 @@
     selected: messages.Selected,
     origin: Origin,
     remaining: int,
-) -> dict[str, str]:
+) -> multidict.CIMultiDict[str]:
     identified = selected.identified
-    onward = {
-        name: text
-        for name, text in identified.incoming.headers.items()
-        if name.lower() not in _HOP_HEADERS
-    }
+    onward = hop_headers.of_request(identified.incoming.headers)
     onward[headers.REQUEST_ID] = identified.request_id
     onward[headers.DEADLINE_MS] = str(remaining)
     onward[headers.INSTANCE] = origin.instance
--- a/packages/router/src/sycamoreferry_router/filters/select.py
+++ b/packages/router/src/sycamoreferry_router/filters/select.py
@@ -1,7 +1,9 @@
 """Select the backend server that is to run a request."""
 
 import collections
+import functools
 import random
+import typing
 
 from sycamoreferry_core import balancing, ids, outcomes, result_codes
 from sycamoreferry_router import messages
@@ -21,14 +23,20 @@
     def select(
         self,
         resolved: messages.Resolved,
+        tried: frozenset[ids.ServerId],
     ) -> messages.Selected | outcomes.NotRun:
-        """Return the request with one server."""
+        """Return the request with one server, an untried one if possible."""
+        untried = [
+            candidate
+            for candidate in resolved.candidates
+            if candidate.server not in tried
+        ]
         loads = [
             balancing.TargetLoad(
                 candidate.server,
                 self._in_flight[candidate.server],
             )
-            for candidate in resolved.candidates
+            for candidate in untried or resolved.candidates
         ]
         chosen = balancing.choose_target(loads, self._chance.randrange)
         if chosen is None:
@@ -46,14 +54,17 @@
                 shard=NO_SHARD if shard is None else shard,
                 fence=resolved.fence,
             ),
+            can_run_elsewhere=(
+                len(untried) > 1 and resolved.identified.idempotent
+            ),
         )
 
-    def enter(self, server: ids.ServerId) -> None:
-        """Count a request that goes out to a server."""
+    def enter(self, server: ids.ServerId) -> typing.Callable[[], None]:
+        """Count a request that goes out; return what counts it back."""
         self._in_flight[server] += 1
+        return functools.partial(self._leave, server)
 
-    def leave(self, server: ids.ServerId) -> None:
-        """Count a request that came back from a server."""
+    def _leave(self, server: ids.ServerId) -> None:
         self._in_flight[server] -= 1
         if not self._in_flight[server]:
             self._in_flight.pop(server)
--- a/packages/router/src/sycamoreferry_router/filters/verify.py
+++ b/packages/router/src/sycamoreferry_router/filters/verify.py
@@ -1,13 +1,16 @@
 """Verify that an answer is whole and belongs to its request."""
 
 import functools
+import http
 
-from sycamoreferry_core import outcomes, result_codes
+from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_platform import headers, http_forward
 from sycamoreferry_router import messages
 
 _Code = result_codes.ResultCode
 RETRY_AFTER_MS = 1000
+LONGEST_RETRY_AFTER_MS = 60_000
+_MOST_DIGITS = 9
 
 _REASONS = {
     'not-owner': _Code.OWNER_NOT_READY,
@@ -35,25 +38,68 @@
     outcome: http_forward.Received,
     selected: messages.Selected,
 ) -> outcomes.Outcome:
-    echoed = outcome.headers.get(headers.REQUEST_ID)
-    if echoed is not None and echoed != selected.identified.request_id:
-        return outcomes.Unknown(
-            _Code.ANSWER_INCOMPLETE,
-            RETRY_AFTER_MS,
-            selected.way,
-        )
+    if not _is_own_answer(outcome, selected.identified.request_id):
+        return _discard(outcome, selected)
     refusal = outcome.headers.get(headers.NOT_RUN)
     if refusal is not None:
-        code = _REASONS.get(refusal, _Code.SERVER_SHED)
-        return outcomes.NotRun(code, RETRY_AFTER_MS, selected.way)
+        return _judge_refusal(refusal, outcome, selected)
     return outcomes.Answered(
         status=outcome.status,
         headers=tuple(outcome.headers.items()),
         body=outcome.body,
         way=selected.way,
+        request_id=selected.identified.request_id,
+        download=outcome.download,
+    )
+
+
+def _is_own_answer(
+    outcome: http_forward.Received,
+    request_id: ids.RequestId,
+) -> bool:
+    echoed = outcome.headers.get(headers.REQUEST_ID)
+    if echoed is None:
+        return not outcome.needs_echo
+    return echoed == request_id
+
+
+def _judge_refusal(
+    refusal: str,
+    outcome: http_forward.Received,
+    selected: messages.Selected,
+) -> outcomes.Outcome:
+    # A server that answers with success has run the request after all.
+    if outcome.status < http.HTTPStatus.BAD_REQUEST:
+        return _discard(outcome, selected)
+    if outcome.download is not None:
+        outcome.download.close()
+    return outcomes.NotRun(
+        _REASONS.get(refusal, _Code.SERVER_SHED),
+        _retry_after(outcome.headers.get(headers.RETRY_AFTER, '')),
+        selected.way,
+    )
+
+
+def _discard(
+    outcome: http_forward.Received,
+    selected: messages.Selected,
+) -> outcomes.Outcome:
+    if outcome.download is not None:
+        outcome.download.close()
+    return outcomes.Unknown(
+        _Code.ANSWER_INCOMPLETE,
+        RETRY_AFTER_MS,
+        selected.way,
     )
 
 
+def _retry_after(text: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        return RETRY_AFTER_MS
+    asked = int(text[:_MOST_DIGITS]) * clock.MILLIS_PER_SECOND
+    return min(max(asked, RETRY_AFTER_MS), LONGEST_RETRY_AFTER_MS)
+
+
 @_judge.register
 def _judge_not_sent(
     outcome: http_forward.NotSent,
@@ -83,8 +129,11 @@
     outcome: http_forward.TimedOut,
     selected: messages.Selected,
 ) -> outcomes.Outcome:
+    code = _Code.ANSWER_TOO_LATE
+    if selected.can_run_elsewhere:
+        code = _Code.OUTCOME_UNKNOWN
     return outcomes.Unknown(
-        _Code.ANSWER_TOO_LATE,
+        code,
         RETRY_AFTER_MS,
         selected.way,
     )
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -10,8 +10,16 @@
 from sanic import response
 from sanic import server as sanic_server
 
-from sycamoreferry_core import clock, ids
-from sycamoreferry_router import messages, metrics, pipeline, settings, view
+from sycamoreferry_core import clock, ids, outcomes
+from sycamoreferry_router import (
+    logs,
+    messages,
+    metrics,
+    pipeline,
+    responses,
+    settings,
+    view,
+)
 from sycamoreferry_router.filters import answer
 
 App = sanic_app.Sanic[typing.Any, typing.Any]
@@ -25,6 +33,8 @@
 _KEEP_ALIVE_SECONDS = 75
 _RESPONSE_TIMEOUT_SECONDS = 120
 
+_log = logs.part_logger('http')
+
 
 class HttpServer:
     """Turn HTTP requests into messages and outcomes into answers."""
@@ -91,7 +101,7 @@
         app.add_route(self._show_metrics, '/metrics')
         app.add_route(
             self._serve_caller,
-            '/<service:str>/<path:path>',
+            '/<path:path>',
             methods=_METHODS,
         )
         return app
@@ -124,23 +134,40 @@
     async def _serve_caller(
         self,
         request: sanic_request.Request,
-        service: str,
         path: str,
-    ) -> response.HTTPResponse:
+    ) -> response.HTTPResponse | None:
         self._enter()
         try:
-            outcome = await self._pipeline.serve(
-                self._to_message(request, service, path),
-            )
+            return await self._answer_caller(request)
         finally:
             self._leave()
+
+    async def _answer_caller(
+        self,
+        request: sanic_request.Request,
+    ) -> response.HTTPResponse | None:
+        outcome = await self._pipeline.serve(self._to_message(request))
         rendered = answer.answer(outcome, self._instance)
-        return response.raw(
-            rendered.body,
-            status=rendered.status,
-            headers=rendered.headers,
-            content_type=rendered.headers.get('Content-Type', 'text/plain'),
-        )
+        if rendered.download is None:
+            return responses.whole(rendered)
+        await self._send_download(request, rendered, rendered.download)
+        return None
+
+    async def _send_download(
+        self,
+        request: sanic_request.Request,
+        rendered: answer.HttpAnswer,
+        download: outcomes.Download,
+    ) -> None:
+        try:
+            async with asyncio.timeout(download.seconds_left()):
+                await responses.send_download(request, rendered, download)
+        except (outcomes.DownloadCutError, TimeoutError) as error:
+            # The caller must see a cut, never a clean end.
+            _log.warning('a download was cut: {!r}', error)
+            responses.abort(request)
+        finally:
+            download.close()
 
     def _enter(self) -> None:
         self.in_flight += 1
@@ -154,14 +181,14 @@
     def _to_message(
         self,
         request: sanic_request.Request,
-        service: str,
-        path: str,
     ) -> messages.Incoming:
+        # As the caller wrote it: decoding could change what the path means.
+        _, service, *rest = request.path.split('/', 2)
         query = f'?{request.query_string}' if request.query_string else ''
         return messages.Incoming(
             method=request.method,
             service=service,
-            target=f'/{path}{query}',
+            target=f'/{"".join(rest)}{query}',
             headers=request.headers,
             body=request.body,
             received_at=self._clock.now(),
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -46,6 +46,7 @@
         self,
         chosen: settings.Settings,
         session: aiohttp.ClientSession,
+        forwarder: http_forward.HttpForwarder,
     ) -> None:
         self._settings = chosen
         self._me = ids.InstanceId(
@@ -79,7 +80,7 @@
                 chosen=chosen,
                 seen=self._view,
                 clock=self._clock,
-                forwarder=http_forward.HttpForwarder(session),
+                forwarder=forwarder,
                 origin=forward.Origin(self._me, self._data_centre),
                 metrics=self._metrics,
                 chance=random.Random(),
@@ -205,8 +206,13 @@
 async def run_instance(chosen: settings.Settings) -> None:
     """Run an instance with sessions of its own."""
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-    ) as session:
-        await Instance(chosen, session).run()
+    async with (
+        aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+        ) as session,
+        http_forward.open_forwarder(
+            chosen.bounds.whole_answer_bytes,
+        ) as forwarder,
+    ):
+        await Instance(chosen, session, forwarder).run()
--- a/packages/router/src/sycamoreferry_router/messages.py
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -56,6 +56,7 @@
     identified: Identified
     server: wire.ListedServer
     way: outcomes.Way
+    can_run_elsewhere: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -6,7 +6,14 @@
 import secrets
 import typing
 
-from sycamoreferry_core import clock, ids, outcomes, retries
+from sycamoreferry_core import (
+    clock,
+    ids,
+    outcomes,
+    profiles,
+    result_codes,
+    retries,
+)
 from sycamoreferry_platform import http_forward
 from sycamoreferry_router import messages, metrics, settings, traces, view
 from sycamoreferry_router.filters import (
@@ -20,6 +27,7 @@
 )
 
 REQUEST_ID_BYTES = 8
+_OUTCOME_UNKNOWN = result_codes.ResultCode.OUTCOME_UNKNOWN
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,7 +104,12 @@
         admitted = await gate.enter(identified)
         if not isinstance(admitted, messages.Identified):
             return admitted
-        outcome = await self._pass_gates(admitted, others)
+        try:
+            outcome = await self._pass_gates(admitted, others)
+        except BaseException:
+            # The caller went away, perhaps while a server ran the request.
+            await gate.leave(admitted, outcomes.Unknown(_OUTCOME_UNKNOWN))
+            raise
         await gate.leave(admitted, outcome)
         return outcome
 
@@ -104,62 +117,95 @@
         self,
         admitted: messages.Identified,
     ) -> outcomes.Outcome:
-        service = admitted.service.service_name
-        policy = self._parts.seen.profile(admitted.service.profile).retries
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retries.RetryBudget(float(policy.budget_floor))
-        self._budgets[service] = budget.earn(policy)
         attempt = retries.Attempt(0, admitted.idempotent, admitted.deadline)
+        self._earn(admitted)
+        tried: frozenset[ids.ServerId] = frozenset()
         while True:
-            outcome = await self._try_once(admitted)
+            outcome = await self._try_once(admitted, tried)
             if isinstance(outcome, outcomes.Answered):
                 return outcome
-            decided = retries.decide_retry(
-                outcome,
-                attempt,
-                policy,
-                self._budgets[service],
-                self._parts.clock.now(),
-                self._parts.chance.random(),
-            )
+            decided = self._decide(outcome, attempt, admitted)
             if isinstance(decided, retries.GiveUp):
                 return decided.failure
+            await asyncio.sleep(clock.seconds(decided.delay_ms))
+            attempt = attempt.after(outcome)
+            tried |= {outcome.way.server}
+
+    def _policy(self, admitted: messages.Identified) -> profiles.Retries:
+        return self._parts.seen.profile(admitted.service.profile).retries
+
+    def _earn(self, admitted: messages.Identified) -> None:
+        service = admitted.service.service_name
+        policy = self._policy(admitted)
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = retries.RetryBudget(float(policy.budget_floor))
+        self._budgets[service] = budget.earn(policy)
+
+    def _decide(
+        self,
+        failure: outcomes.Failure,
+        attempt: retries.Attempt,
+        admitted: messages.Identified,
+    ) -> retries.RetryAfter | retries.GiveUp:
+        service = admitted.service.service_name
+        decided = retries.decide_retry(
+            failure,
+            attempt,
+            self._policy(admitted),
+            self._budgets[service],
+            self._parts.clock.now(),
+            self._parts.chance.random(),
+        )
+        if isinstance(decided, retries.RetryAfter):
             self._budgets[service] = self._budgets[service].spend()
             self._parts.metrics.retries.inc({'service': service})
-            await asyncio.sleep(clock.seconds(decided.delay_ms))
-            attempt = dataclasses.replace(attempt, number=attempt.number + 1)
+        return decided
 
     async def _try_once(
         self,
         admitted: messages.Identified,
+        tried: frozenset[ids.ServerId],
     ) -> outcomes.Outcome:
         resolved = resolve.resolve(admitted, self._parts.seen)
         if isinstance(resolved, outcomes.NotRun):
             return resolved
-        selected = self._selector.select(resolved)
+        selected = self._selector.select(resolved, tried)
         if isinstance(selected, outcomes.NotRun):
             return selected
-        forwarded = await self._forward(selected)
-        if isinstance(forwarded, outcomes.NotRun):
-            return forwarded
-        return verify.verify(forwarded)
+        leave = self._selector.enter(selected.server.server)
+        try:
+            outcome = await self._forward(selected)
+        except BaseException:
+            leave()
+            raise
+        return _leave_at_end(outcome, leave)
 
     async def _forward(
         self,
         selected: messages.Selected,
-    ) -> messages.Forwarded | outcomes.NotRun:
-        self._selector.enter(selected.server.server)
-        try:
-            with traces.hop('ferry.forward'):
-                return await forward.forward(
-                    selected,
-                    self._parts.forwarder,
-                    self._parts.origin,
-                    self._parts.clock.now(),
-                )
-        finally:
-            self._selector.leave(selected.server.server)
+    ) -> outcomes.Outcome:
+        with traces.hop('ferry.forward'):
+            forwarded = await forward.forward(
+                selected,
+                self._parts.forwarder,
+                self._parts.origin,
+                self._parts.clock.now(),
+            )
+        if isinstance(forwarded, outcomes.NotRun):
+            return forwarded
+        return verify.verify(forwarded)
+
+
+def _leave_at_end(
+    outcome: outcomes.Outcome,
+    leave: typing.Callable[[], None],
+) -> outcomes.Outcome:
+    if isinstance(outcome, outcomes.Answered) and outcome.download is not None:
+        outcome.download.when_closed(leave)
+    else:
+        leave()
+    return outcome
 
 
 def _new_request_id() -> ids.RequestId:
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -69,6 +69,8 @@
     """Bound what callers may send."""
 
     body_bytes: _Positive = 1_000_000
+    # A longer answer is streamed, so that it is never held whole.
+    whole_answer_bytes: _Positive = 262_144
     header_bytes: _Positive = 8192
     key_bytes: _Positive = 256
 
--- a/packages/router/src/sycamoreferry_router/traces.py
+++ b/packages/router/src/sycamoreferry_router/traces.py
@@ -57,6 +57,6 @@
             context.detach(token)
 
 
-def hand_on(onward: dict[str, str]) -> None:
+def hand_on(onward: typing.MutableMapping[str, str]) -> None:
     """Name the current span as the parent of the next hop's."""
     _propagator.inject(onward)
--- /dev/null
+++ b/packages/router/tests/test_http_server.py
@@ -0,0 +1,223 @@
+import asyncio
+import contextlib
+import typing
+
+import aiohttp
+import pytest
+import yarl
+
+from sycamoreferry_core import outcomes
+from sycamoreferry_platform import headers
+from sycamoreferry_router import messages
+from sycamoreferry_standins import request_path, scripted_server
+
+LONG_BODY = bytes(range(256)) * 40_000
+
+
+class _Witness:
+    """Keep how every request ended."""
+
+    def __init__(self) -> None:
+        self.ended: list[outcomes.Outcome] = []
+        self.told = asyncio.Event()
+
+    async def enter(
+        self,
+        identified: messages.Identified,
+    ) -> messages.Identified | outcomes.Outcome:
+        return identified
+
+    async def leave(
+        self,
+        identified: messages.Identified,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        self.ended.append(outcome)
+        self.told.set()
+
+
+@contextlib.asynccontextmanager
+async def _path(
+    script: scripted_server.Script,
+    witness: _Witness | None = None,
+    **bounds: int,
+) -> typing.AsyncIterator[
+    tuple[str, scripted_server.ScriptedServer, aiohttp.ClientSession]
+]:
+    gates = [witness] if witness else []
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        request_path.serve([server.listed], gates, **bounds) as url,
+        aiohttp.ClientSession(auto_decompress=False) as session,
+    ):
+        yield url, server, session
+
+
+async def test_request_and_answer_pass_as_they_are() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        extra = (
+            'Set-Cookie: a=1',
+            'Set-Cookie: b=2',
+            'Connection: X-Hop',
+            'X-Hop: 1',
+            'Ferry-Code: 7',
+        )
+        writer.write(scripted_server.answer_bytes(head, b'', None, extra))
+
+    target = '/plain/a%2Fb//c/%E2%82%AC?q=a+b%20c&q=&%3D'
+    async with _path(script) as (url, server, session):
+        async with session.get(
+            yarl.URL(url + target, encoded=True),
+            headers=[
+                ('X-Two', '1'),
+                ('X-Two', '2'),
+                ('Connection', 'X-Mine'),
+                ('X-Mine', '1'),
+            ],
+        ) as answer:
+            assert await answer.read() == b''
+            assert answer.headers.getall('Set-Cookie') == ['a=1', 'b=2']
+            assert answer.headers.getall(headers.CODE) == ['1000']
+            assert 'X-Hop' not in answer.headers
+            assert 'Content-Type' not in answer.headers
+        head = server.heads[0]
+    assert head.start_line == f'GET {target.removeprefix("/plain")} HTTP/1.1'
+    assert head.find('X-Two') == ('1', '2')
+    assert not head.find('X-Mine')
+
+
+@pytest.mark.parametrize(
+    ('method', 'head_lines', 'status', 'length'),
+    [
+        ('HEAD', 'HTTP/1.1 200 OK\r\nContent-Length: 1234', 200, '1234'),
+        ('GET', 'HTTP/1.1 204 No Content', 204, None),
+        ('GET', 'HTTP/1.1 304 Not Modified\r\nETag: "x"', 304, None),
+        ('GET', 'HTTP/1.1 404 Not Found\r\nContent-Length: 0', 404, '0'),
+    ],
+)
+async def test_answers_without_a_body_pass(
+    method: str,
+    head_lines: str,
+    status: int,
+    length: str | None,
+) -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(f'{head_lines}\r\n\r\n'.encode())
+
+    async with _path(script) as (url, _, session):
+        for _ in range(2):
+            async with session.request(method, f'{url}/plain/a') as answer:
+                assert answer.status == status
+                assert answer.headers.get('Content-Length') == length
+                assert await answer.read() == b''
+
+
+async def test_caller_that_leaves_cancels_at_the_server() -> None:
+    reached = asyncio.Event()
+
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        reached.set()
+
+    witness = _Witness()
+    async with _path(script, witness) as (url, server, session):
+        call = asyncio.ensure_future(
+            session.post(
+                f'{url}/plain/a', headers={headers.IDEMPOTENCY_KEY: 'k'}
+            ),
+        )
+        await reached.wait()
+        call.cancel()
+        await asyncio.wait_for(witness.told.wait(), 10)
+        await asyncio.wait_for(server.lost.wait(), 10)
+    assert witness.ended[0].kind is outcomes.Kind.UNKNOWN
+
+
+async def _send_long(
+    head: scripted_server.Head,
+    writer: asyncio.StreamWriter,
+) -> None:
+    sent = LONG_BODY
+    if 'cut' in head.start_line:
+        sent = LONG_BODY[:-1]
+    chunked = 'chunked' in head.start_line
+    framing = f'Content-Length: {len(LONG_BODY)}'
+    if chunked:
+        framing = 'Transfer-Encoding: chunked'
+    named = f'Ferry-Request-Id: {head.request_id}'
+    writer.write(f'HTTP/1.1 200 OK\r\n{framing}\r\n{named}\r\n\r\n'.encode())
+    if chunked:
+        sent = b'%x\r\n%b\r\n' % (len(sent), sent)
+    writer.write(sent)
+    if chunked and 'cut' not in head.start_line:
+        writer.write(b'0\r\n\r\n')
+    await writer.drain()
+    if 'cut' in head.start_line:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    'path', ['whole', 'whole-chunked', 'cut', 'cut-chunked']
+)
+async def test_cut_download_never_ends_cleanly(path: str) -> None:
+    async with _path(_send_long) as (url, _, session):
+        async with session.get(f'{url}/plain/{path}') as answer:
+            assert answer.status == 200
+            if 'cut' in path:
+                with pytest.raises(aiohttp.ClientError):
+                    await answer.read()
+            else:
+                assert await answer.read() == LONG_BODY
+
+
+@pytest.mark.parametrize('path', ['cut', 'cut-chunked'])
+async def test_short_answer_is_checked_before_its_first_byte(
+    path: str,
+) -> None:
+    async with _path(
+        _send_long,
+        whole_answer_bytes=len(LONG_BODY) + 1,
+    ) as (url, _, session):
+        async with session.post(
+            f'{url}/plain/{path}',
+            headers={headers.IDEMPOTENCY_KEY: 'k'},
+        ) as answer:
+            assert answer.status == 502
+            assert answer.headers[headers.CODE] == '4001'
+
+
+async def test_slow_reader_holds_back_only_itself() -> None:
+    async with _path(_send_long) as (url, _, session):
+        slow = await session.get(f'{url}/plain/whole')
+        for _ in range(3):
+            async with session.get(f'{url}/plain/whole') as answer:
+                assert await answer.read() == LONG_BODY
+        assert await slow.read() == LONG_BODY
+
+
+async def test_download_ends_with_the_deadline() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(
+            scripted_server.answer_bytes(head, LONG_BODY, len(LONG_BODY) + 1)
+        )
+
+    async with _path(script) as (url, server, session):
+        async with session.get(
+            f'{url}/plain/a',
+            headers={headers.DEADLINE_MS: '300'},
+        ) as answer:
+            async with asyncio.timeout(10):
+                with pytest.raises(aiohttp.ClientError):
+                    await answer.read()
+        await asyncio.wait_for(server.lost.wait(), 10)
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -106,7 +106,7 @@
         app.add_route(
             self._serve,
             '/<path:path>',
-            methods=('GET', 'POST', 'PUT', 'PATCH', 'DELETE'),
+            methods=('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'),
         )
 
     async def _set_faults(
@@ -176,7 +176,7 @@
         await self._meet_network(request)
         refusal = self._refusal(request)
         if refusal is not None:
-            return _refuse(refusal)
+            return _refuse(request, refusal)
         self._present += 1
         try:
             async with self._slots:
@@ -207,7 +207,7 @@
     ) -> response.HTTPResponse:
         refusal = self._ownership_refusal(request)
         if refusal is not None:
-            return _refuse(refusal)
+            return _refuse(request, refusal)
         self._running += 1
         witnessed = self._witness(request)
         try:
@@ -270,12 +270,18 @@
         return answer
 
 
-def _refuse(reason: str) -> response.HTTPResponse:
+def _refuse(
+    request: sanic_request.Request,
+    reason: str,
+) -> response.HTTPResponse:
     status = _CONFLICT if reason == 'not-owner' else _UNAVAILABLE
     return response.text(
         reason,
         status=status,
-        headers={headers.NOT_RUN: reason},
+        headers={
+            headers.NOT_RUN: reason,
+            headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, ''),
+        },
     )
 
 
