Retry at another target, and wait for an owner that is due in time

Cause: a retry could go to the target that had just failed, and a request for a shard without an owner polled the lost server every half second with tokens of the budget, or was answered at once.

Conclusion: wait where an owner is due before the deadline, no more requests than limits.queue_length, woken when the owner moves or answers; the server is asked again only for a token. Moves and lost packets get 400 ms.

--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/owner_wait.py
@@ -0,0 +1,64 @@
+"""Decide whether a request waits for a new owner of its shard."""
+
+import dataclasses
+
+from sycamoreferry_core import clock, outcomes, profiles, result_codes
+
+_Code = result_codes.ResultCode
+
+# Covers the grant of a move, a lost packet, and a read of the log.
+SHORT_GAP_MS = 400
+MISSING_OWNER_CODES = frozenset(
+    (_Code.NO_OWNER, _Code.OWNER_NOT_READY, _Code.SERVER_UNREACHABLE),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitUntil:
+    """Hold the request until an owner is there, or until a time."""
+
+    limit: clock.Millis
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ComeBack:
+    """Answer at once, and say when an owner is expected."""
+
+    retry_after_ms: int
+
+
+def is_missing_owner(failure: outcomes.Failure) -> bool:
+    """Tell whether a request found no owner that could run it."""
+    if not isinstance(failure, outcomes.NotRun):
+        return False
+    return failure.code in MISSING_OWNER_CODES
+
+
+def expected_end(
+    since: clock.Millis,
+    timing: profiles.Timing,
+    now: clock.Millis,
+) -> clock.Millis:
+    """Return when a shard that lost its owner at a time is served again."""
+    short = clock.later(since, SHORT_GAP_MS)
+    if now < short:
+        return short
+    return clock.later(short, timing.lease_ms + timing.detection_ms)
+
+
+def decide_wait(
+    since: clock.Millis,
+    deadline: clock.Millis,
+    waiting: int,
+    policy: profiles.Profile,
+    now: clock.Millis,
+) -> WaitUntil | ComeBack:
+    """Wait only where an owner is expected before the deadline."""
+    expected = expected_end(since, policy.timing, now)
+    if waiting >= policy.limits.queue_length:
+        return ComeBack(max(expected - now, clock.MILLIS_PER_SECOND))
+    if expected <= now:
+        return ComeBack(clock.MILLIS_PER_SECOND)
+    if expected >= deadline:
+        return ComeBack(expected - now)
+    return WaitUntil(expected)
--- a/packages/router/src/sycamoreferry_router/filters/resolve.py
+++ b/packages/router/src/sycamoreferry_router/filters/resolve.py
@@ -5,6 +5,7 @@
 
 _Code = result_codes.ResultCode
 RETRY_AFTER_MS = 1000
+_NOBODY = ids.ServerId('')
 
 
 def resolve(
@@ -40,5 +41,6 @@
     owner = assigned.owner_of(shard)
     listed = seen.servers.get(owner) if owner else None
     if listed is None:
-        return outcomes.NotRun(_Code.NO_OWNER, RETRY_AFTER_MS)
+        lost = outcomes.Way(owner or _NOBODY, shard)
+        return outcomes.NotRun(_Code.NO_OWNER, RETRY_AFTER_MS, lost)
     return messages.Resolved(identified, (listed,), assigned.fences[shard])
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -1,30 +1,21 @@
 """Pass a request through the filters, in this order."""
 
-import asyncio
 import dataclasses
 import random
 import secrets
 import typing
 
-from sycamoreferry_core import (
-    clock,
-    ids,
-    outcomes,
-    profiles,
-    result_codes,
-    retries,
-)
+from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_platform import http_forward
-from sycamoreferry_router import messages, metrics, settings, traces, view
-from sycamoreferry_router.filters import (
-    accept,
-    admit,
-    forward,
-    identify,
-    resolve,
-    select,
-    verify,
+from sycamoreferry_router import (
+    attempts,
+    messages,
+    metrics,
+    settings,
+    traces,
+    view,
 )
+from sycamoreferry_router.filters import accept, admit, forward, identify
 
 REQUEST_ID_BYTES = 8
 _OUTCOME_UNKNOWN = result_codes.ResultCode.OUTCOME_UNKNOWN
@@ -52,8 +43,16 @@
         gates: typing.Sequence[admit.Gate] = (),
     ) -> None:
         self._parts = parts
-        self._selector = select.Selector(parts.chance)
-        self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
+        self._attempts = attempts.Attempts(
+            attempts.Parts(
+                seen=parts.seen,
+                clock=parts.clock,
+                forwarder=parts.forwarder,
+                origin=parts.origin,
+                metrics=parts.metrics,
+                chance=parts.chance,
+            ),
+        )
         self._known = identify.Known(
             services={
                 service.name: service for service in parts.chosen.services
@@ -99,7 +98,7 @@
         gates: typing.Sequence[admit.Gate],
     ) -> outcomes.Outcome:
         if not gates:
-            return await self._try_until_ended(identified)
+            return await self._attempts.run(identified)
         gate, *others = gates
         admitted = await gate.enter(identified)
         if not isinstance(admitted, messages.Identified):
@@ -113,100 +112,6 @@
         await gate.leave(admitted, outcome)
         return outcome
 
-    async def _try_until_ended(
-        self,
-        admitted: messages.Identified,
-    ) -> outcomes.Outcome:
-        attempt = retries.Attempt(0, admitted.idempotent, admitted.deadline)
-        self._earn(admitted)
-        tried: frozenset[ids.ServerId] = frozenset()
-        while True:
-            outcome = await self._try_once(admitted, tried)
-            if isinstance(outcome, outcomes.Answered):
-                return outcome
-            decided = self._decide(outcome, attempt, admitted)
-            if isinstance(decided, retries.GiveUp):
-                return decided.failure
-            await asyncio.sleep(clock.seconds(decided.delay_ms))
-            attempt = attempt.after(outcome)
-            tried |= {outcome.way.server}
-
-    def _policy(self, admitted: messages.Identified) -> profiles.Retries:
-        return self._parts.seen.profile(admitted.service.profile).retries
-
-    def _earn(self, admitted: messages.Identified) -> None:
-        service = admitted.service.service_name
-        policy = self._policy(admitted)
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retries.RetryBudget(float(policy.budget_floor))
-        self._budgets[service] = budget.earn(policy)
-
-    def _decide(
-        self,
-        failure: outcomes.Failure,
-        attempt: retries.Attempt,
-        admitted: messages.Identified,
-    ) -> retries.RetryAfter | retries.GiveUp:
-        service = admitted.service.service_name
-        decided = retries.decide_retry(
-            failure,
-            attempt,
-            self._policy(admitted),
-            self._budgets[service],
-            self._parts.clock.now(),
-            self._parts.chance.random(),
-        )
-        if isinstance(decided, retries.RetryAfter):
-            self._budgets[service] = self._budgets[service].spend()
-            self._parts.metrics.retries.inc({'service': service})
-        return decided
-
-    async def _try_once(
-        self,
-        admitted: messages.Identified,
-        tried: frozenset[ids.ServerId],
-    ) -> outcomes.Outcome:
-        resolved = resolve.resolve(admitted, self._parts.seen)
-        if isinstance(resolved, outcomes.NotRun):
-            return resolved
-        selected = self._selector.select(resolved, tried)
-        if isinstance(selected, outcomes.NotRun):
-            return selected
-        leave = self._selector.enter(selected.server.server)
-        try:
-            outcome = await self._forward(selected)
-        except BaseException:
-            leave()
-            raise
-        return _leave_at_end(outcome, leave)
-
-    async def _forward(
-        self,
-        selected: messages.Selected,
-    ) -> outcomes.Outcome:
-        with traces.hop('ferry.forward'):
-            forwarded = await forward.forward(
-                selected,
-                self._parts.forwarder,
-                self._parts.origin,
-                self._parts.clock.now(),
-            )
-        if isinstance(forwarded, outcomes.NotRun):
-            return forwarded
-        return verify.verify(forwarded)
-
-
-def _leave_at_end(
-    outcome: outcomes.Outcome,
-    leave: typing.Callable[[], None],
-) -> outcomes.Outcome:
-    if isinstance(outcome, outcomes.Answered) and outcome.download is not None:
-        outcome.download.when_closed(leave)
-    else:
-        leave()
-    return outcome
-
 
 def _new_request_id() -> ids.RequestId:
     return ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
