--- a/packages/router/tests/test_attempts.py
+++ b/packages/router/tests/test_attempts.py
@@ -79,7 +79,9 @@
             return http_forward.CutOff('cut')
         default = (200, [(headers.REQUEST_ID, request.request_id)])
         status, named = _ANSWERS.get(fault, default)
-        body = request.request_id.encode()
+        body = b'other'
+        if fault == 'fine':
+            body = request.request_id.encode()
         return http_forward.Received(status, multidict.CIMultiDict(named), body)
 
 
@@ -121,6 +123,10 @@
 
 
 @hypothesis.settings(max_examples=150)
+@hypothesis.example(
+    faults=['cut after it ran', *(['unreachable'] * 30)],
+    methods=['GET'],
+)
 @hypothesis.given(
     faults=st.lists(st.sampled_from(FAULTS), max_size=30),
     methods=st.lists(st.sampled_from(['GET', 'POST']), min_size=1, max_size=8),
