Decide admissions of non-idempotent requests over a partition's own stream

Cause: two instances that each admit by their own memory run a repeated booking twice. Each partition of idempotency keys gets one owner, named by the last claim in the partition's stream; an admission counts once its batch was read back before any later claim. Ruled out: a claim that names the one it follows, since a reader whose first record is past retention cannot check it; the last claim in the stream is decided alike by every reader.

--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_claims.py
@@ -0,0 +1,327 @@
+"""Decide when an instance claims a partition, and when old claims are over."""
+
+import dataclasses
+
+from sycamoreferry_core import (
+    admission_actions,
+    admission_asks,
+    admission_events,
+    admission_records,
+    admission_state,
+    admission_window,
+    clock,
+    ids,
+)
+
+FOLLOWER_PATIENCE = 3
+PENDING_PATIENCE = 4
+PROBES_PER_DETECTION = 4
+REMEMBERED_LEAVERS = 256
+
+_Decision = admission_state.Decision
+_Partition = admission_state.PartitionState
+
+
+def know_members(
+    current: _Partition,
+    event: admission_events.MembersKnown,
+) -> _Partition:
+    """Return the state with the joined instances and those that left."""
+    joined = {member.instance for member in event.line}
+    gone = [
+        member.instance
+        for member in current.line
+        if member.instance not in joined
+    ]
+    left = (*current.left, *gone)[-REMEMBERED_LEAVERS:]
+    return dataclasses.replace(current, line=event.line, left=left)
+
+
+def hear(
+    current: _Partition,
+    instance: ids.InstanceId,
+    now: clock.Millis,
+) -> _Partition:
+    """Return the state after a sign of life."""
+    return dataclasses.replace(
+        current,
+        heard={**current.heard, instance: now},
+    )
+
+
+def probe_holders(current: _Partition, now: clock.Millis) -> _Decision:
+    """Probe the owner and the deputy in turn with the time."""
+    interval = current.timing.detection_ms // PROBES_PER_DETECTION
+    if now < clock.later(current.probed_at, interval):
+        return _Decision(current)
+    claim = current.journal.claim
+    holders = {claim.owner, claim.deputy} - {current.me, ids.InstanceId('')}
+    return _Decision(
+        dataclasses.replace(current, probed_at=now),
+        tuple(admission_actions.Probe(holder) for holder in sorted(holders)),
+    )
+
+
+def consider_claim(current: _Partition, now: clock.Millis) -> _Decision:
+    """Claim the partition where its holders are silent."""
+    if not current.stream_answers or now < current.claim.pending_until:
+        return _Decision(current)
+    if _rank(current) is None or not _has_reason(current, now):
+        return _Decision(current)
+    deputy = _choose_deputy(current)
+    claim = admission_records.AdmissionClaimed(current.me, deputy)
+    patience = PENDING_PATIENCE * current.timing.detection_ms
+    pending = dataclasses.replace(
+        current.claim,
+        pending_until=clock.later(now, patience),
+    )
+    return _Decision(
+        dataclasses.replace(
+            _stop_before(current, ids.Offset(_stop_bound(current))),
+            claim=pending,
+        ),
+        (admission_actions.Append(claim),),
+    )
+
+
+def _stop_bound(current: _Partition) -> int:
+    claim = current.journal.claim
+    if claim.owner == current.me:
+        return current.deputy.stopped_before
+    return claim.offset + 1
+
+
+def _rank(current: _Partition) -> int | None:
+    for place, member in enumerate(current.line):
+        if member.instance == current.me:
+            return place
+    return None
+
+
+def _has_reason(current: _Partition, now: clock.Millis) -> bool:
+    claim = current.journal.claim
+    rank = _rank(current) or 0
+    detection = current.timing.detection_ms
+    if claim.owner == current.me:
+        return _needs_deputy(current, now)
+    if not claim.owner:
+        return now > clock.later(current.started_at, rank * detection)
+    silence = now - current.silent_since(claim.owner)
+    if claim.deputy == current.me:
+        return silence > detection
+    patience = (FOLLOWER_PATIENCE + rank) * detection
+    if claim.deputy and now - current.silent_since(claim.deputy) < patience:
+        return False
+    return silence > patience
+
+
+def _needs_deputy(current: _Partition, now: clock.Millis) -> bool:
+    if not current.is_serving:
+        return current.journal.claim.offset < current.deputy.stopped_before
+    deputy = current.journal.claim.deputy
+    if now < current.owner.deputy_blocked_until:
+        return True
+    if _choose_deputy(current) == deputy:
+        return False
+    patience = FOLLOWER_PATIENCE * current.timing.detection_ms
+    return not deputy or now - current.silent_since(deputy) > patience
+
+
+def _choose_deputy(
+    current: _Partition,
+) -> ids.InstanceId:
+    mine = [
+        member.data_centre
+        for member in current.line
+        if member.instance == current.me
+    ]
+    claim = current.journal.claim
+    avoided = {current.me, claim.owner}
+    others = [
+        member for member in current.line if member.instance not in avoided
+    ]
+    elsewhere = [
+        member.instance for member in others if member.data_centre not in mine
+    ]
+    candidates = elsewhere or [member.instance for member in others]
+    if claim.deputy in candidates and len(candidates) > 1:
+        after = candidates.index(claim.deputy) + 1
+        candidates = candidates[after:] + candidates[:after]
+    return next(iter(candidates), ids.InstanceId(''))
+
+
+def _stop_before(current: _Partition, offset: ids.Offset) -> _Partition:
+    stopped = max(current.deputy.stopped_before, offset)
+    return dataclasses.replace(
+        current,
+        deputy=dataclasses.replace(current.deputy, stopped_before=stopped),
+    )
+
+
+def enter_claim(current: _Partition, now: clock.Millis) -> _Partition:
+    """Return the state at a claim that the stream shows."""
+    entered = _stop_before(current, current.journal.claim.offset)
+    return dataclasses.replace(
+        entered,
+        claim=admission_state.ClaimState(
+            pending_until=current.claim.pending_until,
+            seen_at=now,
+        ),
+        owner=dataclasses.replace(
+            entered.owner,
+            serial=0,
+            copy_pending=False,
+            deputy_blocked_until=clock.LONG_AGO,
+        ),
+    )
+
+
+def settle(current: _Partition, now: clock.Millis) -> _Decision:
+    """Find out that the older claims are over, before admitting anything."""
+    if not current.is_owner or current.journal.is_settled:
+        return _Decision(current)
+    if current.claim.over:
+        return _Decision(current)
+    settled = current.journal.settled
+    if settled.deputy == current.me:
+        return _Decision(_recover(current, _copies(current)))
+    if settled.owner in {current.me, ''} or _is_over(current, now):
+        return _Decision(_recover(current, ()))
+    due = clock.later(current.claim.asked_at, current.timing.retry_ms)
+    if now < due:
+        return _Decision(current)
+    asking = dataclasses.replace(current.claim, asked_at=now)
+    holders = (settled.owner, settled.deputy)
+    return _Decision(
+        dataclasses.replace(current, claim=asking),
+        (admission_actions.AskYield(holders, current.journal.claim.offset),),
+    )
+
+
+def _is_over(current: _Partition, now: clock.Millis) -> bool:
+    settled = current.journal.settled
+    if settled.owner in current.left and settled.deputy in current.left:
+        return True
+    timing = current.timing
+    longest = current.with_drift(
+        timing.limit_without_log_ms + timing.window_ms,
+    )
+    return now > clock.later(current.claim.seen_at, longest)
+
+
+def _copies(current: _Partition) -> tuple[admission_records.Admitted, ...]:
+    if current.deputy.claim != current.journal.settled.offset:
+        return ()
+    return tuple(current.deputy.copies.values())
+
+
+def _recover(
+    current: _Partition,
+    admitted: tuple[admission_records.Admitted, ...],
+) -> _Partition:
+    overlay = dict(current.owner.overlay)
+    for copied in admitted:
+        overlay[copied.key] = admission_window.new_entry(
+            copied,
+            current.journal.time_ms,
+        )
+    recovered = admission_asks.with_owner(
+        current,
+        overlay=overlay,
+        queued=(*current.owner.queued, *admitted),
+    )
+    over = dataclasses.replace(current.claim, over=True)
+    return dataclasses.replace(recovered, claim=over)
+
+
+def accept_yield(
+    current: _Partition,
+    event: admission_events.Yielded,
+) -> _Partition:
+    """Return the state after the word of a holder of the older claims."""
+    is_current = event.claim == current.journal.claim.offset
+    if not current.is_owner or not is_current or current.claim.over:
+        return current
+    if current.journal.is_settled:
+        return current
+    return _recover(current, event.admitted)
+
+
+def yield_claims(
+    current: _Partition,
+    event: admission_events.YieldAsked,
+) -> _Decision:
+    """Admit nothing more under older claims, and say what they held."""
+    stopped = _stop_before(current, event.claim)
+    decision = _Decision(stopped)
+    if stopped.journal.claim.offset < event.claim:
+        waiting = admission_asks.all_waiting(stopped)
+        decision = admission_asks.refuse(stopped, waiting)
+    held = tuple(
+        entry.as_admitted(key)
+        for key, entry in decision.state.owner.overlay.items()
+        if entry is not None
+    )
+    answer = admission_actions.AnswerYield(
+        claimant=event.claimant,
+        claim=event.claim,
+        admitted=(*held, *decision.state.deputy.copies.values()),
+    )
+    return _Decision(decision.state, (*decision.actions, answer))
+
+
+def hold_copy(
+    current: _Partition,
+    event: admission_events.CopyAsked,
+) -> _Decision:
+    """Hold admissions for the owner, unless its claim is over."""
+    deputy = current.deputy
+    known = max(deputy.stopped_before, current.journal.claim.offset)
+    is_late = event.claim == deputy.claim and event.number <= deputy.number
+    held = event.claim >= known and event.claim >= deputy.claim
+    if is_late or not held:
+        return _Decision(current, (_answer_copy(event, held=False),))
+    copies = dict(deputy.copies) if event.claim == deputy.claim else {}
+    copies.update({copied.key: copied for copied in event.admitted})
+    if len(copies) > current.timing.most_unjournaled:
+        return _Decision(current, (_answer_copy(event, held=False),))
+    holding = dataclasses.replace(
+        deputy,
+        claim=event.claim,
+        number=event.number,
+        copies=copies,
+    )
+    return _Decision(
+        dataclasses.replace(current, deputy=holding),
+        (_answer_copy(event, held=True),),
+    )
+
+
+def _answer_copy(
+    event: admission_events.CopyAsked,
+    held: bool,
+) -> admission_actions.AnswerCopy:
+    return admission_actions.AnswerCopy(
+        owner=event.owner,
+        claim=event.claim,
+        number=event.number,
+        held=held,
+    )
+
+
+def drop_journaled_copies(current: _Partition) -> _Partition:
+    """Return the state without copies that the stream holds by now."""
+    deputy = current.deputy
+    if not deputy.copies:
+        return current
+    journal = current.journal
+    kept = {}
+    if deputy.claim >= journal.settled.offset:
+        for key, copied in deputy.copies.items():
+            known = journal.find(key)
+            if known is None or known.order < tuple(copied.order):
+                kept[key] = copied
+    return dataclasses.replace(
+        current,
+        deputy=dataclasses.replace(deputy, copies=kept),
+    )
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_journal.py
@@ -0,0 +1,182 @@
+"""Fold a partition's admission stream, alike at every reader."""
+
+import dataclasses
+import functools
+
+from sycamoreferry_core import (
+    admission_records,
+    admission_window,
+    ids,
+    records,
+)
+
+# Each batch sweeps some buckets, so that old entries leave in time.
+SWEEPS_A_BATCH = 4
+
+_STATUS = {
+    admission_records.Ending.ANSWERED: admission_window.Status.ANSWERED,
+    admission_records.Ending.UNKNOWN: admission_window.Status.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """Hold who claimed a partition, and where in the stream."""
+
+    offset: ids.Offset = ids.NO_OFFSET
+    owner: ids.InstanceId = ids.InstanceId('')
+    deputy: ids.InstanceId = ids.InstanceId('')
+
+
+@dataclasses.dataclass(frozen=True)
+class Journal:
+    """Hold what the stream says up to an offset.
+
+    The time counts what the stamps of the owners witness: it may run
+    behind, so that entries are kept too long, and never too short.
+    """
+
+    window_ms: int
+    first_offset: ids.Offset = ids.FIRST_OFFSET
+    next_offset: ids.Offset = ids.FIRST_OFFSET
+    claim: Claim = Claim()
+    settled: Claim = Claim()
+    number: int = 0
+    stamp: int | None = None
+    time_ms: int = 0
+    window: admission_window.Window = admission_window.Window()
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the newest claim has journaled a batch."""
+        return self.claim == self.settled
+
+    def find(self, key: ids.AdmissionKey) -> admission_window.Entry | None:
+        """Return the entry of a key that is still in the window."""
+        return self.live(self.window.find(key))
+
+    def live(
+        self,
+        entry: admission_window.Entry | None,
+    ) -> admission_window.Entry | None:
+        """Return an entry unless it is too old."""
+        if entry is None or entry.admitted_at < self.oldest:
+            return None
+        return entry
+
+    @property
+    def oldest(self) -> int:
+        """Return the time before which entries are forgotten."""
+        return self.time_ms - self.window_ms
+
+
+def start_at(offset: ids.Offset, window_ms: int) -> Journal:
+    """Return a journal that lacks the records before an offset."""
+    return Journal(window_ms, first_offset=offset, next_offset=offset)
+
+
+def fold_one(journal: Journal, logged: records.LoggedRecord) -> Journal:
+    """Fold a record; one that was folded before changes nothing."""
+    if logged.offset < journal.next_offset:
+        return journal
+    if logged.offset > journal.next_offset:
+        journal = start_at(logged.offset, journal.window_ms)
+    record = admission_records.decode_record(logged.payload)
+    folded = _apply(record, journal, logged.offset)
+    return dataclasses.replace(
+        folded,
+        next_offset=ids.Offset(logged.offset + 1),
+    )
+
+
+@functools.singledispatch
+def _apply(record: object, journal: Journal, offset: ids.Offset) -> Journal:
+    return journal
+
+
+@_apply.register
+def _apply_claim(
+    record: admission_records.AdmissionClaimed,
+    journal: Journal,
+    offset: ids.Offset,
+) -> Journal:
+    return dataclasses.replace(
+        journal,
+        claim=Claim(offset, record.owner, record.deputy),
+        number=0,
+        stamp=None,
+    )
+
+
+@_apply.register
+def _apply_batch(
+    record: admission_records.AdmissionBatch,
+    journal: Journal,
+    offset: ids.Offset,
+) -> Journal:
+    journal = _adopt(record, journal)
+    if record.claim != journal.claim.offset:
+        return journal
+    if record.number <= journal.number:
+        return journal
+    elapsed = 0
+    if journal.stamp is not None:
+        elapsed = max(0, record.stamp - journal.stamp)
+    timed = dataclasses.replace(
+        journal,
+        settled=journal.claim if record.settles else journal.settled,
+        number=record.number,
+        stamp=record.stamp,
+        time_ms=journal.time_ms + elapsed,
+    )
+    return dataclasses.replace(timed, window=_change_window(record, timed))
+
+
+def _adopt(
+    record: admission_records.AdmissionBatch,
+    journal: Journal,
+) -> Journal:
+    """Believe a batch whose claim is past the retention of the log."""
+    unseen = record.claim < journal.first_offset
+    if not unseen or record.claim <= journal.claim.offset:
+        return journal
+    claim = Claim(record.claim, record.owner, record.deputy)
+    return dataclasses.replace(journal, claim=claim, number=0, stamp=None)
+
+
+def _change_window(
+    record: admission_records.AdmissionBatch,
+    journal: Journal,
+) -> admission_window.Window:
+    window = journal.window
+    for admitted in record.admitted:
+        known = journal.live(window.find(admitted.key))
+        if known is None or known.order < tuple(admitted.order):
+            entry = admission_window.new_entry(admitted, journal.time_ms)
+            window = window.with_entry(admitted.key, entry)
+    for concluded in record.concluded:
+        window = _conclude(concluded, window)
+    for turn in range(SWEEPS_A_BATCH):
+        place = journal.number * SWEEPS_A_BATCH + turn
+        window = window.sweep(place, journal.oldest)
+    return window
+
+
+def _conclude(
+    concluded: admission_records.Concluded,
+    window: admission_window.Window,
+) -> admission_window.Window:
+    known = window.find(concluded.key)
+    if known is None or known.attempt != concluded.attempt:
+        return window
+    if concluded.ending is admission_records.Ending.NOT_RUN:
+        return window.without(concluded.key)
+    return window.with_entry(concluded.key, concluded_entry(known, concluded))
+
+
+def concluded_entry(
+    entry: admission_window.Entry,
+    concluded: admission_records.Concluded,
+) -> admission_window.Entry:
+    """Return an entry whose request ended at a backend server."""
+    return dataclasses.replace(entry, status=_STATUS[concluded.ending])
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_journaling.py
@@ -0,0 +1,259 @@
+"""Journal admissions: in batches to the log, or to the deputy without it."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import (
+    admission_actions,
+    admission_asks,
+    admission_events,
+    admission_records,
+    admission_state,
+    admission_window,
+    clock,
+    ids,
+)
+
+_Decision = admission_state.Decision
+_Partition = admission_state.PartitionState
+_Overlay = typing.Mapping[ids.AdmissionKey, admission_window.Entry | None]
+
+
+def flush(current: _Partition, now: clock.Millis) -> _Decision:
+    """Append the next batch, or the last one again."""
+    if not current.is_owner:
+        return _Decision(current)
+    if current.owner.in_flight is not None:
+        return _append_again(current, now)
+    if not _is_due(current, now):
+        return _Decision(current)
+    return _append_next(current, now)
+
+
+def _append_again(current: _Partition, now: clock.Millis) -> _Decision:
+    batch = current.owner.in_flight
+    due = clock.later(current.owner.appended_at, current.timing.retry_ms)
+    if batch is None or now < due:
+        return _Decision(current)
+    return _Decision(
+        admission_asks.with_owner(current, appended_at=now),
+        (admission_actions.Append(batch),),
+    )
+
+
+def _is_due(current: _Partition, now: clock.Millis) -> bool:
+    timing = current.timing
+    rested = now - current.owner.appended_at
+    if not current.journal.is_settled:
+        return current.claim.over
+    if current.owner.queued:
+        return rested >= timing.batch_ms
+    if current.owner.ended:
+        return rested >= timing.ended_ms
+    return rested >= timing.heartbeat_ms
+
+
+def _append_next(current: _Partition, now: clock.Millis) -> _Decision:
+    most = current.timing.batch_entries
+    owner = current.owner
+    claim = current.journal.claim
+    batch = admission_records.AdmissionBatch(
+        claim=claim.offset,
+        number=current.journal.number + 1,
+        owner=claim.owner,
+        deputy=claim.deputy,
+        stamp=now,
+        admitted=owner.queued[:most],
+        concluded=owner.ended[:most],
+        settles=len(owner.queued) <= most,
+    )
+    return _Decision(
+        admission_asks.with_owner(
+            current,
+            queued=owner.queued[most:],
+            ended=owner.ended[most:],
+            in_flight=batch,
+            appended_at=now,
+        ),
+        (admission_actions.Append(batch),),
+    )
+
+
+def accept_read_back(current: _Partition, now: clock.Millis) -> _Decision:
+    """Admit what waits for the batch in flight, if the stream shows it."""
+    batch = current.owner.in_flight
+    journal = current.journal
+    if batch is None or batch.claim != journal.claim.offset:
+        return _Decision(current)
+    if journal.number < batch.number:
+        return _Decision(current)
+    journaled = admission_asks.with_owner(
+        current,
+        in_flight=None,
+        overlay=_forget_journaled(current.owner.overlay, batch),
+    )
+    waiting = current.owner.waiting
+    return admission_asks.admit_waiting(
+        journaled,
+        tuple(
+            waiting[admitted.attempt]
+            for admitted in batch.admitted
+            if admitted.attempt in waiting
+        ),
+    )
+
+
+def _forget_journaled(
+    overlay: _Overlay,
+    batch: admission_records.AdmissionBatch,
+) -> _Overlay:
+    kept = dict(overlay)
+    running = admission_window.Status.RUNNING
+    for admitted in batch.admitted:
+        entry = kept.get(admitted.key)
+        if entry and entry.attempt == admitted.attempt:
+            if entry.status is running:
+                kept.pop(admitted.key)
+    for concluded in batch.concluded:
+        ended = kept.get(concluded.key)
+        if ended is None:
+            kept.pop(concluded.key, None)
+        elif ended.attempt == concluded.attempt:
+            kept.pop(concluded.key)
+    return kept
+
+
+def take_back_flight(current: _Partition) -> _Partition:
+    """Queue the batch in flight anew; a later claim has made it void."""
+    batch = current.owner.in_flight
+    if batch is None or batch.claim == current.journal.claim.offset:
+        return current
+    return admission_asks.with_owner(
+        current,
+        in_flight=None,
+        queued=(*batch.admitted, *current.owner.queued),
+        ended=(*batch.concluded, *current.owner.ended),
+    )
+
+
+def bridge_outage(current: _Partition, now: clock.Millis) -> _Decision:
+    """Send the deputy what waits too long for the log."""
+    if not current.is_serving:
+        return _Decision(current)
+    if current.owner.copy_pending:
+        return _Decision(current)
+    slow = tuple(
+        waiting
+        for waiting in current.owner.waiting.values()
+        if not waiting.copy and _is_slow(current, waiting, now)
+    )
+    if not slow:
+        return _Decision(current)
+    if not admission_asks.can_copy(current, now):
+        return _refuse_without_log(current, slow)
+    return _send_copy(current, slow, now)
+
+
+def _is_slow(
+    current: _Partition,
+    waiting: admission_state.Waiting,
+    now: clock.Millis,
+) -> bool:
+    patient = clock.later(waiting.since, current.timing.retry_ms)
+    return not current.log_answers or now > patient
+
+
+def _refuse_without_log(
+    current: _Partition,
+    slow: tuple[admission_state.Waiting, ...],
+) -> _Decision:
+    if current.log_answers:
+        return _Decision(current)
+    return admission_asks.refuse(current, slow)
+
+
+def _send_copy(
+    current: _Partition,
+    slow: tuple[admission_state.Waiting, ...],
+    now: clock.Millis,
+) -> _Decision:
+    number = current.owner.copies_sent + 1
+    sent = {
+        waiting.asked.attempt: dataclasses.replace(waiting, copy=number)
+        for waiting in slow
+    }
+    overlay = current.owner.overlay
+    entries = [
+        (waiting.asked.key, overlay.get(waiting.asked.key)) for waiting in slow
+    ]
+    claim = current.journal.claim
+    return _Decision(
+        admission_asks.with_owner(
+            current,
+            copies_sent=number,
+            copy_pending=True,
+            copy_sent_at=now,
+            waiting={**current.owner.waiting, **sent},
+        ),
+        (
+            admission_actions.SendCopy(
+                deputy=claim.deputy,
+                claim=claim.offset,
+                number=number,
+                admitted=tuple(
+                    entry.as_admitted(key) for key, entry in entries if entry
+                ),
+            ),
+        ),
+    )
+
+
+def accept_copy_answer(
+    current: _Partition,
+    event: admission_events.CopyAnswered,
+    now: clock.Millis,
+) -> _Decision:
+    """Admit what the deputy holds; refuse what it does not."""
+    if event.number != current.owner.copies_sent:
+        return _Decision(current)
+    answered = admission_asks.with_owner(current, copy_pending=False)
+    if event.claim != current.journal.claim.offset:
+        return _Decision(answered)
+    covered = tuple(
+        waiting
+        for waiting in answered.owner.waiting.values()
+        if waiting.copy == event.number
+    )
+    if event.held and admission_asks.can_copy(answered, now):
+        return admission_asks.admit_waiting(answered, covered)
+    blocked = admission_asks.with_owner(
+        answered,
+        deputy_blocked_until=clock.later(now, current.timing.detection_ms),
+    )
+    if current.log_answers:
+        return _Decision(blocked)
+    return admission_asks.refuse(blocked, covered)
+
+
+def refuse_overdue(current: _Partition, now: clock.Millis) -> _Decision:
+    """Refuse what waited longer than callers should."""
+    patience = current.timing.patience_ms
+    overdue = tuple(
+        waiting
+        for waiting in admission_asks.all_waiting(current)
+        if now > clock.later(waiting.since, patience)
+    )
+    if not overdue:
+        return _Decision(current)
+    return admission_asks.refuse(current, overdue)
+
+
+def forget_silent_copy(current: _Partition, now: clock.Millis) -> _Partition:
+    """Stop waiting for an answer to a copy that is overdue."""
+    due = clock.later(
+        current.owner.copy_sent_at,
+        current.timing.patience_ms,
+    )
+    if not current.owner.copy_pending or now < due:
+        return current
+    return admission_asks.with_owner(current, copy_pending=False)
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_records.py
@@ -0,0 +1,82 @@
+"""Define the records of a partition's admission stream."""
+
+import enum
+import typing
+
+import msgspec
+
+from sycamoreferry_core import ids
+
+
+@enum.unique
+class Ending(enum.Enum):
+    """Name how an admitted request ended."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Order(typing.NamedTuple):
+    """Order the admissions of a partition: by claim, then by serial."""
+
+    claim: ids.Offset
+    serial: int
+
+
+class Admitted(msgspec.Struct, frozen=True, array_like=True):
+    """Admit one attempt to run a request."""
+
+    key: ids.AdmissionKey
+    fingerprint: ids.Fingerprint
+    attempt: ids.AttemptId
+    deadline_ms: int
+    order: Order
+
+
+class Concluded(msgspec.Struct, frozen=True, array_like=True):
+    """Say how an admitted attempt ended."""
+
+    key: ids.AdmissionKey
+    attempt: ids.AttemptId
+    ending: Ending
+
+
+class AdmissionClaimed(msgspec.Struct, frozen=True, tag=True):
+    """Claim a partition; the last claim in the stream is the valid one."""
+
+    owner: ids.InstanceId
+    deputy: ids.InstanceId
+
+
+class AdmissionBatch(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """Journal admissions under the claim at an offset."""
+
+    claim: ids.Offset
+    number: int
+    owner: ids.InstanceId
+    deputy: ids.InstanceId
+    stamp: int
+    admitted: tuple[Admitted, ...] = ()
+    concluded: tuple[Concluded, ...] = ()
+    settles: bool = True
+
+
+AnyAdmissionRecord = AdmissionClaimed | AdmissionBatch
+
+_decoder: msgspec.json.Decoder[AnyAdmissionRecord] = msgspec.json.Decoder(
+    AnyAdmissionRecord,
+)
+
+
+def encode_record(record: AnyAdmissionRecord) -> bytes:
+    """Write a record as bytes."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(payload: bytes) -> AnyAdmissionRecord | None:
+    """Read a record from bytes; nothing where it is none."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_state.py
@@ -0,0 +1,184 @@
+"""Hold what an instance knows of one admission partition."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import (
+    admission_actions,
+    admission_events,
+    admission_journal,
+    admission_records,
+    admission_window,
+    clock,
+    ids,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Set times in milliseconds and bounds in entries."""
+
+    window_ms: int = 600_000
+    limit_without_log_ms: int = 900_000
+    detection_ms: int = 1000
+    batch_ms: int = 50
+    ended_ms: int = 1000
+    patience_ms: int = 800
+    retry_ms: int = 300
+    heartbeat_ms: int = 60_000
+    clock_drift_share: float = 0.01
+    batch_entries: int = 500
+    most_entries: int = 200_000
+    most_unjournaled: int = 20_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """Hold an ask that has no answer yet; copy 0 means none was sent."""
+
+    asked: admission_events.Asked
+    since: clock.Millis
+    copy: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerState:
+    """Hold what only an owner, or one that was, has to know.
+
+    The overlay holds entries that are newer than the journal; none marks
+    a key whose request was released.
+    """
+
+    overlay: typing.Mapping[
+        ids.AdmissionKey,
+        admission_window.Entry | None,
+    ] = dataclasses.field(default_factory=dict)
+    queued: tuple[admission_records.Admitted, ...] = ()
+    ended: tuple[admission_records.Concluded, ...] = ()
+    in_flight: admission_records.AdmissionBatch | None = None
+    appended_at: clock.Millis = clock.LONG_AGO
+    waiting: typing.Mapping[ids.AttemptId, Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
+    parked: tuple[Waiting, ...] = ()
+    serial: int = 0
+    copies_sent: int = 0
+    copy_sent_at: clock.Millis = clock.LONG_AGO
+    copy_pending: bool = False
+    deputy_blocked_until: clock.Millis = clock.LONG_AGO
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimState:
+    """Hold how far this instance is with a claim of its own."""
+
+    pending_until: clock.Millis = clock.LONG_AGO
+    seen_at: clock.Millis = clock.LONG_AGO
+    asked_at: clock.Millis = clock.LONG_AGO
+    over: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class DeputyState:
+    """Hold copies for an owner; claims before an offset get no more."""
+
+    claim: ids.Offset = ids.NO_OFFSET
+    number: int = 0
+    copies: typing.Mapping[
+        ids.AdmissionKey,
+        admission_records.Admitted,
+    ] = dataclasses.field(default_factory=dict)
+    stopped_before: ids.Offset = ids.NO_OFFSET
+
+
+@dataclasses.dataclass(frozen=True)
+class PartitionState:
+    """Hold all that the decisions of one partition rest on."""
+
+    me: ids.InstanceId
+    timing: Timing
+    journal: admission_journal.Journal
+    started_at: clock.Millis
+    line: tuple[admission_events.Member, ...] = ()
+    left: tuple[ids.InstanceId, ...] = ()
+    heard: typing.Mapping[ids.InstanceId, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    probed_at: clock.Millis = clock.LONG_AGO
+    proof_at: clock.Millis = clock.LONG_AGO
+    log_answers: bool = False
+    caught_up: bool = False
+    claim: ClaimState = ClaimState()
+    owner: OwnerState = OwnerState()
+    deputy: DeputyState = DeputyState()
+
+    @property
+    def is_owner(self) -> bool:
+        """Tell whether the newest known claim is this instance's."""
+        return self.journal.claim.owner == self.me
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether this instance may admit."""
+        current = self.journal.claim.offset
+        is_over = current < self.deputy.stopped_before
+        return self.is_owner and self.journal.is_settled and not is_over
+
+    @property
+    def stream_answers(self) -> bool:
+        """Tell whether the log answers and was read to its end."""
+        return self.log_answers and self.caught_up
+
+    def silent_since(self, instance: ids.InstanceId) -> clock.Millis:
+        """Return when an instance was heard last, as far as is known."""
+        if instance in self.left:
+            return clock.LONG_AGO
+        return max(
+            self.heard.get(instance, clock.LONG_AGO),
+            self.started_at,
+            self.claim.seen_at,
+        )
+
+    def stream_time(self, now: clock.Millis) -> int:
+        """Return the time of the stream, where this instance owns it."""
+        stamp = self.journal.stamp
+        elapsed = 0 if stamp is None else max(0, now - stamp)
+        return self.journal.time_ms + elapsed
+
+    def with_drift(self, duration: int) -> int:
+        """Lengthen a duration by the bound on clock drift."""
+        return int(duration * (1 + self.timing.clock_drift_share)) + 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """Hold the next state and what is to be done."""
+
+    state: PartitionState
+    actions: tuple[admission_actions.Action, ...] = ()
+
+    def then(
+        self,
+        step: typing.Callable[[PartitionState, clock.Millis], 'Decision'],
+        now: clock.Millis,
+    ) -> 'Decision':
+        """Decide a further step, and do its actions after these."""
+        following = step(self.state, now)
+        return Decision(
+            following.state,
+            (*self.actions, *following.actions),
+        )
+
+
+def start(
+    me: ids.InstanceId,
+    timing: Timing,
+    now: clock.Millis,
+) -> PartitionState:
+    """Return the state of an instance that knows nothing yet."""
+    return PartitionState(
+        me=me,
+        timing=timing,
+        journal=admission_journal.Journal(timing.window_ms),
+        started_at=now,
+    )
--- a/packages/core/src/sycamoreferry_core/result_codes.py
+++ b/packages/core/src/sycamoreferry_core/result_codes.py
@@ -35,6 +35,7 @@
     ANSWER_TOO_LATE = 4003
     ALREADY_RUNNING = 5001
     ALREADY_ANSWERED = 5002
+    IDEMPOTENCY_KEY_REUSED = 5003
     STALE_TERM = 6001
     STALE_PROFILE = 6002
     UNKNOWN_PROFILE = 6003
@@ -188,6 +189,11 @@
         'a request with this Idempotency-Key has run',
         'do not send it again',
     ),
+    ResultCode.IDEMPOTENCY_KEY_REUSED: CodeMeaning(
+        int(http.HTTPStatus.UNPROCESSABLE_ENTITY),
+        'the Idempotency-Key belongs to a request that differs',
+        'send a new request under a new Idempotency-Key',
+    ),
     ResultCode.STALE_TERM: CodeMeaning(
         _CONFLICT,
         'the record does not follow the current term',
