Admit non-idempotent requests through the owner of their partition

Cause: the pipeline let every repeat of a booking run again at whichever instance it met. A gate now asks the partition's owner over grpclib; the owner's loop feeds the pure decisions from the stream, the peers and a tick.

--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/admission_routing.py
@@ -0,0 +1,49 @@
+"""Map idempotency keys to partitions, and partitions to instances."""
+
+import hashlib
+import typing
+
+from sycamoreferry_core import admission_events, ids, keys, state
+
+DIGEST_BYTES = 16
+FOLLOWERS = 2
+
+
+def digest(*parts: str | bytes) -> str:
+    """Return a digest of parts that no other parts share."""
+    hashed = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        content = part.encode() if isinstance(part, str) else part
+        hashed.update(str(len(content)).encode())
+        hashed.update(b':')
+        hashed.update(content)
+    return hashed.hexdigest()
+
+
+def partition_of(key: ids.AdmissionKey, partitions: int) -> int:
+    """Return the partition of a key."""
+    return keys.hash_text(key) % partitions
+
+
+def line_of(
+    partition: int,
+    instances: typing.Iterable[state.InstanceState],
+) -> tuple[admission_events.Member, ...]:
+    """Rank the joined instances for a partition by rendezvous hashing."""
+    ranked = sorted(
+        instances,
+        key=lambda known: keys.hash_text(f'{partition}/{known.instance}'),
+    )
+    return tuple(
+        admission_events.Member(known.instance, known.data_centre)
+        for known in ranked
+    )
+
+
+def follows(
+    line: typing.Sequence[admission_events.Member],
+    instance: ids.InstanceId,
+) -> bool:
+    """Tell whether an instance follows a partition without being asked."""
+    first = [member.instance for member in line[:FOLLOWERS]]
+    return instance in first
--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -80,20 +80,32 @@
             peer_pb2.StatusRequest(),
         )
 
-    def _stub(self, address: PeerAddress) -> peer_grpc.PeerStub:
+    def channel(self, address: PeerAddress) -> grpc_client.Channel:
+        """Return the channel to an instance."""
         channel = self._channels.get(address)
         if channel is None:
             channel = grpc_client.Channel(address.host, address.port)
             self._channels[address] = channel
-        return peer_grpc.PeerStub(channel)
+        return channel
+
+    def _stub(self, address: PeerAddress) -> peer_grpc.PeerStub:
+        return peer_grpc.PeerStub(self.channel(address))
 
     async def _call(
         self,
         method: typing.Callable[..., typing.Awaitable[ReplyType]],
         request: object,
     ) -> ReplyType | None:
-        timeout = clock.seconds(self._timeout_ms)
-        try:
-            return await method(request, timeout=timeout)
-        except _UNREACHED:
-            return None
+        return await call(method, request, self._timeout_ms)
+
+
+async def call(
+    method: typing.Callable[..., typing.Awaitable[ReplyType]],
+    request: object,
+    timeout_ms: int,
+) -> ReplyType | None:
+    """Call a method of a peer; nothing where it does not answer."""
+    try:
+        return await method(request, timeout=clock.seconds(timeout_ms))
+    except _UNREACHED:
+        return None
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -9,7 +9,8 @@
 import aiohttp
 from grpclib import server as grpc_server
 
-from sycamoreferry_core import clock, ids, records
+from sycamoreferry_core import admission_state, clock, ids, records
+from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
@@ -20,19 +21,24 @@
     wire,
 )
 from sycamoreferry_router import (
+    admission_ring,
+    admission_service,
     coordination_loop,
     http_server,
     logs,
     metrics,
+    partition_io,
+    partition_loop,
     peer_service,
     pipeline,
     settings,
     tail,
     view,
 )
-from sycamoreferry_router.filters import forward
+from sycamoreferry_router.filters import admission_gate, forward
 
 PEER_TIMEOUT_MS = 300
+ADMISSION_TIMEOUT_MS = 1000
 LEAVE_NOTICE_MS = 500
 EPOCH_BYTES = 4
 
@@ -74,6 +80,15 @@
             for service in chosen.services
             if service.is_keyed
         }
+        admissions = self._admission_parts()
+        self._partitions = [
+            self._partition(number, session, admissions)
+            for number in range(chosen.admission.partitions)
+        ]
+        self._admissions = admission_ring.AdmissionRing(
+            self._partitions,
+            admissions,
+        )
         self._pipeline = pipeline.Pipeline(
             pipeline.Parts(
                 chosen=chosen,
@@ -84,6 +99,9 @@
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
+            gates=(
+                admission_gate.AdmissionGate(self._admissions, self._clock),
+            ),
         )
         self._server = http_server.HttpServer(
             chosen,
@@ -108,6 +126,10 @@
                     self._view,
                     self._loops,
                 ),
+                admission_service.AdmissionService(
+                    self._me,
+                    self._partitions,
+                ),
             ]
         )
         listen = self._settings.listen
@@ -134,9 +156,44 @@
             self._tail.run(),
             self._follow_instance_list(),
             self._join(),
+            self._admissions.run(),
             *(loop.run() for loop in self._loops.values()),
         ]
 
+    def _admission_parts(self) -> partition_io.Parts:
+        chosen = self._settings.admission
+        return partition_io.Parts(
+            me=self._me,
+            seen=self._view,
+            clients=admission_client.AdmissionClients(
+                self._peers,
+                ADMISSION_TIMEOUT_MS,
+                PEER_TIMEOUT_MS,
+            ),
+            clock=self._clock,
+            timing=admission_state.Timing(
+                window_ms=chosen.window_ms,
+                limit_without_log_ms=chosen.limit_without_log_ms,
+                detection_ms=chosen.detection_ms,
+                batch_ms=chosen.batch_ms,
+            ),
+            read_wait_ms=self._settings.platform.tail_wait_ms,
+        )
+
+    def _partition(
+        self,
+        number: int,
+        session: aiohttp.ClientSession,
+        parts: partition_io.Parts,
+    ) -> partition_loop.PartitionLoop:
+        platform = self._settings.platform
+        stream = http_log.HttpLog(
+            session,
+            platform.log_url,
+            f'{platform.stream}-admission-{number}',
+        )
+        return partition_loop.PartitionLoop(number, stream, parts)
+
     def _coordination(
         self,
         service: settings.Service,
@@ -194,6 +251,7 @@
         )
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
+        await self._admissions.drain()
         await self._tail.publish(
             records.InstanceLeft(
                 record_id=tail.new_record_id('leave'),
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/partition_loop.py
@@ -0,0 +1,225 @@
+"""Run one admission partition: a thin loop around decisions."""
+
+import asyncio
+import functools
+
+from sycamoreferry_core import (
+    admission,
+    admission_actions,
+    admission_events,
+    admission_records,
+    admission_routing,
+    admission_state,
+    clock,
+    ids,
+)
+from sycamoreferry_platform import log_port
+from sycamoreferry_router import logs, partition_io
+
+TICK_MS = 25
+READ_RETRY_MS = 200
+
+_Answers = asyncio.Future[admission_actions.Answer]
+
+_log = logs.part_logger('admission')
+
+
+class PartitionLoop:
+    """Feed events to the decisions of one partition and carry out actions."""
+
+    def __init__(
+        self,
+        number: int,
+        stream: log_port.LogService,
+        parts: partition_io.Parts,
+    ) -> None:
+        self._number = number
+        self.calls = partition_io.PartitionCalls(number, stream, parts)
+        self._parts = parts
+        self._followed = asyncio.Event()
+        self._answers: dict[ids.AttemptId, list[_Answers]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._state = admission_state.start(
+            parts.me,
+            parts.timing,
+            parts.clock.now(),
+        )
+
+    @property
+    def current(self) -> admission_state.PartitionState:
+        """Return the current state of the decisions."""
+        return self._state
+
+    @property
+    def line(self) -> tuple[admission_events.Member, ...]:
+        """Return the joined instances in the partition's order."""
+        return admission_routing.line_of(
+            self._number,
+            self._parts.seen.log_state.instances.values(),
+        )
+
+    async def run(self) -> None:
+        """Follow the stream and decide at every tick until cancelled."""
+        await asyncio.gather(self._run_ticks(), self._run_reads())
+
+    async def ask(
+        self,
+        asked: admission_events.Asked,
+    ) -> admission_actions.Answer:
+        """Decide on an ask and wait for its answer."""
+        self.follow()
+        answered: _Answers = asyncio.get_running_loop().create_future()
+        self._answers.setdefault(asked.attempt, []).append(answered)
+        self.feed(asked)
+        return await answered
+
+    def end(self, concluded: admission_records.Concluded) -> bool:
+        """Take how an attempt ended; tell whether this instance may."""
+        self.feed(admission_events.Ended(concluded))
+        return self._state.is_serving
+
+    def hold_copy(self, event: admission_events.CopyAsked) -> bool:
+        """Hold a copy for the owner; tell whether it is held."""
+        self.follow()
+        decided = self.feed(event)
+        return any(
+            isinstance(action, admission_actions.AnswerCopy) and action.held
+            for action in decided
+        )
+
+    def yield_claims(
+        self,
+        event: admission_events.YieldAsked,
+    ) -> tuple[admission_records.Admitted, ...]:
+        """Yield older claims; return what was held under them."""
+        for action in self.feed(event):
+            if isinstance(action, admission_actions.AnswerYield):
+                return action.admitted
+        return ()
+
+    def follow(self) -> None:
+        """Follow the stream from now on."""
+        self._followed.set()
+
+    def feed(
+        self,
+        event: admission_events.Event,
+    ) -> tuple[admission_actions.Action, ...]:
+        """Decide on an event and start its actions."""
+        before = self._state
+        decision = admission.decide(event, before, self._parts.clock.now())
+        self._state = decision.state
+        self._log_change(before)
+        for action in decision.actions:
+            carry_out(action, self)
+        return decision.actions
+
+    def answer(self, action: admission_actions.Answer) -> None:
+        """Answer those who wait for an attempt."""
+        for waiting in self._answers.pop(action.attempt, ()):
+            if not waiting.done():
+                waiting.set_result(action)
+
+    def start(self, work: partition_io.Work) -> None:
+        """Start a call and decide on the event that it brings."""
+        task = asyncio.get_running_loop().create_task(self._finish(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(self, work: partition_io.Work) -> None:
+        event = await work
+        if event is not None:
+            self.feed(event)
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await asyncio.sleep(clock.seconds(TICK_MS))
+            if not self._parts.seen.caught_up:
+                continue
+            line = self.line
+            if admission_routing.follows(line, self._parts.me):
+                self.follow()
+            if line != self._state.line:
+                self.feed(admission_events.MembersKnown(line))
+            if self._followed.is_set():
+                self.feed(admission_events.Ticked())
+
+    async def _run_reads(self) -> None:
+        await self._followed.wait()
+        while True:
+            current = self._state
+            event = await self.calls.read(
+                current.journal.next_offset,
+                self._parts.read_wait_ms if current.stream_answers else 0,
+            )
+            self.feed(event)
+            if isinstance(event, admission_events.LogFailed):
+                await asyncio.sleep(clock.seconds(READ_RETRY_MS))
+
+    def _log_change(self, before: admission_state.PartitionState) -> None:
+        claim = self._state.journal.claim
+        if claim != before.journal.claim:
+            _log.info(
+                'partition {}: owner {}, deputy {}',
+                self._number,
+                claim.owner,
+                claim.deputy or 'none',
+            )
+        if before.log_answers and not self._state.log_answers:
+            _log.warning('partition {}: the log is silent', self._number)
+
+
+@functools.singledispatch
+def carry_out(action: object, loop: PartitionLoop) -> None:
+    """Start the work that an action asks for."""
+    raise TypeError(f'no work for the action {action!r}')
+
+
+@carry_out.register
+def _carry_out_answer(
+    action: admission_actions.Answer,
+    loop: PartitionLoop,
+) -> None:
+    loop.answer(action)
+
+
+@carry_out.register
+def _carry_out_append(
+    action: admission_actions.Append,
+    loop: PartitionLoop,
+) -> None:
+    loop.start(loop.calls.append(action))
+
+
+@carry_out.register
+def _carry_out_copy(
+    action: admission_actions.SendCopy,
+    loop: PartitionLoop,
+) -> None:
+    loop.start(loop.calls.send_copy(action))
+
+
+@carry_out.register
+def _carry_out_ask_yield(
+    action: admission_actions.AskYield,
+    loop: PartitionLoop,
+) -> None:
+    for holder in action.holders:
+        loop.start(loop.calls.ask_yield(holder, action.claim))
+
+
+@carry_out.register
+def _carry_out_probe(
+    action: admission_actions.Probe,
+    loop: PartitionLoop,
+) -> None:
+    loop.start(loop.calls.probe(action))
+
+
+@carry_out.register(admission_actions.AnswerCopy)
+@carry_out.register(admission_actions.AnswerYield)
+def _carry_out_in_reply(
+    action: admission_actions.Action,
+    loop: PartitionLoop,
+) -> None:
+    """Leave the answer to the call that asked."""
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -10,6 +10,7 @@
 
 HIGHEST_PORT = 65_535
 MOST_SHARDS = 65_536
+MOST_PARTITIONS = 256
 
 _Port = typing.Annotated[int, pydantic.Field(gt=0, le=HIGHEST_PORT)]
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
@@ -73,6 +74,21 @@
     key_bytes: _Positive = 256
 
 
+class Admission(_Part):
+    """Set how repeats of non-idempotent requests are recognised.
+
+    Every instance must have the same values.
+    """
+
+    partitions: typing.Annotated[
+        int, pydantic.Field(gt=0, le=MOST_PARTITIONS)
+    ] = 8
+    window_ms: _Positive = 600_000
+    limit_without_log_ms: _Positive = 900_000
+    detection_ms: _Positive = 1000
+    batch_ms: _Positive = 50
+
+
 class Logging(_Part):
     """Set how much is logged."""
 
@@ -96,6 +112,7 @@
         pydantic.Field(min_length=1),
     ]
     bounds: RequestBounds = RequestBounds()
+    admission: Admission = Admission()
     logging: Logging = Logging()
     tracing: Tracing = Tracing()
     shutdown_ms: _Positive = 10_000
