--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -1,6 +1,7 @@
 """Hold the state that every instance folds from the log."""
 
 import dataclasses
+import functools
 import typing
 
 from sycamoreferry_core import ids, profiles, records, result_codes
@@ -18,6 +19,7 @@
     deputy: ids.InstanceId = ids.InstanceId('')
     settled: ids.Term = ids.NO_TERM
     unsettled: tuple[records.TermClaimed, ...] = ()
+    past_owners: tuple[ids.ServerId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +33,17 @@
         """Return the owner of a shard, if the shard is known."""
         return self.owners[shard] if shard < len(self.owners) else None
 
+    @functools.cached_property
+    def shards_by_owner(
+        self,
+    ) -> typing.Mapping[ids.ServerId, frozenset[ids.ShardId]]:
+        """Return the shards of each owner."""
+        owned: dict[ids.ServerId, list[ids.ShardId]] = {}
+        for shard, owner in enumerate(self.owners):
+            owned.setdefault(owner, []).append(ids.ShardId(shard))
+        owned.pop(ids.ServerId(''), None)
+        return {owner: frozenset(shards) for owner, shards in owned.items()}
+
 
 @dataclasses.dataclass(frozen=True)
 class PublishedProfile:
