Keep libraries from writing debug records

Cause: the redirection of the standard library's logs lets every level through, so that the HTTP/2 library built some 24,000 to 40,000 debug records in half a minute, which the handler then dropped. Ruled out: the level of the handler, which was right; turning the redirection off, which would lose the libraries' warnings.

--- a/packages/router/src/sycamoreferry_router/logs.py
+++ b/packages/router/src/sycamoreferry_router/logs.py
@@ -1,5 +1,6 @@
 """Set up logs with a fixed prefix for each part."""
 
+import logging
 import sys
 
 import logbook
@@ -13,8 +14,8 @@
 )
 
 
-def set_up_logs(chosen: settings.Logging) -> None:
-    """Write logs to standard error at the chosen level."""
+def set_up_logs(chosen: settings.Logging) -> logbook.Handler:
+    """Write logs to standard error at the chosen level; return the handler."""
     handler = logbook.StreamHandler(
         sys.stderr,
         level=logbook.lookup_level(chosen.level.upper()),
@@ -22,6 +23,14 @@
     )
     handler.push_application()
     compat.redirect_logging()
+    # The redirection lets every level through; libraries write far more
+    # debug records than the instance carries messages.
+    logging.getLogger().setLevel(max(logging.INFO, _stdlib_level(chosen)))
+    return handler
+
+
+def _stdlib_level(chosen: settings.Logging) -> int:
+    return logging.getLevelNamesMapping()[chosen.level.upper()]
 
 
 def part_logger(part: str) -> logbook.Logger:
