Count a holder's word from when it came, and check one owner at random

Cause: with a claimant that got a holder's word took earlier authority as over since it entered its own term, so a server that the old coordinator had renewed a moment before could still hold a shard that was granted anew. A claim with another deputy also began the wait for the limit anew.

Now the word ends a term at the time it came, the limit runs from when a later term was first seen, and an operator's word counts from when it was folded.

A trial drives coordinator.decide and GrantBook under injected time, with lost, late and repeated messages, pauses, cuts, log outages, drifting clocks, and servers that go on by themselves.

--- a/packages/core/src/sycamoreferry_core/authority.py
+++ b/packages/core/src/sycamoreferry_core/authority.py
@@ -9,6 +9,7 @@
     ids,
     profiles,
     records,
+    state,
 )
 
 PROOFS_PER_AUTHORITY = 3
@@ -51,9 +52,11 @@
 ) -> tuple[actions.Action, ...]:
     holders = {
         holder
-        for claim in _earlier_claims(current)
-        if not _is_over(current, claim)
+        for claim in earlier_claims(current.term)
+        if claim.term not in current.ended_at
+        and claim.coordinator != current.me
         for holder in (claim.coordinator, claim.deputy)
+        if holder
     }
     return tuple(
         actions.AskRelease(holder, current.term.term)
@@ -105,41 +108,80 @@
         return current.entered_at
     proved = with_drift(current, current.longest.authority_ms)
     ends = [
-        _promise_over(current, claim)
-        for claim in _earlier_claims(current)
-        if not _is_over(current, claim)
+        _claim_over(current, claim) for claim in earlier_claims(current.term)
     ]
-    return max(clock.later(current.entered_at, proved), *ends, clock.LONG_AGO)
+    return max(
+        clock.later(current.entered_at, proved),
+        current.cleared_at,
+        *ends,
+    )
 
 
-def _earlier_claims(
-    current: coordination.CoordinatorState,
-) -> list[records.TermClaimed]:
-    return [
-        claim
-        for claim in current.term.unsettled
-        if claim.term < current.term.term
-    ]
+def earlier_claims(term: state.TermState) -> list[records.TermClaimed]:
+    """Return the unsettled claims before the current one."""
+    return [claim for claim in term.unsettled if claim.term < term.term]
 
 
-def _is_over(
-    current: coordination.CoordinatorState,
-    claim: records.TermClaimed,
-) -> bool:
-    if claim.coordinator == current.me or not claim.deputy:
-        return True
-    holders = {claim.coordinator, claim.deputy}
-    return bool(holders.intersection(current.released_by))
-
-
-def _promise_over(
+def _claim_over(
     current: coordination.CoordinatorState,
     claim: records.TermClaimed,
 ) -> clock.Millis:
+    if claim.coordinator == current.me or not claim.deputy:
+        return clock.LONG_AGO
+    ended = current.ended_at.get(claim.term)
+    if ended is not None:
+        return ended
     if claim.deputy == current.me:
         return current.earlier_promised_until
     limit = with_drift(current, current.longest.limit_without_log_ms)
-    return clock.later(current.entered_at, limit)
+    return clock.later(current.superseded_at[claim.term], limit)
+
+
+def note_superseded(
+    current: coordination.CoordinatorState,
+    term: state.TermState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Note when a later term was first seen for each unsettled one."""
+    unsettled = [claim.term for claim in earlier_claims(term)]
+    return dataclasses.replace(
+        current,
+        superseded_at={
+            earlier: current.superseded_at.get(earlier, now)
+            for earlier in unsettled
+        },
+        ended_at={
+            earlier: ended
+            for earlier, ended in current.ended_at.items()
+            if earlier in unsettled
+        },
+    )
+
+
+def note_release(
+    current: coordination.CoordinatorState,
+    holder: ids.InstanceId,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Note the word of a holder for every earlier term it held."""
+    ended = {
+        claim.term: now
+        for claim in earlier_claims(current.term)
+        if holder in {claim.coordinator, claim.deputy}
+    }
+    return dataclasses.replace(current, ended_at={**ended, **current.ended_at})
+
+
+def note_cleared(
+    current: coordination.CoordinatorState,
+    term: state.TermState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    """Note when an operator's word cleared earlier terms."""
+    fewer = len(term.unsettled) < len(current.term.unsettled)
+    if fewer and term.settled == current.term.settled:
+        return dataclasses.replace(current, cleared_at=now)
+    return current
 
 
 def has_released(
--- a/packages/core/src/sycamoreferry_core/claims.py
+++ b/packages/core/src/sycamoreferry_core/claims.py
@@ -29,7 +29,7 @@
 ) -> coordination.CoordinatorState:
     """Return the state at the start of a term that the log shows."""
     return dataclasses.replace(
-        current,
+        authority.note_superseded(current, term, now),
         term=term,
         links=links.fresh_links(current),
         pending=None,
@@ -37,7 +37,6 @@
         proved_at=_claim_sent_at(current, term),
         authority_until=clock.LONG_AGO,
         proof_asked_at=clock.LONG_AGO,
-        released_by=frozenset(),
         promised_until=clock.LONG_AGO,
         earlier_promised_until=max(
             current.promised_until,
--- a/packages/core/src/sycamoreferry_core/coordination.py
+++ b/packages/core/src/sycamoreferry_core/coordination.py
@@ -81,7 +81,14 @@
     authority_until: clock.Millis = clock.LONG_AGO
     proof_asked_at: clock.Millis = clock.LONG_AGO
     refused_for: ids.Term = ids.NO_TERM
-    released_by: frozenset[ids.InstanceId] = frozenset()
+    # When a later term was first seen, and when a holder gave its word.
+    superseded_at: typing.Mapping[ids.Term, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    ended_at: typing.Mapping[ids.Term, clock.Millis] = dataclasses.field(
+        default_factory=dict,
+    )
+    cleared_at: clock.Millis = clock.LONG_AGO
     promised_until: clock.Millis = clock.LONG_AGO
     earlier_promised_until: clock.Millis = clock.LONG_AGO
     asked_as_deputy_at: clock.Millis = clock.LONG_AGO
--- a/packages/core/src/sycamoreferry_core/coordinator.py
+++ b/packages/core/src/sycamoreferry_core/coordinator.py
@@ -106,6 +106,7 @@
     folded = _take_assignment(_take_policy(current, event), event)
     if event.term.term > current.term.term:
         folded = claims.enter_term(folded, event.term, now)
+    folded = authority.note_cleared(folded, event.term, now)
     pending = None if event.pending_folded else folded.pending
     folded = dataclasses.replace(folded, term=event.term, pending=pending)
     return actions.Decision(links.link_owners(folded))
@@ -233,10 +234,7 @@
 ) -> actions.Decision:
     if event.term != current.term.term:
         return actions.Decision(current)
-    released_by = current.released_by | {event.holder}
-    return actions.Decision(
-        dataclasses.replace(current, released_by=released_by),
-    )
+    return actions.Decision(authority.note_release(current, event.holder, now))
 
 
 @decide.register
--- a/packages/standins/src/sycamoreferry_standins/grant_book.py
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -38,10 +38,14 @@
         self._lease_end = clock.LONG_AGO
         self._fences = {}
 
+    def fence_of(self, shard: ids.ShardId) -> ids.Fence | None:
+        """Return the fence of a shard that is granted now."""
+        self._lapse()
+        return self._fences.get(shard)
+
     def holds(self, shard: ids.ShardId, fence: ids.Fence) -> bool:
         """Tell whether a shard is granted now under a fence."""
-        self._lapse()
-        held = self._fences.get(shard)
+        held = self.fence_of(shard)
         if held is None:
             return False
         return held == fence or not self._checks_fence
--- /dev/null
+++ b/packages/standins/src/sycamoreferry_standins/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Run many instances and servers in one process, under injected faults."""
