--- a/packages/core/src/sycamoreferry_core/claims.py
+++ b/packages/core/src/sycamoreferry_core/claims.py
@@ -196,10 +196,11 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    """Claim the next term with another deputy where this one is silent."""
+    """Claim the next term where there is no deputy, or a silent one."""
     patience = DEPUTY_PATIENCE * current.timing.detection_ms
     silent = now > clock.later(current.deputy_heard_at, patience)
-    if current.pending is not None or not silent or not current.log_reached:
+    lacking = silent or not current.term.deputy
+    if current.pending is not None or not lacking or not current.log_reached:
         return actions.Decision(current)
     if choose_deputy(current) in {'', current.term.deputy}:
         return actions.Decision(current)
--- a/packages/core/src/sycamoreferry_core/coordination.py
+++ b/packages/core/src/sycamoreferry_core/coordination.py
@@ -65,9 +65,6 @@
     longest_deadline_ms: int = 0
     term: state.TermState = state.TermState()
     assignment: state.Assignment = state.Assignment()
-    wanted: typing.Mapping[ids.ServerId, frozenset[ids.ShardId]] = (
-        dataclasses.field(default_factory=dict)
-    )
     candidates: tuple[Candidate, ...] = ()
     links: typing.Mapping[ids.ServerId, ServerLink] = dataclasses.field(
         default_factory=dict,
@@ -108,6 +105,11 @@
             return Role.DEPUTY
         return Role.FOLLOWER
 
+    @property
+    def wanted(self) -> typing.Mapping[ids.ServerId, frozenset[ids.ShardId]]:
+        """Return the shards that each owner is to hold."""
+        return self.assignment.shards_by_owner
+
     @property
     def is_released(self) -> bool:
         """Tell whether an operator said that the holders are gone."""
--- a/packages/core/src/sycamoreferry_core/coordinator.py
+++ b/packages/core/src/sycamoreferry_core/coordinator.py
@@ -1,6 +1,5 @@
 """Decide what an instance does to coordinate one service."""
 
-import collections
 import dataclasses
 import functools
 import typing
@@ -103,7 +102,7 @@
 ) -> actions.Decision:
     if event.term.term < current.term.term:
         return actions.Decision(current)
-    folded = _take_assignment(_take_policy(current, event), event)
+    folded = _take_policy(current, event)
     if event.term.term > current.term.term:
         folded = claims.enter_term(folded, event.term, now)
     folded = authority.note_cleared(folded, event.term, now)
@@ -123,6 +122,7 @@
         deadline = max(deadline, current.longest_deadline_ms)
     return dataclasses.replace(
         current,
+        assignment=event.assignment,
         candidates=event.candidates,
         timing=event.timing,
         longest=longest,
@@ -130,26 +130,6 @@
     )
 
 
-def _take_assignment(
-    current: coordination.CoordinatorState,
-    event: events.StateFolded,
-) -> coordination.CoordinatorState:
-    if event.assignment is current.assignment:
-        return current
-    wanted: dict[ids.ServerId, set[ids.ShardId]] = collections.defaultdict(set)
-    for shard, owner in enumerate(event.assignment.owners):
-        wanted[owner].add(ids.ShardId(shard))
-    return dataclasses.replace(
-        current,
-        assignment=event.assignment,
-        wanted={
-            server: frozenset(shards)
-            for server, shards in wanted.items()
-            if server
-        },
-    )
-
-
 @decide.register
 def _decide_servers_listed(
     event: events.ServersListed,
--- a/packages/core/src/sycamoreferry_core/orders.py
+++ b/packages/core/src/sycamoreferry_core/orders.py
@@ -42,6 +42,8 @@
     if not link.greeted:
         return _greet(current, link, now)
     mine = current.wanted.get(link.server, _NO_SHARDS)
+    if digests.digest_shards(mine) == digests.digest_shards(link.holds):
+        return _renew(current, link, now)
     surplus = link.holds - mine
     if surplus:
         return actions.Revoke(
--- a/packages/core/src/sycamoreferry_core/result_codes.py
+++ b/packages/core/src/sycamoreferry_core/result_codes.py
@@ -35,10 +35,13 @@
     ANSWER_TOO_LATE = 4003
     ALREADY_RUNNING = 5001
     ALREADY_ANSWERED = 5002
+    IDEMPOTENCY_KEY_REUSED = 5003
     STALE_TERM = 6001
     STALE_PROFILE = 6002
     UNKNOWN_PROFILE = 6003
     BAD_RECORD = 6004
+    STALE_SNAPSHOT = 6005
+    UNKNOWN_INSTANCE = 6006
 
 
 @dataclasses.dataclass(frozen=True)
@@ -188,6 +191,11 @@
         'a request with this Idempotency-Key has run',
         'do not send it again',
     ),
+    ResultCode.IDEMPOTENCY_KEY_REUSED: CodeMeaning(
+        int(http.HTTPStatus.UNPROCESSABLE_ENTITY),
+        'the Idempotency-Key belongs to a request that differs',
+        'send a new request under a new Idempotency-Key',
+    ),
     ResultCode.STALE_TERM: CodeMeaning(
         _CONFLICT,
         'the record does not follow the current term',
@@ -208,6 +216,16 @@
         'the record breaks a rule of the log',
         'correct it and append it again',
     ),
+    ResultCode.STALE_SNAPSHOT: CodeMeaning(
+        _CONFLICT,
+        'the log has a newer snapshot',
+        'nothing is to be done',
+    ),
+    ResultCode.UNKNOWN_INSTANCE: CodeMeaning(
+        int(http.HTTPStatus.NOT_FOUND),
+        'no joined instance has this id',
+        'look at the instances with ferryctl status',
+    ),
 }
 
 
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -6,7 +6,12 @@
 
 from sycamoreferry_core import ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
-from sycamoreferry_router import coordination_loop, view
+from sycamoreferry_router import (
+    coordination_loop,
+    relay,
+    status_report,
+    view,
+)
 
 _Stream = grpc_server.Stream
 MessageType = typing.TypeVar('MessageType')
@@ -29,14 +34,16 @@
     def __init__(
         self,
         me: ids.InstanceId,
-        data_centre: str,
         seen: view.InstanceView,
         loops: typing.Mapping[str, coordination_loop.CoordinationLoop],
+        relaying: relay.Relay,
+        reporter: status_report.StatusReporter,
     ) -> None:
         self._me = me
-        self._data_centre = data_centre
         self._view = seen
         self._loops = loops
+        self._relay = relaying
+        self._reporter = reporter
 
     async def Promise(
         self,
@@ -84,12 +91,17 @@
     ) -> None:
         """Hand out records of the log that this instance still holds."""
         request = required(await stream.recv_message())
-        await stream.send_message(
-            peer_pb2.TailReply(
-                first_offset=request.start,
-                end_offset=self._view.log_state.next_offset,
-            ),
-        )
+        start = ids.Offset(request.start)
+        await stream.send_message(self._relay.read_recent(start))
+
+    async def ReadState(
+        self,
+        stream: _Stream[peer_pb2.StateRequest, peer_pb2.StateReply],
+    ) -> None:
+        """Hand out the folded state in parts."""
+        await stream.recv_message()
+        for reply in self._relay.write_state():
+            await stream.send_message(reply)
 
     async def Status(
         self,
@@ -97,33 +109,4 @@
     ) -> None:
         """Report what this instance has in force."""
         await stream.recv_message()
-        log_state = self._view.log_state
-        await stream.send_message(
-            peer_pb2.StatusReply(
-                instance=self._me,
-                data_centre=self._data_centre,
-                next_offset=log_state.next_offset,
-                profiles=[
-                    peer_pb2.ProfileInForce(name=name, number=held.number)
-                    for name, held in log_state.profiles.items()
-                ],
-                services=[
-                    _service_status(name, loop)
-                    for name, loop in self._loops.items()
-                ],
-            ),
-        )
-
-
-def _service_status(
-    name: str,
-    loop: coordination_loop.CoordinationLoop,
-) -> peer_pb2.ServiceStatus:
-    return peer_pb2.ServiceStatus(
-        service=name,
-        term=loop.current.term.term,
-        coordinator=loop.current.term.coordinator,
-        deputy=loop.current.term.deputy,
-        role=loop.current.role.value,
-        has_authority=loop.has_authority,
-    )
+        await stream.send_message(self._reporter.report())
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -10,6 +10,7 @@
 
 HIGHEST_PORT = 65_535
 MOST_SHARDS = 65_536
+MOST_PARTITIONS = 256
 
 _Port = typing.Annotated[int, pydantic.Field(gt=0, le=HIGHEST_PORT)]
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
@@ -44,6 +45,16 @@
     instance_list_url: _Url
     list_interval_ms: _Positive = 500
     tail_wait_ms: _Positive = 5000
+    snapshot_records: _Positive = 2000
+    snapshot_interval_ms: _Positive = 900_000
+    snapshot_patience_ms: _Positive = 30_000
+
+
+class Peer(_Part):
+    """Set where another instance listens for its peers."""
+
+    host: pydantic.IPvAnyAddress
+    port: _Port
 
 
 class Service(_Part):
@@ -69,10 +80,27 @@
     """Bound what callers may send."""
 
     body_bytes: _Positive = 1_000_000
+    # A longer answer is streamed, so that it is never held whole.
+    whole_answer_bytes: _Positive = 262_144
     header_bytes: _Positive = 8192
     key_bytes: _Positive = 256
 
 
+class Admission(_Part):
+    """Set how repeats of non-idempotent requests are recognised.
+
+    Every instance must have the same values.
+    """
+
+    partitions: typing.Annotated[
+        int, pydantic.Field(gt=0, le=MOST_PARTITIONS)
+    ] = 8
+    window_ms: _Positive = 600_000
+    limit_without_log_ms: _Positive = 900_000
+    detection_ms: _Positive = 1000
+    batch_ms: _Positive = 50
+
+
 class Logging(_Part):
     """Set how much is logged."""
 
@@ -95,7 +123,9 @@
         tuple[Service, ...],
         pydantic.Field(min_length=1),
     ]
+    peers: tuple[Peer, ...] = ()
     bounds: RequestBounds = RequestBounds()
+    admission: Admission = Admission()
     logging: Logging = Logging()
     tracing: Tracing = Tracing()
     shutdown_ms: _Positive = 10_000
