--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -49,6 +49,7 @@
     ended: int = 0
     trace_parent: str = ''
     cancelled: bool = False
+    refused: bool = False
 
 
 class AnswerBody(msgspec.Struct, frozen=True):
@@ -219,6 +220,10 @@
         finally:
             witnessed.ended = self._clock.now()
             self._running -= 1
+        refusal = self._ownership_refusal(request)
+        if refusal is not None:
+            witnessed.refused = True
+            return _refuse(refusal)
         return await self._answer(request)
 
     async def _work(self, request: sanic_request.Request) -> None:
--- a/packages/standins/src/sycamoreferry_standins/trace_maker.py
+++ b/packages/standins/src/sycamoreferry_standins/trace_maker.py
@@ -7,6 +7,8 @@
 import typing
 import zoneinfo
 
+import msgspec
+
 from sycamoreferry_core import ids
 from sycamoreferry_standins import backend_server, log_service, trace
 
@@ -15,6 +17,7 @@
 READ_DEADLINE_MS = 1000
 WRITE_DEADLINE_MS = 2000
 DOCUMENT_DEADLINE_MS = 3000
+PATIENT_DEADLINE_MS = 8000
 TRIES = 8
 
 _FROZEN = backend_server.ServerFaults(frozen=True)
@@ -116,6 +119,17 @@
         )
         return [self.make(at_ms) for at_ms in times]
 
+    def wait_for(self, at_ms: int, key: str) -> trace.RequestSent:
+        """Return a booking whose caller outwaits a frozen server."""
+        self._made += 1
+        return msgspec.structs.replace(
+            self._write(at_ms),
+            service=self._mix.keyed,
+            key=key,
+            target='/bookings',
+            deadline_ms=PATIENT_DEADLINE_MS,
+        )
+
     def _read(self, at_ms: int) -> trace.RequestSent:
         return trace.RequestSent(
             at_ms=at_ms,
@@ -183,6 +197,10 @@
         trace.LogFaultsSet(at_ms=18_000, faults=log_service.LogFaults()),
     ]
     lines.extend(maker.spread(count=800, start_ms=0, end_ms=24_000))
+    lines.extend(
+        maker.wait_for(at_ms, PROCESSION.hot_keys[0])
+        for at_ms in (4020, 4040, 4060)
+    )
     return lines
 
 
