--- a/packages/ctl/src/sycamoreferry_ctl/log_access.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_access.py
@@ -3,8 +3,9 @@
 import asyncio
 import secrets
 
-from sycamoreferry_core import clock, fold, ids, records, result_codes, state
+from sycamoreferry_core import clock, ids, records, result_codes, state
 from sycamoreferry_platform import log_port
+from sycamoreferry_platform import log_state as platform_log_state
 
 RECORD_ID_BYTES = 8
 READ_BACK_TRIES = 50
@@ -22,17 +23,16 @@
 
 async def read_state(
     log_service: log_port.LogService,
-    log_state: state.LogState | None = None,
+    known: state.LogState | None = None,
 ) -> state.LogState:
     """Fold the whole log; raise LogUnreachableError."""
-    folded = log_state or state.LogState()
-    while True:
-        outcome = await log_service.read(folded.next_offset, 0)
-        if isinstance(outcome, log_port.ReadFailed):
-            raise LogUnreachableError(outcome.reason)
-        folded = fold.fold_all(folded, outcome.logged)
-        if folded.next_offset >= outcome.end_offset:
-            return folded
+    try:
+        return await platform_log_state.read_state(
+            log_service,
+            known or state.LogState(),
+        )
+    except platform_log_state.LogUnreadableError as error:
+        raise LogUnreachableError(str(error)) from error
 
 
 async def append_record(
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -9,7 +9,14 @@
 import aiohttp
 from grpclib import server as grpc_server
 
-from sycamoreferry_core import clock, ids, records
+from sycamoreferry_core import (
+    admission_state,
+    clock,
+    ids,
+    records,
+    snapshots,
+)
+from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
@@ -20,20 +27,27 @@
     wire,
 )
 from sycamoreferry_router import (
+    admission_ring,
+    admission_service,
     coordination_loop,
     http_server,
     logs,
     metrics,
+    partition_io,
+    partition_loop,
     peer_service,
     pipeline,
+    relay,
     settings,
+    snapshot_loop,
     status_report,
     tail,
     view,
 )
-from sycamoreferry_router.filters import forward
+from sycamoreferry_router.filters import admission_gate, forward
 
 PEER_TIMEOUT_MS = 300
+ADMISSION_TIMEOUT_MS = 1000
 LEAVE_NOTICE_MS = 500
 EPOCH_BYTES = 4
 
@@ -47,6 +61,7 @@
         self,
         chosen: settings.Settings,
         session: aiohttp.ClientSession,
+        forwarder: http_forward.HttpForwarder,
     ) -> None:
         self._settings = chosen
         self._me = ids.InstanceId(
@@ -61,6 +76,12 @@
             session,
             chosen.platform.instance_list_url,
         )
+        self._relay = relay.Relay(
+            self._view,
+            self._peers,
+            _seeds(chosen),
+            random.Random(),
+        )
         self._tail = tail.Tail(
             http_log.HttpLog(
                 session,
@@ -68,23 +89,47 @@
                 chosen.platform.stream,
             ),
             self._view,
+            self._relay,
             chosen.platform.tail_wait_ms,
         )
+        self._snapshots = snapshot_loop.SnapshotLoop(
+            self._me,
+            self._view,
+            self._tail,
+            self._clock,
+            snapshots.SnapshotPolicy(
+                records=chosen.platform.snapshot_records,
+                interval_ms=chosen.platform.snapshot_interval_ms,
+                patience_ms=chosen.platform.snapshot_patience_ms,
+            ),
+        )
         self._loops = {
             service.name: self._coordination(service, session)
             for service in chosen.services
             if service.is_keyed
         }
+        admissions = self._admission_parts()
+        self._partitions = [
+            self._partition(number, session, admissions)
+            for number in range(chosen.admission.partitions)
+        ]
+        self._admissions = admission_ring.AdmissionRing(
+            self._partitions,
+            admissions,
+        )
         self._pipeline = pipeline.Pipeline(
             pipeline.Parts(
                 chosen=chosen,
                 seen=self._view,
                 clock=self._clock,
-                forwarder=http_forward.HttpForwarder(session),
+                forwarder=forwarder,
                 origin=forward.Origin(self._me, self._data_centre),
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
+            gates=(
+                admission_gate.AdmissionGate(self._admissions, self._clock),
+            ),
         )
         self._server = http_server.HttpServer(
             chosen,
@@ -107,8 +152,13 @@
                     self._me,
                     self._view,
                     self._loops,
+                    self._relay,
                     self._reporter(),
                 ),
+                admission_service.AdmissionService(
+                    self._me,
+                    self._partitions,
+                ),
             ]
         )
         listen = self._settings.listen
@@ -143,11 +193,48 @@
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
             self._tail.run(),
+            self._tail.run_relay(),
+            self._snapshots.run(),
             self._follow_instance_list(),
             self._join(),
+            self._admissions.run(),
             *(loop.run() for loop in self._loops.values()),
         ]
 
+    def _admission_parts(self) -> partition_io.Parts:
+        chosen = self._settings.admission
+        return partition_io.Parts(
+            me=self._me,
+            seen=self._view,
+            clients=admission_client.AdmissionClients(
+                self._peers,
+                ADMISSION_TIMEOUT_MS,
+                PEER_TIMEOUT_MS,
+            ),
+            clock=self._clock,
+            timing=admission_state.Timing(
+                window_ms=chosen.window_ms,
+                limit_without_log_ms=chosen.limit_without_log_ms,
+                detection_ms=chosen.detection_ms,
+                batch_ms=chosen.batch_ms,
+            ),
+            read_wait_ms=self._settings.platform.tail_wait_ms,
+        )
+
+    def _partition(
+        self,
+        number: int,
+        session: aiohttp.ClientSession,
+        parts: partition_io.Parts,
+    ) -> partition_loop.PartitionLoop:
+        platform = self._settings.platform
+        stream = http_log.HttpLog(
+            session,
+            platform.log_url,
+            f'{platform.stream}-admission-{number}',
+        )
+        return partition_loop.PartitionLoop(number, stream, parts)
+
     def _coordination(
         self,
         service: settings.Service,
@@ -205,6 +292,7 @@
         )
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
+        await self._admissions.drain()
         await self._tail.publish(
             records.InstanceLeft(
                 record_id=tail.new_record_id('leave'),
@@ -213,11 +301,25 @@
         )
 
 
+def _seeds(
+    chosen: settings.Settings,
+) -> tuple[peer_client.PeerAddress, ...]:
+    return tuple(
+        peer_client.PeerAddress(str(peer.host), peer.port)
+        for peer in chosen.peers
+    )
+
+
 async def run_instance(chosen: settings.Settings) -> None:
     """Run an instance with sessions of its own."""
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-    ) as session:
-        await Instance(chosen, session).run()
+    async with (
+        aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+        ) as session,
+        http_forward.open_forwarder(
+            chosen.bounds.whole_answer_bytes,
+        ) as forwarder,
+    ):
+        await Instance(chosen, session, forwarder).run()
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -1,25 +1,24 @@
 """Pass a request through the filters, in this order."""
 
-import asyncio
 import dataclasses
 import random
 import secrets
 import typing
 
-from sycamoreferry_core import clock, ids, outcomes, retries
+from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_platform import http_forward
-from sycamoreferry_router import messages, metrics, settings, traces, view
-from sycamoreferry_router.filters import (
-    accept,
-    admit,
-    forward,
-    identify,
-    resolve,
-    select,
-    verify,
+from sycamoreferry_router import (
+    attempts,
+    messages,
+    metrics,
+    settings,
+    traces,
+    view,
 )
+from sycamoreferry_router.filters import accept, admit, forward, identify
 
 REQUEST_ID_BYTES = 8
+_OUTCOME_UNKNOWN = result_codes.ResultCode.OUTCOME_UNKNOWN
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,8 +43,16 @@
         gates: typing.Sequence[admit.Gate] = (),
     ) -> None:
         self._parts = parts
-        self._selector = select.Selector(parts.chance)
-        self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
+        self._attempts = attempts.Attempts(
+            attempts.Parts(
+                seen=parts.seen,
+                clock=parts.clock,
+                forwarder=parts.forwarder,
+                origin=parts.origin,
+                metrics=parts.metrics,
+                chance=parts.chance,
+            ),
+        )
         self._known = identify.Known(
             services={
                 service.name: service for service in parts.chosen.services
@@ -91,76 +98,20 @@
         gates: typing.Sequence[admit.Gate],
     ) -> outcomes.Outcome:
         if not gates:
-            return await self._try_until_ended(identified)
+            return await self._attempts.run(identified)
         gate, *others = gates
         admitted = await gate.enter(identified)
         if not isinstance(admitted, messages.Identified):
             return admitted
-        outcome = await self._pass_gates(admitted, others)
+        try:
+            outcome = await self._pass_gates(admitted, others)
+        except BaseException:
+            # The caller went away, perhaps while a server ran the request.
+            await gate.leave(admitted, outcomes.Unknown(_OUTCOME_UNKNOWN))
+            raise
         await gate.leave(admitted, outcome)
         return outcome
 
-    async def _try_until_ended(
-        self,
-        admitted: messages.Identified,
-    ) -> outcomes.Outcome:
-        service = admitted.service.service_name
-        policy = self._parts.seen.profile(admitted.service.profile).retries
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retries.RetryBudget(float(policy.budget_floor))
-        self._budgets[service] = budget.earn(policy)
-        attempt = retries.Attempt(0, admitted.idempotent, admitted.deadline)
-        while True:
-            outcome = await self._try_once(admitted)
-            if isinstance(outcome, outcomes.Answered):
-                return outcome
-            decided = retries.decide_retry(
-                outcome,
-                attempt,
-                policy,
-                self._budgets[service],
-                self._parts.clock.now(),
-                self._parts.chance.random(),
-            )
-            if isinstance(decided, retries.GiveUp):
-                return decided.failure
-            self._budgets[service] = self._budgets[service].spend()
-            self._parts.metrics.retries.inc({'service': service})
-            await asyncio.sleep(clock.seconds(decided.delay_ms))
-            attempt = dataclasses.replace(attempt, number=attempt.number + 1)
-
-    async def _try_once(
-        self,
-        admitted: messages.Identified,
-    ) -> outcomes.Outcome:
-        resolved = resolve.resolve(admitted, self._parts.seen)
-        if isinstance(resolved, outcomes.NotRun):
-            return resolved
-        selected = self._selector.select(resolved)
-        if isinstance(selected, outcomes.NotRun):
-            return selected
-        forwarded = await self._forward(selected)
-        if isinstance(forwarded, outcomes.NotRun):
-            return forwarded
-        return verify.verify(forwarded)
-
-    async def _forward(
-        self,
-        selected: messages.Selected,
-    ) -> messages.Forwarded | outcomes.NotRun:
-        self._selector.enter(selected.server.server)
-        try:
-            with traces.hop('ferry.forward'):
-                return await forward.forward(
-                    selected,
-                    self._parts.forwarder,
-                    self._parts.origin,
-                    self._parts.clock.now(),
-                )
-        finally:
-            self._selector.leave(selected.server.server)
-
 
 def _new_request_id() -> ids.RequestId:
     return ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
