Limit what targets hold, queue fairly, and balance by what is seen

Cause: nothing bounded what an instance sent to a target of 2 or 6 slots; two choices counted requests in flight only.

Seen to fail first without: has_room; the queue's length; the wait's bound; callers in the queue; _withdraw giving room back; _near; leave on cancel; the floor of usable; warmth; dropping for a quieter caller.

--- /dev/null
+++ b/packages/core/tests/test_fair_queue.py
@@ -0,0 +1,56 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from sycamoreferry_core import clock, fair_queue, ids
+
+CAPACITY = 5
+
+
+def _waiting(entry: int, caller: str) -> fair_queue.Waiting[int]:
+    return fair_queue.Waiting(entry, ids.CallerId(caller), clock.Millis(1))
+
+
+@hypothesis.given(
+    st.lists(st.sampled_from(['a', 'b', 'c', 'take', 'leave']), max_size=60),
+)
+def test_nothing_is_lost_and_the_bound_holds(steps: list[str]) -> None:
+    queue = fair_queue.FairQueue[int]()
+    held: dict[int, fair_queue.Waiting[int]] = {}
+    for number, step in enumerate(steps):
+        if step == 'take':
+            expected = queue.peek()
+            taken = queue.pop()
+            assert taken is expected
+            assert taken is None or held.pop(taken.entry) is taken
+        elif step == 'leave' and held:
+            assert queue.remove(held.popitem()[1])
+        elif step in 'abc':
+            waiting = _waiting(number, step)
+            held[number] = waiting
+            dropped = queue.push(waiting, CAPACITY)
+            if dropped is not None:
+                held.pop(dropped.entry)
+        assert len(queue) == len(held)
+        assert len(queue) <= CAPACITY
+    left = [queue.pop() for _ in held]
+    assert {waiting.entry for waiting in left if waiting} == set(held)
+
+
+@hypothesis.given(st.integers(1, 40))
+def test_quiet_caller_is_served_beside_a_loud_one(loud: int) -> None:
+    queue = fair_queue.FairQueue[int]()
+    for number in range(loud):
+        queue.push(_waiting(number, 'loud'), CAPACITY)
+    assert queue.push(_waiting(-1, 'quiet'), CAPACITY) != _waiting(-1, 'quiet')
+    served = [queue.pop(), queue.pop()]
+    assert -1 in {waiting.entry for waiting in served if waiting}
+
+
+def test_pace_bounds_the_queue_by_time() -> None:
+    pace = fair_queue.Pace()
+    assert pace.capacity(200, 50) == 50
+    for now in range(10, 200, 10):
+        pace = pace.after_answer(now, busy=True)
+    assert pace.capacity(100, 50) == 10
+    idle = pace.after_answer(9000, busy=False)
+    assert idle.after_answer(20_000, busy=True).capacity(100, 50) == 10
--- a/packages/router/src/sycamoreferry_router/attempts.py
+++ b/packages/router/src/sycamoreferry_router/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import typing
 
@@ -18,6 +19,7 @@
     messages,
     metrics,
     owner_watch,
+    rooms,
     traces,
     view,
 )
@@ -41,7 +43,12 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
-        self._selector = select.Selector(parts.chance)
+        self._rooms = rooms.Rooms(
+            parts.seen,
+            parts.clock,
+            select.Selector(parts.origin.data_centre, parts.chance),
+            parts.chance,
+        )
         self._owners = owner_watch.OwnerWatch(
             parts.seen,
             parts.clock,
@@ -150,15 +157,17 @@
         resolved = resolve.resolve(admitted, self._parts.seen)
         if isinstance(resolved, outcomes.NotRun):
             return resolved
-        selected = self._selector.select(resolved, tried)
+        selected = await self._rooms.take(resolved, tried)
         if isinstance(selected, outcomes.NotRun):
             return selected
-        leave = self._selector.enter(selected.server.server)
+        leave = functools.partial(self._rooms.leave, selected)
+        sent_at = self._parts.clock.now()
         try:
             outcome = await self._forward(selected)
         except BaseException:
             leave()
             raise
+        self._rooms.learn(selected, outcome, sent_at)
         return _leave_at_end(outcome, leave)
 
     async def _forward(
--- a/packages/router/src/sycamoreferry_router/filters/resolve.py
+++ b/packages/router/src/sycamoreferry_router/filters/resolve.py
@@ -22,14 +22,12 @@
     identified: messages.Identified,
     seen: view.InstanceView,
 ) -> messages.Resolved | outcomes.NotRun:
-    live = tuple(
-        listed
-        for listed in seen.servers_of(identified.service.service_name)
-        if listed.state == view.LIVE
-    )
+    listed = seen.servers_of(identified.service.service_name)
+    live = tuple(server for server in listed if server.state == view.LIVE)
     if not live:
         return outcomes.NotRun(_Code.NO_TARGET, RETRY_AFTER_MS)
-    return messages.Resolved(identified, live, ids.NO_FENCE)
+    slots = _slots(identified, seen)
+    return messages.Resolved(identified, live, listed, ids.NO_FENCE, slots)
 
 
 def _resolve_owner(
@@ -43,4 +41,14 @@
     if listed is None:
         lost = outcomes.Way(owner or _NOBODY, shard)
         return outcomes.NotRun(_Code.NO_OWNER, RETRY_AFTER_MS, lost)
-    return messages.Resolved(identified, (listed,), assigned.fences[shard])
+    return messages.Resolved(
+        identified,
+        (listed,),
+        seen.servers_of(identified.service.service_name),
+        assigned.fences[shard],
+        _slots(identified, seen),
+    )
+
+
+def _slots(identified: messages.Identified, seen: view.InstanceView) -> int:
+    return seen.profile(identified.service.profile).limits.slots_per_target
--- a/packages/router/src/sycamoreferry_router/filters/select.py
+++ b/packages/router/src/sycamoreferry_router/filters/select.py
@@ -1,70 +1,116 @@
 """Select the backend server that is to run a request."""
 
-import collections
-import functools
 import random
 import typing
 
-from sycamoreferry_core import balancing, ids, outcomes, result_codes
-from sycamoreferry_router import messages
+from sycamoreferry_core import balancing, clock, ids, outcomes
+from sycamoreferry_platform import wire
+from sycamoreferry_router import messages, target_book
 
 NO_SHARD = ids.ShardId(-1)
 
 
 class Selector:
-    """Select targets by the instance's own counts of requests in flight."""
+    """Select a target with room by what this instance sees itself."""
 
-    def __init__(self, chance: random.Random) -> None:
+    def __init__(
+        self,
+        data_centre: ids.DataCentre,
+        chance: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
         self._chance = chance
-        self._in_flight: collections.Counter[ids.ServerId] = (
-            collections.Counter()
-        )
 
     def select(
         self,
         resolved: messages.Resolved,
         tried: frozenset[ids.ServerId],
-    ) -> messages.Selected | outcomes.NotRun:
-        """Return the request with one server, an untried one if possible."""
-        untried = [
+        book: target_book.ServiceBook,
+        now: clock.Millis,
+    ) -> messages.Selected | None:
+        """Return the request with one server, or None where none has room."""
+        candidates = resolved.candidates
+        book.follow(resolved.listed, now)
+        if len(candidates) == 1:
+            target = book.targets[candidates[0].server]
+            chosen = candidates[0] if target.has_room else None
+        else:
+            untried = _untried(candidates, tried)
+            chosen = self._choose(resolved, untried, book, now)
+        return None if chosen is None else _selected(resolved, chosen)
+
+    def _choose(
+        self,
+        resolved: messages.Resolved,
+        candidates: typing.Sequence[wire.ListedServer],
+        book: target_book.ServiceBook,
+        now: clock.Millis,
+    ) -> wire.ListedServer | None:
+        usable = book.usable(
+            [candidate.server for candidate in candidates],
+            now,
+        )
+        with_room = [
             candidate
-            for candidate in resolved.candidates
-            if candidate.server not in tried
+            for candidate in candidates
+            if candidate.server in usable
+            and book.targets[candidate.server].has_room
         ]
-        loads = [
-            balancing.TargetLoad(
-                candidate.server,
-                self._in_flight[candidate.server],
+        common = balancing.Common(book.base_ms, now)
+        nearest = self._near(resolved, with_room, book, common) or with_room
+        place = balancing.choose(
+            [book.targets[server.server].load for server in nearest],
+            common,
+            self._chance.randrange,
+        )
+        return None if place is None else nearest[place]
+
+    def _near(
+        self,
+        resolved: messages.Resolved,
+        with_room: typing.Sequence[wire.ListedServer],
+        book: target_book.ServiceBook,
+        common: balancing.Common,
+    ) -> list[wire.ListedServer]:
+        return [
+            candidate
+            for candidate in with_room
+            if candidate.data_centre == self._data_centre
+            and balancing.is_near_enough(
+                book.targets[candidate.server].load,
+                common,
+                resolved.slots,
             )
-            for candidate in untried or resolved.candidates
         ]
-        chosen = balancing.choose_target(loads, self._chance.randrange)
-        if chosen is None:
-            return outcomes.NotRun(result_codes.ResultCode.NO_TARGET)
-        shard = resolved.identified.shard
-        return messages.Selected(
-            identified=resolved.identified,
-            server=next(
-                candidate
-                for candidate in resolved.candidates
-                if candidate.server == chosen.server
-            ),
-            way=outcomes.Way(
-                server=chosen.server,
-                shard=NO_SHARD if shard is None else shard,
-                fence=resolved.fence,
-            ),
-            can_run_elsewhere=(
-                len(untried) > 1 and resolved.identified.idempotent
-            ),
-        )
 
-    def enter(self, server: ids.ServerId) -> typing.Callable[[], None]:
-        """Count a request that goes out; return what counts it back."""
-        self._in_flight[server] += 1
-        return functools.partial(self._leave, server)
 
-    def _leave(self, server: ids.ServerId) -> None:
-        self._in_flight[server] -= 1
-        if not self._in_flight[server]:
-            self._in_flight.pop(server)
+def _untried(
+    candidates: tuple[wire.ListedServer, ...],
+    tried: frozenset[ids.ServerId],
+) -> typing.Sequence[wire.ListedServer]:
+    if not tried:
+        return candidates
+    untried = [
+        candidate for candidate in candidates if candidate.server not in tried
+    ]
+    return untried or candidates
+
+
+def _selected(
+    resolved: messages.Resolved,
+    server: wire.ListedServer,
+) -> messages.Selected:
+    identified = resolved.identified
+    shard = identified.shard
+    return messages.Selected(
+        identified=identified,
+        server=server,
+        way=outcomes.Way(
+            server=server.server,
+            shard=NO_SHARD if shard is None else shard,
+            fence=resolved.fence,
+        ),
+        can_run_elsewhere=(
+            identified.idempotent and len(resolved.candidates) > 1
+        ),
+    )
--- a/packages/router/src/sycamoreferry_router/messages.py
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -46,7 +46,10 @@
 
     identified: Identified
     candidates: tuple[wire.ListedServer, ...]
+    # All servers of the service, those that leave too.
+    listed: tuple[wire.ListedServer, ...]
     fence: ids.Fence
+    slots: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/target_book.py
@@ -0,0 +1,145 @@
+"""Keep what this instance itself sees of each backend server."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import (
+    balancing,
+    clock,
+    ids,
+    limits,
+    outcomes,
+    outliers,
+    result_codes,
+)
+from sycamoreferry_platform import wire
+
+_Code = result_codes.ResultCode
+
+SHORTEST_LATENCY_MS = 1
+_SERVER_ERROR = 500
+# These say nothing about how well the server works.
+_NEUTRAL = frozenset((_Code.OWNER_NOT_READY, _Code.DEADLINE_PASSED))
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """Hold load, limit and health of one server."""
+
+    load: balancing.TargetLoad
+    limit: limits.AdaptiveLimit = limits.AdaptiveLimit()
+    health: outliers.Health = outliers.HEALTHY
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether the limit allows one more request."""
+        return self.limit.has_room(self.load.in_flight)
+
+
+class ServiceBook:
+    """Keep the targets of one service, and the latency they share."""
+
+    def __init__(self) -> None:
+        self.targets: dict[ids.ServerId, Target] = {}
+        self.base_ms: float = 0
+        self._known: tuple[wire.ListedServer, ...] = ()
+
+    def follow(
+        self,
+        listed: tuple[wire.ListedServer, ...],
+        now: clock.Millis,
+    ) -> None:
+        """Take new servers as cold and forget those that are gone."""
+        if listed == self._known:
+            return
+        # The first list names servers that run already.
+        since = now if self._known else clock.LONG_AGO
+        for server in listed:
+            if server.server not in self.targets:
+                load = balancing.TargetLoad(server.server, warm_since=since)
+                self.targets[server.server] = Target(load)
+        names = {server.server for server in listed}
+        for gone in self.targets.keys() - names:
+            if not self.targets[gone].load.in_flight:
+                self.targets.pop(gone)
+        self._known = listed
+
+    def usable(
+        self,
+        servers: typing.Sequence[ids.ServerId],
+        now: clock.Millis,
+    ) -> typing.Sequence[ids.ServerId]:
+        """Return the servers that are not ejected as outliers."""
+        targets = self.targets
+        if not any(targets[name].health.ejections for name in servers):
+            return servers
+        healths = {name: targets[name].health for name in servers}
+        return outliers.usable(servers, healths, now)
+
+    def enter(self, server: ids.ServerId) -> None:
+        """Count a request that goes out."""
+        target = self.targets[server]
+        target.load = balancing.with_one_more(target.load)
+
+    def leave(self, server: ids.ServerId) -> None:
+        """Count a request that came back."""
+        target = self.targets[server]
+        target.load = balancing.with_one_less(target.load)
+
+    def learn(
+        self,
+        outcome: outcomes.Outcome,
+        latency_ms: int,
+        highest: int,
+        now: clock.Millis,
+    ) -> None:
+        """Take what an outcome says about the server."""
+        target = self.targets.get(outcome.way.server)
+        if target is None or outcome.code in _NEUTRAL:
+            return
+        if _is_success(outcome):
+            self._learn_success(target, latency_ms, highest, now)
+        else:
+            _learn_failure(target, outcome, now)
+
+    def _learn_success(
+        self,
+        target: Target,
+        latency_ms: int,
+        highest: int,
+        now: clock.Millis,
+    ) -> None:
+        latency = max(latency_ms, SHORTEST_LATENCY_MS)
+        self.base_ms = limits.follow_base(self.base_ms, latency)
+        target.load = balancing.after_answer(target.load, latency, now)
+        target.health = outliers.after_success()
+        target.limit = limits.after_answer(
+            target.limit,
+            latency,
+            self.base_ms,
+            target.load.in_flight,
+            highest,
+        )
+
+
+def _is_success(outcome: outcomes.Outcome) -> bool:
+    if not isinstance(outcome, outcomes.Answered):
+        return False
+    return outcome.status < _SERVER_ERROR
+
+
+def _learn_failure(
+    target: Target,
+    outcome: outcomes.Outcome,
+    now: clock.Millis,
+) -> None:
+    if outcome.code is _Code.SERVER_SHED:
+        target.limit = limits.after_shed(target.limit)
+    was_ejected = target.health.is_ejected(now)
+    target.health = outliers.after_failure(target.health, now)
+    if target.health.is_ejected(now) and not was_ejected:
+        # It comes back as cold as a new server.
+        target.load = dataclasses.replace(
+            target.load,
+            warm_since=target.health.ejected_until,
+        )
--- /dev/null
+++ b/packages/router/tests/test_rooms.py
@@ -0,0 +1,204 @@
+import asyncio
+import collections
+import random
+import typing
+
+import multidict
+
+from sycamoreferry_core import clock, ids, outcomes, result_codes
+from sycamoreferry_platform import boot_clock, headers, http_forward, wire
+from sycamoreferry_router import messages, pipeline, rooms, view
+from sycamoreferry_router.filters import resolve, select
+from sycamoreferry_standins import request_path
+
+NOBODY_WAITS = 0.05
+
+
+def _listed(number: int, data_centre: str = 'north') -> wire.ListedServer:
+    return wire.ListedServer(
+        ids.ServerId(f'plain-{number}'),
+        ids.ServiceName('plain'),
+        ids.DataCentre(data_centre),
+        '127.0.0.1',
+        number,
+        'live',
+    )
+
+
+class _Gated(http_forward.HttpForwarder):
+    """Hold each request until the test answers it."""
+
+    def __init__(self) -> None:
+        self.held: collections.deque[
+            tuple[http_forward.ForwardedRequest, asyncio.Event]
+        ] = collections.deque()
+        self.served: list[str] = []
+        self.most = 0
+        self.sent_to: collections.Counter[str] = collections.Counter()
+
+    async def forward(
+        self,
+        request: http_forward.ForwardedRequest,
+        server: wire.ListedServer,
+    ) -> http_forward.ForwardOutcome:
+        released = asyncio.Event()
+        self.sent_to[server.server] += 1
+        self.served.append(request.headers.get(headers.CALLER, ''))
+        place = (request, released)
+        self.held.append(place)
+        self.most = max(self.most, len(self.held))
+        try:
+            await released.wait()
+        finally:
+            if place in self.held:
+                self.held.remove(place)
+        named = multidict.CIMultiDict({headers.REQUEST_ID: request.request_id})
+        return http_forward.Received(200, named, b'')
+
+    async def answer_all(self, calls: typing.Sequence['_Call']) -> None:
+        while not all(call.done() for call in calls):
+            if self.held:
+                self.held.popleft()[1].set()
+            await asyncio.sleep(0)
+
+
+_Call = asyncio.Future[outcomes.Outcome]
+
+
+def _pipeline(
+    servers: _Gated,
+    listed: typing.Sequence[wire.ListedServer],
+) -> pipeline.Pipeline:
+    seen = view.InstanceView()
+    seen.replace_servers(listed)
+    chosen = request_path.small_settings()
+    return request_path.new_pipeline(chosen, servers, seen)
+
+
+def _call(
+    serving: pipeline.Pipeline,
+    caller: str = 'one',
+    deadline_ms: int = 20_000,
+) -> _Call:
+    incoming = messages.Incoming(
+        'GET',
+        'plain',
+        '/a',
+        {headers.CALLER: caller, headers.DEADLINE_MS: str(deadline_ms)},
+        b'',
+        boot_clock.BootClock().now(),
+    )
+    return asyncio.ensure_future(serving.serve(incoming))
+
+
+async def test_requests_above_the_limit_wait_their_turn() -> None:
+    servers = _Gated()
+    serving = _pipeline(servers, [_listed(1)])
+    calls = [_call(serving) for _ in range(30)]
+    await asyncio.sleep(NOBODY_WAITS)
+    assert len(servers.held) == 2
+    await servers.answer_all(calls)
+    assert all(call.result().kind is outcomes.Kind.ANSWERED for call in calls)
+
+
+async def test_overload_is_refused_early() -> None:
+    servers = _Gated()
+    serving = _pipeline(servers, [_listed(1)])
+    calls = [_call(serving) for _ in range(260)]
+    await asyncio.sleep(NOBODY_WAITS)
+    refused = [call.result() for call in calls if call.done()]
+    assert len(refused) == 260 - 200 - 2
+    for outcome in refused:
+        assert outcome.code is result_codes.ResultCode.OVERLOADED
+        assert isinstance(outcome, outcomes.NotRun)
+        assert outcome.retry_after_ms >= 1000
+    await servers.answer_all(calls)
+
+
+async def test_waiting_ends_well_before_the_deadline() -> None:
+    servers = _Gated()
+    serving = _pipeline(servers, [_listed(1)])
+    calls = [_call(serving, deadline_ms=2000) for _ in range(3)]
+    done, _ = await asyncio.wait(
+        calls,
+        timeout=1,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    codes = [call.result().code for call in done]
+    assert codes == [result_codes.ResultCode.OVERLOADED]
+    await servers.answer_all(calls)
+
+
+async def test_loud_caller_does_not_crowd_out_a_quiet_one() -> None:
+    servers = _Gated()
+    serving = _pipeline(servers, [_listed(1)])
+    calls = [_call(serving, 'loud') for _ in range(260)]
+    await asyncio.sleep(0)
+    calls.extend(_call(serving, 'quiet') for _ in range(3))
+    await asyncio.sleep(NOBODY_WAITS)
+    await servers.answer_all(calls)
+    assert 'quiet' in servers.served[:6]
+    assert all(
+        call.result().kind is outcomes.Kind.ANSWERED for call in calls[-3:]
+    )
+
+
+async def test_callers_that_leave_give_their_room_back() -> None:
+    servers = _Gated()
+    serving = _pipeline(servers, [_listed(1)])
+    leaving = [_call(serving) for _ in range(40)]
+    await asyncio.sleep(NOBODY_WAITS)
+    for call in leaving:
+        call.cancel()
+    await asyncio.gather(*leaving, return_exceptions=True)
+    calls = [_call(serving) for _ in range(5)]
+    await asyncio.sleep(NOBODY_WAITS)
+    assert len(servers.held) == 2
+    await servers.answer_all(calls)
+
+
+async def test_own_data_centre_is_first_while_it_has_room() -> None:
+    servers = _Gated()
+    listed = [_listed(1), _listed(2, 'south'), _listed(3, 'south')]
+    serving = _pipeline(servers, listed)
+    for _ in range(20):
+        await servers.answer_all([_call(serving)])
+    assert set(servers.sent_to) == {'plain-1'}
+    calls = [_call(serving) for _ in range(6)]
+    await asyncio.sleep(NOBODY_WAITS)
+    assert len(servers.sent_to) == 3
+    await servers.answer_all(calls)
+
+
+async def test_room_given_to_a_caller_that_left_is_not_lost() -> None:
+    seen = view.InstanceView()
+    seen.replace_servers([_listed(1)])
+    timer = boot_clock.BootClock()
+    chance = random.Random(1)
+    selector = select.Selector(ids.DataCentre('north'), chance)
+    held = rooms.Rooms(seen, timer, selector, chance)
+    resolved = resolve.resolve(_identified(timer), seen)
+    assert isinstance(resolved, messages.Resolved)
+    taken = [await held.take(resolved, frozenset()) for _ in range(2)]
+    waiting = asyncio.ensure_future(held.take(resolved, frozenset()))
+    await asyncio.sleep(0)
+    for selected in taken:
+        assert isinstance(selected, messages.Selected)
+        held.leave(selected)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    again = [await held.take(resolved, frozenset()) for _ in range(2)]
+    assert all(isinstance(one, messages.Selected) for one in again)
+
+
+def _identified(timer: boot_clock.BootClock) -> messages.Identified:
+    now = timer.now()
+    return messages.Identified(
+        messages.Incoming('GET', 'plain', '/a', {}, b'', now),
+        ids.RequestId('r1'),
+        request_path.small_settings().services[0],
+        None,
+        None,
+        clock.later(now, 5000),
+        None,
+    )
