--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -54,6 +54,14 @@
         """Ask a deputy for its promise; nothing where it does not answer."""
         return await self._call(self._stub(address).Promise, request)
 
+    async def release(
+        self,
+        address: PeerAddress,
+        request: peer_pb2.ReleaseRequest,
+    ) -> peer_pb2.ReleaseReply | None:
+        """Ask a holder of earlier terms whether it acts no more."""
+        return await self._call(self._stub(address).Release, request)
+
     async def probe(
         self,
         address: PeerAddress,
@@ -70,6 +78,17 @@
         """Read records of the log that an instance still holds."""
         return await self._call(self._stub(address).ReadTail, request)
 
+    async def read_state(
+        self,
+        address: PeerAddress,
+    ) -> list[peer_pb2.StateReply]:
+        """Read the folded state of an instance; empty without an answer."""
+        replies = await self._call(
+            self._stub(address).ReadState,
+            peer_pb2.StateRequest(),
+        )
+        return list(replies or ())
+
     async def status(
         self,
         address: PeerAddress,
