--- a/packages/standins/tests/test_admission_world.py
+++ b/packages/standins/tests/test_admission_world.py
@@ -33,7 +33,9 @@
     detection_ms=400,
     batch_ms=20,
 )
-TRACES = sorted((pathlib.Path(__file__).parent / 'traces').glob('*.jsonl'))
+TRACES = sorted(
+    (pathlib.Path(__file__).parent / 'traces' / 'admission').glob('*.jsonl')
+)
 
 Patch = typing.Callable[[pytest.MonkeyPatch], None]
 
