Let an owner name a deputy as soon as its claim is read back

Cause: in a whole test run test_admission_goes_on_while_the_log_is_down failed: 'waited 30000 ms for booking-0-down through entry-1'. The first instance to join claims without a deputy, and the pause after a claim (4 s) kept it from naming one; an outage in that time refused everything. Ruled out: the deputy's refusal, since none was asked. The pause now ends when the claim is read back, and the test waits until the newest claim of each partition names a deputy.

--- a/packages/core/src/sycamoreferry_core/admission_claims.py
+++ b/packages/core/src/sycamoreferry_core/admission_claims.py
@@ -164,7 +164,11 @@
     return dataclasses.replace(
         entered,
         claim=admission_state.ClaimState(
-            pending_until=current.claim.pending_until,
+            pending_until=(
+                clock.LONG_AGO
+                if current.is_owner
+                else current.claim.pending_until
+            ),
             seen_at=now,
         ),
         owner=dataclasses.replace(
--- a/packages/standins/tests/test_admission_processes.py
+++ b/packages/standins/tests/test_admission_processes.py
@@ -1,6 +1,7 @@
 import asyncio
 import functools
 import pathlib
+import re
 
 import aiohttp
 import pytest
@@ -25,6 +26,8 @@
 # Spread over the partitions, so that each entry owns some of them.
 KEYS = tuple(f'booking-{number}' for number in range(12))
 PATIENT_MS = '20000'
+PARTITIONS = 8
+CLAIM = re.compile(r'partition (\d): owner \S+, deputy (\S+)')
 
 
 async def _book(
@@ -66,6 +69,17 @@
     await cluster.wait_for(ends, f'{key} through {entry.name} as {codes}')
 
 
+async def _all_have_deputies(system: cluster.Cluster) -> bool:
+    """Tell whether the newest claim of each partition names a deputy."""
+    newest: dict[str, str] = {}
+    for entry in system.entries:
+        text = system.started[entry.name].log_path.read_text()
+        for number, deputy in CLAIM.findall(text):
+            newest[entry.name + number] = deputy
+    partitions = {name[-1] for name in newest}
+    return len(partitions) == PARTITIONS and 'none' not in newest.values()
+
+
 async def _count_runs(system: cluster.Cluster) -> dict[str, int]:
     counts: dict[str, int] = {}
     for server in await system.control.listed_servers():
@@ -144,6 +158,10 @@
     async with cluster.Cluster(BOOKING, tmp_path, entries=3) as system:
         for key in KEYS:
             await _wait_to_end(system, system.entries[0], key, SETTLED)
+        await cluster.wait_for(
+            functools.partial(_all_have_deputies, system),
+            'a deputy for each partition',
+        )
         await system.control.set_log_faults(log_service.LogFaults(down=True))
         for number, key in enumerate(KEYS):
             entry = system.entries[number % len(system.entries)]
