--- a/packages/core/src/sycamoreferry_core/fold.py
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -291,3 +291,23 @@
     instances = dict(log_state.instances)
     instances.pop(record.instance, None)
     return Accepted(dataclasses.replace(log_state, instances=instances))
+
+
+@apply_record.register
+def _apply_server_crashed(
+    record: records.ServerCrashed,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    noted = log_state.crash_book.note(record.crash)
+    return Accepted(dataclasses.replace(log_state, crash_book=noted))
+
+
+@apply_record.register
+def _apply_suspicion_cleared(
+    record: records.SuspicionCleared,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    cleared = log_state.crash_book.clear(record.digest)
+    return Accepted(dataclasses.replace(log_state, crash_book=cleared))
--- a/packages/core/src/sycamoreferry_core/ids.py
+++ b/packages/core/src/sycamoreferry_core/ids.py
@@ -19,6 +19,7 @@
 CallerId = typing.NewType('CallerId', str)
 AdmissionKey = typing.NewType('AdmissionKey', str)
 AttemptId = typing.NewType('AttemptId', str)
+RequestDigest = typing.NewType('RequestDigest', str)
 Fingerprint = typing.NewType('Fingerprint', str)
 
 NO_TERM = Term(0)
--- a/packages/core/src/sycamoreferry_core/profiles.py
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -83,6 +83,13 @@
     churn: _Share = 0.5
 
 
+class Quarantine(_Part):
+    """Set how long a request that crashes servers is kept from them."""
+
+    duration_ms: _Positive = 600_000
+    burst_ms: _Positive = 2000
+
+
 class Profile(_Part):
     """Hold the whole policy of the services that pick it."""
 
@@ -91,6 +98,7 @@
     limits: Limits = Limits()
     moves: Moves = Moves()
     weights: Weights = Weights()
+    quarantine: Quarantine = Quarantine()
 
     @pydantic.model_validator(mode='after')
     def check_times(self) -> typing.Self:
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/quarantine.py
@@ -0,0 +1,123 @@
+"""Decide which requests crash the backend servers that run them."""
+
+import dataclasses
+import itertools
+import typing
+
+from sycamoreferry_core import ids, profiles
+
+# Bounds the memory and the records of crashes.
+MOST_CRASHES = 64
+MOST_DIGESTS = 128
+# Two instances that lose the same server within this time saw one crash.
+SAME_CRASH_MS = 3000
+
+
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """Hold the loss of a server and what it was running."""
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    at_ms: int
+    digests: tuple[ids.RequestDigest, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashBook:
+    """Hold the newest crashes, oldest first."""
+
+    crashes: tuple[Crash, ...] = ()
+
+    def note(self, crash: Crash) -> 'CrashBook':
+        """Return the book with a crash, merged with the same one."""
+        kept = []
+        merged = crash
+        for known in self.crashes:
+            if _is_same(known, merged):
+                merged = _merge(known, merged)
+            else:
+                kept.append(known)
+        ordered = sorted((*kept, merged), key=_when)
+        return CrashBook(tuple(ordered[-MOST_CRASHES:]))
+
+    def clear(self, digest: ids.RequestDigest) -> 'CrashBook':
+        """Return the book without any suspicion of a request."""
+        return CrashBook(
+            tuple(
+                dataclasses.replace(
+                    crash,
+                    digests=tuple(
+                        known for known in crash.digests if known != digest
+                    ),
+                )
+                for crash in self.crashes
+            ),
+        )
+
+    def suspects(self) -> frozenset[ids.RequestDigest]:
+        """Return the requests that ran when a server crashed."""
+        return frozenset(
+            digest for crash in self.crashes for digest in crash.digests
+        )
+
+
+def quarantined(
+    book: CrashBook,
+    service: ids.ServiceName,
+    policy: profiles.Quarantine,
+    now_ms: int,
+) -> dict[ids.RequestDigest, int]:
+    """Return the requests in quarantine, each with the time of its end.
+
+    A request is quarantined when it alone was running in two crashes. A
+    crash beside which another server was lost that did not run the request
+    has another cause and does not count against it.
+    """
+    recent = [
+        crash
+        for crash in book.crashes
+        if now_ms < crash.at_ms + policy.duration_ms
+    ]
+    ends: dict[ids.RequestDigest, int] = {}
+    mine = [crash for crash in recent if crash.service == service]
+    for earlier, crash in itertools.combinations(mine, 2):
+        common = set(earlier.digests) & set(crash.digests)
+        if len(common) != 1:
+            continue
+        digest = common.pop()
+        if _counts(earlier, digest, recent, policy):
+            if _counts(crash, digest, recent, policy):
+                ends[digest] = crash.at_ms + policy.duration_ms
+    return ends
+
+
+def _counts(
+    crash: Crash,
+    digest: ids.RequestDigest,
+    recent: typing.Iterable[Crash],
+    policy: profiles.Quarantine,
+) -> bool:
+    return all(
+        digest in other.digests
+        for other in recent
+        if abs(other.at_ms - crash.at_ms) <= policy.burst_ms
+    )
+
+
+def _is_same(known: Crash, crash: Crash) -> bool:
+    near = abs(known.at_ms - crash.at_ms) <= SAME_CRASH_MS
+    return known.server == crash.server and near
+
+
+def _merge(known: Crash, crash: Crash) -> Crash:
+    digests = dict.fromkeys((*known.digests, *crash.digests))
+    return dataclasses.replace(
+        known,
+        at_ms=min(known.at_ms, crash.at_ms),
+        digests=tuple(digests)[:MOST_DIGESTS],
+    )
+
+
+def _when(crash: Crash) -> tuple[int, str]:
+    return (crash.at_ms, crash.server)
--- a/packages/core/src/sycamoreferry_core/records.py
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import ids, quarantine
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -77,6 +77,18 @@
     instance: ids.InstanceId
 
 
+class ServerCrashed(Record, frozen=True, tag=True):
+    """Note that a backend server crashed, and what it was running."""
+
+    crash: quarantine.Crash
+
+
+class SuspicionCleared(Record, frozen=True, tag=True):
+    """Forget that a request ran in crashes; this ends its quarantine."""
+
+    digest: ids.RequestDigest
+
+
 AnyRecord = (
     TermClaimed
     | TermSettled
@@ -85,6 +97,8 @@
     | ProfilePublished
     | InstanceJoined
     | InstanceLeft
+    | ServerCrashed
+    | SuspicionCleared
 )
 
 _encoder = msgspec.json.Encoder()
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -4,7 +4,7 @@
 import functools
 import typing
 
-from sycamoreferry_core import ids, profiles, records, result_codes
+from sycamoreferry_core import ids, profiles, quarantine, records, result_codes
 
 # Bounds the memory of records that were seen and of those refused.
 REMEMBERED_RECORDS = 4096
@@ -93,6 +93,7 @@
             default_factory=dict,
         )
     )
+    crash_book: quarantine.CrashBook = quarantine.CrashBook()
 
     def term_of(self, service: ids.ServiceName) -> TermState:
         """Return the term of a service; term 0 where none was claimed."""
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/crash_guard.py
@@ -0,0 +1,209 @@
+"""Keep requests that crash backend servers away from further ones."""
+
+import asyncio
+import collections
+import dataclasses
+import functools
+
+from sycamoreferry_core import (
+    admission_routing,
+    clock,
+    ids,
+    outcomes,
+    quarantine,
+    records,
+    result_codes,
+)
+from sycamoreferry_platform import http_forward, http_probe
+from sycamoreferry_router import logs, messages, settings, tail, view
+
+PUBLISH_PAUSE_MS = 1000
+MOST_UNPUBLISHED = 16
+RETRY_AFTER_MS = 1000
+MOST_JUDGED = 64
+
+_Ends = dict[ids.RequestDigest, int]
+
+_log = logs.part_logger('quarantine')
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """Hold what the guard works with."""
+
+    seen: view.InstanceView
+    tail: tail.Tail
+    probe: http_probe.HttpProbe
+    wall_clock: clock.Clock
+
+
+class CrashGuard:
+    """Note crashes, and refuse requests that are in quarantine."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._unpublished: tuple[quarantine.Crash, ...] = ()
+        self._built_from: tuple[
+            quarantine.CrashBook,
+            tuple[quarantine.Crash, ...],
+        ] = (quarantine.CrashBook(), ())
+        self._book = quarantine.CrashBook()
+        self._suspects = self._book.suspects()
+        self._judged: dict[tuple[str, int], _Ends] = {}
+        self._trials: collections.Counter[ids.ServerId] = collections.Counter()
+        self._cut: dict[ids.ServerId, set[ids.RequestDigest]] = {}
+        self._probes: dict[ids.ServerId, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def book(self) -> quarantine.CrashBook:
+        """Return the crashes in the log, and those not yet there."""
+        logged = self._parts.seen.log_state.crash_book
+        if self._built_from != (logged, self._unpublished):
+            self._built_from = (logged, self._unpublished)
+            self._book = functools.reduce(
+                quarantine.CrashBook.note,
+                self._unpublished,
+                logged,
+            )
+            self._suspects = self._book.suspects()
+            self._judged.clear()
+        return self._book
+
+    def refuse(self, selected: messages.Selected) -> outcomes.NotRun | None:
+        """Return why a request may not go to its server now, if so."""
+        book = self.book
+        if not book.crashes:
+            return None
+        digest = digest_of(selected)
+        now = self._parts.wall_clock.now()
+        ends = self._ends(selected.identified.service, now)
+        end = ends.get(digest)
+        if end is not None:
+            return outcomes.NotRun(
+                result_codes.ResultCode.QUARANTINED,
+                end - now,
+                selected.way,
+            )
+        if digest in self._suspects and self._trials[selected.server.server]:
+            return outcomes.NotRun(
+                result_codes.ResultCode.NO_TARGET,
+                RETRY_AFTER_MS,
+                selected.way,
+            )
+        return None
+
+    async def forward(
+        self,
+        selected: messages.Selected,
+        sending: collections.abc.Awaitable[http_forward.ForwardOutcome],
+    ) -> http_forward.ForwardOutcome:
+        """Send a request, and learn whether its server crashed."""
+        digest = digest_of(selected) if self.book.crashes else None
+        if digest is None or digest not in self._suspects:
+            return await self._learn(selected, await sending)
+        # Suspects run one at a time on a server, so that a second crash
+        # tells them apart.
+        server = selected.server.server
+        self._trials[server] += 1
+        try:
+            outcome = await self._learn(selected, await sending)
+        finally:
+            self._trials[server] -= 1
+        if isinstance(outcome, http_forward.Received):
+            self._start(self._clear(digest))
+        return outcome
+
+    def _ends(self, service: settings.Service, now: clock.Millis) -> _Ends:
+        second = now // clock.MILLIS_PER_SECOND
+        judged = self._judged.get((service.name, second))
+        if judged is None:
+            if len(self._judged) >= MOST_JUDGED:
+                self._judged.clear()
+            judged = quarantine.quarantined(
+                self._book,
+                service.service_name,
+                self._parts.seen.profile(service.profile).quarantine,
+                now,
+            )
+            self._judged[(service.name, second)] = judged
+        return judged
+
+    async def _learn(
+        self,
+        selected: messages.Selected,
+        outcome: http_forward.ForwardOutcome,
+    ) -> http_forward.ForwardOutcome:
+        if isinstance(outcome, http_forward.CutOff):
+            await self._suspect(selected)
+        return outcome
+
+    async def _suspect(self, selected: messages.Selected) -> None:
+        server = selected.server.server
+        self._cut.setdefault(server, set()).add(digest_of(selected))
+        probing = self._probes.get(server)
+        if probing is None:
+            probing = asyncio.get_running_loop().create_task(
+                self._probe(selected),
+            )
+            self._probes[server] = probing
+        await asyncio.shield(probing)
+
+    async def _probe(self, selected: messages.Selected) -> None:
+        found = await self._parts.probe.probe(selected.server)
+        server = selected.server.server
+        self._probes.pop(server)
+        digests = sorted(self._cut.pop(server))
+        if found is not http_probe.Probed.GONE:
+            return
+        _log.warning('{} crashed with {} requests', server, len(digests))
+        crash = quarantine.Crash(
+            service=selected.identified.service.service_name,
+            server=server,
+            at_ms=self._parts.wall_clock.now(),
+            digests=tuple(digests[: quarantine.MOST_DIGESTS]),
+        )
+        unpublished = (*self._unpublished, crash)
+        self._unpublished = unpublished[-MOST_UNPUBLISHED:]
+        self._start(self._publish(crash))
+
+    async def _publish(self, crash: quarantine.Crash) -> None:
+        record = records.ServerCrashed(
+            record_id=tail.new_record_id('crash'),
+            crash=crash,
+        )
+        while True:
+            if await self._parts.tail.publish(record) is not None:
+                break
+            await asyncio.sleep(clock.seconds(PUBLISH_PAUSE_MS))
+        self._unpublished = tuple(
+            known for known in self._unpublished if known != crash
+        )
+
+    async def _clear(self, digest: ids.RequestDigest) -> None:
+        await self._parts.tail.publish(
+            records.SuspicionCleared(
+                record_id=tail.new_record_id('clear'),
+                digest=digest,
+            ),
+        )
+
+    def _start(self, work: collections.abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def digest_of(selected: messages.Selected) -> ids.RequestDigest:
+    """Return the digest of what a server runs; ids are left out."""
+    identified = selected.identified
+    incoming = identified.incoming
+    return ids.RequestDigest(
+        admission_routing.digest(
+            identified.service.name,
+            incoming.method,
+            incoming.target,
+            identified.key or '',
+            incoming.body,
+        ),
+    )
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -4,7 +4,7 @@
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_platform import headers, http_forward
-from sycamoreferry_router import messages, traces
+from sycamoreferry_router import crash_guard, messages, traces
 
 _HOP_HEADERS = frozenset(
     (
@@ -32,9 +32,13 @@
     selected: messages.Selected,
     forwarder: http_forward.HttpForwarder,
     origin: Origin,
+    guard: crash_guard.CrashGuard,
     now: clock.Millis,
 ) -> messages.Forwarded | outcomes.NotRun:
     """Return what became of the request at the server."""
+    refused = guard.refuse(selected)
+    if refused is not None:
+        return refused
     remaining = selected.identified.deadline - now
     if remaining <= 0:
         return outcomes.NotRun(
@@ -49,7 +53,10 @@
         body=incoming.body,
         timeout_ms=remaining,
     )
-    outcome = await forwarder.forward(request, selected.server)
+    outcome = await guard.forward(
+        selected,
+        forwarder.forward(request, selected.server),
+    )
     return messages.Forwarded(selected, outcome)
 
 
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -18,12 +18,15 @@
     http_instance_list,
     http_log,
     http_orders,
+    http_probe,
+    wall_clock,
     wire,
 )
 from sycamoreferry_router import (
     admission_ring,
     admission_service,
     coordination_loop,
+    crash_guard,
     http_server,
     logs,
     metrics,
@@ -96,6 +99,14 @@
                 clock=self._clock,
                 forwarder=http_forward.HttpForwarder(session),
                 origin=forward.Origin(self._me, self._data_centre),
+                guard=crash_guard.CrashGuard(
+                    crash_guard.Parts(
+                        seen=self._view,
+                        tail=self._tail,
+                        probe=http_probe.HttpProbe(session),
+                        wall_clock=wall_clock.WallClock(),
+                    ),
+                ),
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -8,7 +8,14 @@
 
 from sycamoreferry_core import clock, ids, outcomes, retries
 from sycamoreferry_platform import http_forward
-from sycamoreferry_router import messages, metrics, settings, traces, view
+from sycamoreferry_router import (
+    crash_guard,
+    messages,
+    metrics,
+    settings,
+    traces,
+    view,
+)
 from sycamoreferry_router.filters import (
     accept,
     admit,
@@ -31,6 +38,7 @@
     clock: clock.Clock
     forwarder: http_forward.HttpForwarder
     origin: forward.Origin
+    guard: crash_guard.CrashGuard
     metrics: metrics.Metrics
     chance: random.Random
 
@@ -156,6 +164,7 @@
                     selected,
                     self._parts.forwarder,
                     self._parts.origin,
+                    self._parts.guard,
                     self._parts.clock.now(),
                 )
         finally:
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -33,6 +33,7 @@
     cold_start_ms: int = 0
     cut_from: tuple[str, ...] = ()
     crash_on_key: str = ''
+    crash_on_path: str = ''
 
 
 class Run(msgspec.Struct):
@@ -221,8 +222,7 @@
         return await self._answer(request)
 
     async def _work(self, request: sanic_request.Request) -> None:
-        crash_key = self._faults.crash_on_key
-        if crash_key and request.headers.get(headers.KEY) == crash_key:
+        if self._is_crashed_by(request):
             self._faults = msgspec.structs.replace(self._faults, crashed=True)
             self._book.forget()
             _cut_off(request)
@@ -232,6 +232,13 @@
         if self._faults.crashed:
             _cut_off(request)
 
+    def _is_crashed_by(self, request: sanic_request.Request) -> bool:
+        faults = self._faults
+        if faults.crash_on_path and request.path == faults.crash_on_path:
+            return True
+        key = request.headers.get(headers.KEY)
+        return bool(faults.crash_on_key) and key == faults.crash_on_key
+
     def _witness(self, request: sanic_request.Request) -> Run:
         run = Run(
             server=self.described.server,
