Quarantine a request that crashes its servers, after the second crash

Cause: a request that crashes each server that runs it was sent on until no server was left, by callers and by the router's own retries. CrashGuard notes what was cut off when a probe finds the server gone, at once for this instance and by a ServerCrashed record for all; quarantine.py names the request that alone ran in two crashes.

--- a/packages/router/src/sycamoreferry_router/crash_guard.py
+++ b/packages/router/src/sycamoreferry_router/crash_guard.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import functools
+import typing
 
 from sycamoreferry_core import (
     admission_routing,
@@ -14,7 +15,7 @@
     records,
     result_codes,
 )
-from sycamoreferry_platform import http_forward, http_probe
+from sycamoreferry_platform import http_forward, http_probe, wire
 from sycamoreferry_router import logs, messages, settings, tail, view
 
 PUBLISH_PAUSE_MS = 1000
@@ -32,8 +33,14 @@
     """Hold what the guard works with."""
 
     seen: view.InstanceView
-    tail: tail.Tail
-    probe: http_probe.HttpProbe
+    publish: typing.Callable[
+        [records.AnyRecord],
+        typing.Awaitable[result_codes.ResultCode | None],
+    ]
+    probe: typing.Callable[
+        [wire.ListedServer],
+        typing.Awaitable[http_probe.Probed],
+    ]
     wall_clock: clock.Clock
 
 
@@ -50,6 +57,7 @@
         self._book = quarantine.CrashBook()
         self._suspects = self._book.suspects()
         self._judged: dict[tuple[str, int], _Ends] = {}
+        self._answered_at: dict[ids.ServerId, clock.Millis] = {}
         self._trials: collections.Counter[ids.ServerId] = collections.Counter()
         self._cut: dict[ids.ServerId, set[ids.RequestDigest]] = {}
         self._probes: dict[ids.ServerId, asyncio.Task[None]] = {}
@@ -96,7 +104,7 @@
     async def forward(
         self,
         selected: messages.Selected,
-        sending: collections.abc.Awaitable[http_forward.ForwardOutcome],
+        sending: typing.Awaitable[http_forward.ForwardOutcome],
     ) -> http_forward.ForwardOutcome:
         """Send a request, and learn whether its server crashed."""
         digest = digest_of(selected) if self.book.crashes else None
@@ -134,7 +142,10 @@
         selected: messages.Selected,
         outcome: http_forward.ForwardOutcome,
     ) -> http_forward.ForwardOutcome:
-        if isinstance(outcome, http_forward.CutOff):
+        if isinstance(outcome, http_forward.Received):
+            server = selected.server.server
+            self._answered_at[server] = self._parts.wall_clock.now()
+        elif isinstance(outcome, http_forward.CutOff):
             await self._suspect(selected)
         return outcome
 
@@ -150,11 +161,11 @@
         await asyncio.shield(probing)
 
     async def _probe(self, selected: messages.Selected) -> None:
-        found = await self._parts.probe.probe(selected.server)
+        found = await self._parts.probe(selected.server)
         server = selected.server.server
         self._probes.pop(server)
         digests = sorted(self._cut.pop(server))
-        if found is not http_probe.Probed.GONE:
+        if found is not http_probe.Probed.GONE or self._was_gone(server):
             return
         _log.warning('{} crashed with {} requests', server, len(digests))
         crash = quarantine.Crash(
@@ -167,13 +178,25 @@
         self._unpublished = unpublished[-MOST_UNPUBLISHED:]
         self._start(self._publish(crash))
 
+    def _was_gone(self, server: ids.ServerId) -> bool:
+        """Tell whether a server has not answered since it crashed."""
+        crashed_at = [
+            crash.at_ms for crash in self.book.crashes if crash.server == server
+        ]
+        if not crashed_at:
+            return False
+        latest = crashed_at[-1]
+        if self._parts.wall_clock.now() < latest + quarantine.SAME_CRASH_MS:
+            return False
+        return self._answered_at.get(server, 0) <= latest
+
     async def _publish(self, crash: quarantine.Crash) -> None:
         record = records.ServerCrashed(
             record_id=tail.new_record_id('crash'),
             crash=crash,
         )
         while True:
-            if await self._parts.tail.publish(record) is not None:
+            if await self._parts.publish(record) is not None:
                 break
             await asyncio.sleep(clock.seconds(PUBLISH_PAUSE_MS))
         self._unpublished = tuple(
@@ -181,14 +204,16 @@
         )
 
     async def _clear(self, digest: ids.RequestDigest) -> None:
-        await self._parts.tail.publish(
+        await self._parts.publish(
             records.SuspicionCleared(
                 record_id=tail.new_record_id('clear'),
                 digest=digest,
             ),
         )
 
-    def _start(self, work: collections.abc.Coroutine[None, None, None]) -> None:
+    def _start(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -45,6 +45,16 @@
     instance_list_url: _Url
     list_interval_ms: _Positive = 500
     tail_wait_ms: _Positive = 5000
+    snapshot_records: _Positive = 2000
+    snapshot_interval_ms: _Positive = 900_000
+    snapshot_patience_ms: _Positive = 30_000
+
+
+class Peer(_Part):
+    """Set where another instance listens for its peers."""
+
+    host: pydantic.IPvAnyAddress
+    port: _Port
 
 
 class Service(_Part):
@@ -70,6 +80,8 @@
     """Bound what callers may send."""
 
     body_bytes: _Positive = 1_000_000
+    # A longer answer is streamed, so that it is never held whole.
+    whole_answer_bytes: _Positive = 262_144
     header_bytes: _Positive = 8192
     key_bytes: _Positive = 256
 
@@ -111,6 +123,7 @@
         tuple[Service, ...],
         pydantic.Field(min_length=1),
     ]
+    peers: tuple[Peer, ...] = ()
     bounds: RequestBounds = RequestBounds()
     admission: Admission = Admission()
     logging: Logging = Logging()
