--- a/packages/standins/src/sycamoreferry_standins/admission_world.py
+++ b/packages/standins/src/sycamoreferry_standins/admission_world.py
@@ -37,6 +37,7 @@
     down: bool = False
     lose_answers: bool = False
     append_ms: int = LOG_MS
+    gap_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -63,6 +64,7 @@
         self.faults = LogFaults()
         self.payloads: list[bytes] = []
         self.appends = 0
+        self._log_free_at = 0
         self.answers: list[AnswerTaker] = []
         self.cuts: set[frozenset[str]] = set()
         self.repeat_messages = False
@@ -143,8 +145,10 @@
     ) -> None:
         """Append a record on behalf of an instance."""
         payload = admission_records.encode_record(record)
+        begins = max(self.now, self._log_free_at)
+        self._log_free_at = begins + self.faults.gap_ms
         self.later(
-            self.faults.append_ms,
+            begins - self.now + self.faults.append_ms,
             functools.partial(self._land, name, payload),
         )
 
