--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,12 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report, slopes
+from sycamoreferry_standins.bench import (
+    admission,
+    control,
+    report,
+    slopes,
+)
 
 Measure = typing.Callable[
     [],
@@ -18,6 +23,7 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'admission': admission.measure,
     'control': control.measure,
     'slopes': slopes.measure,
 }
