--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -8,6 +8,7 @@
     clock,
     ids,
     profiles,
+    quarantine,
     records,
     result_codes,
     verdicts,
@@ -137,6 +138,7 @@
     )
     snapshots: SnapshotMarks = SnapshotMarks()
     remembered: verdicts.VerdictMemory = verdicts.VerdictMemory()
+    crash_book: quarantine.CrashBook = quarantine.CrashBook()
 
     def term_of(self, service: ids.ServiceName) -> TermState:
         """Return the term of a service; term 0 where none was claimed."""
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -10,13 +10,11 @@
 from grpclib import server as grpc_server
 
 from sycamoreferry_core import (
-    admission_state,
     clock,
     ids,
     records,
     snapshots,
 )
-from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
@@ -24,17 +22,18 @@
     http_instance_list,
     http_log,
     http_orders,
+    http_probe,
+    wall_clock,
     wire,
 )
 from sycamoreferry_router import (
-    admission_ring,
     admission_service,
+    admission_setup,
     coordination_loop,
+    crash_guard,
     http_server,
     logs,
     metrics,
-    partition_io,
-    partition_loop,
     peer_service,
     pipeline,
     relay,
@@ -47,7 +46,6 @@
 from sycamoreferry_router.filters import admission_gate, forward
 
 PEER_TIMEOUT_MS = 300
-ADMISSION_TIMEOUT_MS = 1000
 LEAVE_NOTICE_MS = 500
 EPOCH_BYTES = 4
 
@@ -108,14 +106,13 @@
             for service in chosen.services
             if service.is_keyed
         }
-        admissions = self._admission_parts()
-        self._partitions = [
-            self._partition(number, session, admissions)
-            for number in range(chosen.admission.partitions)
-        ]
-        self._admissions = admission_ring.AdmissionRing(
-            self._partitions,
-            admissions,
+        self._admissions = admission_setup.build_ring(
+            chosen,
+            self._me,
+            self._view,
+            self._peers,
+            session,
+            self._clock,
         )
         self._pipeline = pipeline.Pipeline(
             pipeline.Parts(
@@ -124,6 +121,14 @@
                 clock=self._clock,
                 forwarder=forwarder,
                 origin=forward.Origin(self._me, self._data_centre),
+                guard=crash_guard.CrashGuard(
+                    crash_guard.Parts(
+                        seen=self._view,
+                        publish=self._tail.publish,
+                        probe=http_probe.HttpProbe(session).probe,
+                        wall_clock=wall_clock.WallClock(),
+                    ),
+                ),
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
@@ -157,7 +162,7 @@
                 ),
                 admission_service.AdmissionService(
                     self._me,
-                    self._partitions,
+                    self._admissions.loops,
                 ),
             ]
         )
@@ -201,40 +206,6 @@
             *(loop.run() for loop in self._loops.values()),
         ]
 
-    def _admission_parts(self) -> partition_io.Parts:
-        chosen = self._settings.admission
-        return partition_io.Parts(
-            me=self._me,
-            seen=self._view,
-            clients=admission_client.AdmissionClients(
-                self._peers,
-                ADMISSION_TIMEOUT_MS,
-                PEER_TIMEOUT_MS,
-            ),
-            clock=self._clock,
-            timing=admission_state.Timing(
-                window_ms=chosen.window_ms,
-                limit_without_log_ms=chosen.limit_without_log_ms,
-                detection_ms=chosen.detection_ms,
-                batch_ms=chosen.batch_ms,
-            ),
-            read_wait_ms=self._settings.platform.tail_wait_ms,
-        )
-
-    def _partition(
-        self,
-        number: int,
-        session: aiohttp.ClientSession,
-        parts: partition_io.Parts,
-    ) -> partition_loop.PartitionLoop:
-        platform = self._settings.platform
-        stream = http_log.HttpLog(
-            session,
-            platform.log_url,
-            f'{platform.stream}-admission-{number}',
-        )
-        return partition_loop.PartitionLoop(number, stream, parts)
-
     def _coordination(
         self,
         service: settings.Service,
--- /dev/null
+++ b/packages/router/tests/test_crash_guard.py
@@ -0,0 +1,195 @@
+import asyncio
+
+from sycamoreferry_core import (
+    clock,
+    fold,
+    ids,
+    outcomes,
+    records,
+    result_codes,
+)
+from sycamoreferry_platform import http_forward, http_probe, wire
+from sycamoreferry_router import crash_guard, messages, settings, view
+
+SERVICE = settings.Service(name='plain')
+
+
+class System:
+    """Share a log among guards, and crash servers on one request."""
+
+    def __init__(self, instances: int, poison: str = 'poison') -> None:
+        self.clock = clock.ManualClock(clock.Millis(100_000))
+        self.poison = poison
+        self.gone: set[str] = set()
+        self.log_is_down = False
+        self.reset_only = False
+        self.views = [view.InstanceView() for _ in range(instances)]
+        self.guards = [
+            crash_guard.CrashGuard(
+                crash_guard.Parts(seen, self.publish, self.probe, self.clock),
+            )
+            for seen in self.views
+        ]
+
+    async def publish(
+        self,
+        record: records.AnyRecord,
+    ) -> result_codes.ResultCode | None:
+        if self.log_is_down:
+            return None
+        for seen in self.views:
+            offset = seen.log_state.next_offset
+            logged = records.LoggedRecord(offset, records.encode_record(record))
+            seen.log_state = fold.fold_one(seen.log_state, logged)
+        return result_codes.ResultCode.ANSWERED
+
+    async def probe(self, server: wire.ListedServer) -> http_probe.Probed:
+        await asyncio.sleep(0)
+        if server.server in self.gone:
+            return http_probe.Probed.GONE
+        return http_probe.Probed.ANSWERS
+
+    async def run(
+        self,
+        server: str,
+        target: str,
+    ) -> http_forward.ForwardOutcome:
+        await asyncio.sleep(0)
+        if server in self.gone:
+            return http_forward.CutOff('gone')
+        if target == self.poison:
+            if not self.reset_only:
+                self.gone.add(server)
+            return http_forward.CutOff('crashed')
+        return http_forward.Received(200, {}, b'')
+
+    async def send(
+        self,
+        instance: int,
+        server: str,
+        target: str,
+    ) -> http_forward.ForwardOutcome | result_codes.ResultCode:
+        guard = self.guards[instance]
+        selected = _select(server, target)
+        refused = guard.refuse(selected)
+        if refused is not None:
+            return refused.code
+        outcome = await guard.forward(selected, self.run(server, target))
+        await asyncio.sleep(0)
+        return outcome
+
+
+def _select(server: str, target: str) -> messages.Selected:
+    listed = wire.ListedServer(
+        server=ids.ServerId(server),
+        service=SERVICE.service_name,
+        data_centre=ids.DataCentre('north'),
+        host='127.0.0.1',
+        port=9,
+        state='live',
+    )
+    incoming = messages.Incoming(
+        method='GET',
+        service=SERVICE.name,
+        target=target,
+        headers={},
+        body=b'',
+        received_at=clock.Millis(0),
+    )
+    identified = messages.Identified(
+        incoming=incoming,
+        request_id=ids.RequestId('r'),
+        service=SERVICE,
+        key=None,
+        shard=None,
+        deadline=clock.Millis(1000),
+        idempotency_key=None,
+    )
+    return messages.Selected(
+        identified,
+        listed,
+        outcomes.Way(listed.server),
+    )
+
+
+async def test_second_crash_at_another_instance_quarantines() -> None:
+    system = System(3)
+    await system.send(0, 's1', 'poison')
+    await system.send(1, 's2', 'poison')
+    for instance in range(3):
+        code = await system.send(instance, 's3', 'poison')
+        assert code is result_codes.ResultCode.QUARANTINED
+    assert system.gone == {'s1', 's2'}
+
+
+async def test_retry_of_the_router_itself_takes_down_no_third() -> None:
+    system = System(1)
+    system.log_is_down = True
+    for server in ('s1', 's2', 's3'):
+        await system.send(0, server, 'poison')
+    assert system.gone == {'s1', 's2'}
+
+
+async def test_neighbours_are_told_apart_by_trials() -> None:
+    system = System(1)
+    targets = ('poison', 'one', 'two', 'three')
+    await asyncio.gather(*(system.send(0, 's1', name) for name in targets))
+    outcomes_of_retries = await asyncio.gather(
+        *(system.send(0, 's2', name) for name in targets),
+    )
+    assert outcomes_of_retries.count(result_codes.ResultCode.NO_TARGET) == 3
+    for name in targets[1:]:
+        assert isinstance(
+            await system.send(0, 's3', name),
+            http_forward.Received,
+        )
+    code = await system.send(0, 's3', 'poison')
+    assert code is result_codes.ResultCode.QUARANTINED
+    assert system.gone == {'s1', 's2'}
+
+
+async def test_cut_connection_of_a_living_server_is_no_crash() -> None:
+    system = System(2)
+    system.reset_only = True
+    for server in ('s1', 's2', 's3'):
+        cut = await system.send(0, server, 'poison')
+        assert isinstance(cut, http_forward.CutOff)
+
+
+async def test_server_that_stays_down_convicts_nobody() -> None:
+    system = System(2)
+    await system.send(0, 's1', 'poison')
+    for instance in (0, 1, 0, 1):
+        system.clock.advance(10_000)
+        await system.send(instance, 's1', 'innocent')
+    assert isinstance(
+        await system.send(1, 's2', 'innocent'),
+        http_forward.Received,
+    )
+
+
+async def test_operator_ends_a_quarantine() -> None:
+    system = System(2)
+    await system.send(0, 's1', 'poison')
+    await system.send(1, 's2', 'poison')
+    system.poison = ''
+    digest = crash_guard.digest_of(_select('s3', 'poison'))
+    await system.publish(
+        records.SuspicionCleared(
+            record_id=ids.RecordId('by-an-operator'),
+            digest=digest,
+        ),
+    )
+    for instance in range(2):
+        answered = await system.send(instance, 's3', 'poison')
+        assert isinstance(answered, http_forward.Received)
+
+
+async def test_quarantine_ends_by_time() -> None:
+    system = System(1)
+    await system.send(0, 's1', 'poison')
+    await system.send(0, 's2', 'poison')
+    system.poison = ''
+    system.clock.advance(600_000)
+    answered = await system.send(0, 's3', 'poison')
+    assert isinstance(answered, http_forward.Received)
