Decide drains, arrivals, pins and moves for load

The coordinator planned an even table at every tick: an arrival moved its whole share at once, a planned stop moved everything at once and called it a loss, and load was not seen. A tick now mends losses only. Moves of shards whose owner still serves are considered apart: a leaving server is emptied batch by batch within drain_ms, pins are followed, an arrival is filled and the hottest server is relieved within batch size, hourly churn budget and rest, none of it in a peak window. Voluntary moves are noted in the folded state, so that a new coordinator knows what is spent.

Ruled out: filling whichever server is below the mean load, which moved small shards about for a hot one (11 moves where 1 is enough); moving a shard above the mean, which moves the peak. A revision's id now names its service: two services that revised in the same millisecond shared one id, and the second record was taken for a repeat.

--- a/packages/core/src/sycamoreferry_core/assignment.py
+++ b/packages/core/src/sycamoreferry_core/assignment.py
@@ -1,83 +1,69 @@
 """Plan who is to own each shard, with the fewest moves."""
 
 import collections
+import heapq
 import typing
 
 from sycamoreferry_core import ids, records, state
 
+Shards = typing.Iterable[ids.ShardId]
+
+# Keeps a record of changes well under what a log service takes at once.
+SHARDS_PER_RECORD = 4096
+
 
 def plan_changes(
-    assignment: state.Assignment,
+    assigned: state.Assignment,
     shard_count: int,
     servers: typing.Collection[ids.ServerId],
+    staying: typing.Collection[ids.ServerId] = (),
 ) -> tuple[records.Ownership, ...]:
-    """Return the fewest changes that give every shard a listed owner."""
-    if not servers or _is_even(assignment, shard_count, servers):
+    """Give each shard without a server to the servers that own fewest."""
+    if not servers:
         return ()
-    owners = assignment.owners or (ids.ServerId(''),) * shard_count
-    kept = _kept_shards(owners, servers)
-    orphans = [
-        ids.ShardId(shard)
-        for shard, owner in enumerate(owners)
-        if owner not in kept
-    ]
-    orphans.extend(_surplus(kept, shard_count))
-    return _hand_out(orphans, kept, shard_count)
+    kept = {*servers, *staying}
+    orphans = _orphans(assigned, shard_count, kept)
+    return hand_out(assigned, orphans[:SHARDS_PER_RECORD], servers)
 
 
-def _is_even(
-    assignment: state.Assignment,
-    shard_count: int,
+def hand_out(
+    assigned: state.Assignment,
+    shards: Shards,
     servers: typing.Collection[ids.ServerId],
-) -> bool:
-    owned = assignment.shards_by_owner
-    floor = shard_count // len(servers)
-    return owned.keys() == set(servers) and all(
-        floor <= len(shards) <= floor + 1 for shards in owned.values()
-    )
-
-
-def _kept_shards(
-    owners: typing.Sequence[ids.ServerId],
-    servers: typing.Collection[ids.ServerId],
-) -> dict[ids.ServerId, list[ids.ShardId]]:
-    kept: dict[ids.ServerId, list[ids.ShardId]] = {
-        server: [] for server in sorted(servers)
-    }
-    for shard, owner in enumerate(owners):
-        kept.get(owner, []).append(ids.ShardId(shard))
-    return kept
-
-
-def _surplus(
-    kept: dict[ids.ServerId, list[ids.ShardId]],
-    shard_count: int,
-) -> list[ids.ShardId]:
-    floor, larger = divmod(shard_count, len(kept))
-    surplus: list[ids.ShardId] = []
-    by_load = sorted(kept, key=lambda server: -len(kept[server]))
-    for place, server in enumerate(by_load):
-        room = floor + 1 if place < larger else floor
-        surplus.extend(kept[server][room:])
-        kept[server] = kept[server][:room]
-    return surplus
+) -> tuple[records.Ownership, ...]:
+    """Give shards one by one to the server that owns fewest."""
+    owned = assigned.shards_by_owner
+    room = [(len(owned.get(server, ())), server) for server in servers]
+    heapq.heapify(room)
+    given: dict[ids.ServerId, list[ids.ShardId]] = collections.defaultdict(list)
+    for shard in shards:
+        count, server = room[0]
+        heapq.heapreplace(room, (count + 1, server))
+        given[server].append(shard)
+    return to_changes(given)
 
 
-def _hand_out(
-    orphans: list[ids.ShardId],
-    kept: dict[ids.ServerId, list[ids.ShardId]],
-    shard_count: int,
+def to_changes(
+    given: typing.Mapping[ids.ServerId, list[ids.ShardId]],
 ) -> tuple[records.Ownership, ...]:
-    floor = shard_count // len(kept)
-    given: dict[ids.ServerId, list[ids.ShardId]] = collections.defaultdict(list)
-    by_need = sorted(kept, key=lambda server: len(kept[server]))
-    for room in (floor, floor + 1):
-        for server in by_need:
-            while orphans and len(kept[server]) < room:
-                shard = orphans.pop()
-                kept[server].append(shard)
-                given[server].append(shard)
+    """Return the changes that a record carries."""
     return tuple(
         records.Ownership(server=server, shards=tuple(sorted(shards)))
         for server, shards in sorted(given.items())
+        if shards
+    )
+
+
+def _orphans(
+    assigned: state.Assignment,
+    shard_count: int,
+    kept: typing.Collection[ids.ServerId],
+) -> list[ids.ShardId]:
+    if not assigned.owners:
+        return [ids.ShardId(shard) for shard in range(shard_count)]
+    return sorted(
+        shard
+        for owner, shards in assigned.shards_by_owner.items()
+        if owner not in kept
+        for shard in shards
     )
--- a/packages/core/src/sycamoreferry_core/coordination.py
+++ b/packages/core/src/sycamoreferry_core/coordination.py
@@ -72,6 +72,10 @@
     pending: records.AnyRecord | None = None
     pending_since: clock.Millis = clock.LONG_AGO
     log_reached: bool = True
+    leaving_since: typing.Mapping[ids.ServerId, clock.Millis] = (
+        dataclasses.field(default_factory=dict)
+    )
+    moves_considered_at: clock.Millis = clock.LONG_AGO
 
     @property
     def role(self) -> Role:
--- a/packages/core/src/sycamoreferry_core/coordinator.py
+++ b/packages/core/src/sycamoreferry_core/coordinator.py
@@ -9,6 +9,7 @@
     clock,
     coordination,
     events,
+    moves,
     orders,
     revisions,
 )
@@ -96,6 +97,15 @@
     return actions.Decision(dataclasses.replace(current, links=links))
 
 
+@decide.register
+def _decide_moves_considered(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    return moves.consider_moves(event, current, now)
+
+
 @decide.register
 def _decide_tail_read(
     event: events.TailRead,
--- a/packages/core/src/sycamoreferry_core/events.py
+++ b/packages/core/src/sycamoreferry_core/events.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from sycamoreferry_core import clock, coordination, ids, profiles, state
+from sycamoreferry_core import (
+    clock,
+    coordination,
+    ids,
+    load_book,
+    profiles,
+    state,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +35,17 @@
     members: tuple[tuple[ids.ServerId, coordination.Member], ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class MovesConsidered:
+    """Tell what moves depend on: time of day, policy, loads and wishes."""
+
+    at: clock.UnixMillis
+    policy: profiles.Moves
+    loads: load_book.ShardLoads = load_book.ShardLoads()
+    wishes: state.Wishes = state.Wishes()
+    recent_moves: tuple[state.RecentMove, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class TailRead:
     """Tell that the tail showed no later claim."""
@@ -99,6 +117,7 @@
     Ticked
     | StateFolded
     | ServersListed
+    | MovesConsidered
     | TailRead
     | TailReadFailed
     | AppendFailed
--- a/packages/core/src/sycamoreferry_core/fold.py
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -197,6 +197,7 @@
         if move.decided_at > oldest
     )
     moved = state.RecentMove(
+        cause=record.cause,
         decided_at=record.decided_at,
         shards=tuple(
             shard for change in record.changes for shard in change.shards
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/load_book.py
@@ -0,0 +1,110 @@
+"""Add up the load of each shard from what the instances counted."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, ids
+
+# Keeps a server without traffic from looking like one without shards.
+IDLE_SHARD_RATE = 0.01
+# A report weighs as much as all before it, so a spike does not move a shard.
+NEWEST_SHARE = 0.5
+REPORTS_UNTIL_FORGOTTEN = 3
+
+Rates = typing.Mapping[ids.ShardId, float]
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardLoads:
+    """Hold requests a second of the busiest shards, and of each other one."""
+
+    busiest: Rates = dataclasses.field(default_factory=dict)
+    other: float = IDLE_SHARD_RATE
+
+    def of_shard(self, shard: ids.ShardId) -> float:
+        """Return the load of a shard."""
+        return self.busiest.get(shard, 0) + self.other
+
+    def of_shards(self, shards: typing.Collection[ids.ShardId]) -> float:
+        """Return the load of a set of shards."""
+        known = (self.busiest.get(shard, 0) for shard in shards)
+        return sum(known) + self.other * len(shards)
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """Hold what one instance counted over an interval."""
+
+    interval_ms: int
+    busiest: typing.Mapping[ids.ShardId, int]
+    rest: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Heard:
+    forgotten_at: clock.Millis
+    rates: Rates
+    rest: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadBook:
+    """Hold the newest load that each instance reported."""
+
+    heard: typing.Mapping[ids.InstanceId, _Heard] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def take(
+        self,
+        instance: ids.InstanceId,
+        report: LoadReport,
+        now: clock.Millis,
+    ) -> typing.Self:
+        """Return the book with one report more and silent ones gone."""
+        kept = {
+            name: heard
+            for name, heard in self.heard.items()
+            if now < heard.forgotten_at
+        }
+        kept[instance] = _blend(kept.get(instance), report, now)
+        return dataclasses.replace(self, heard=kept)
+
+    def add_up(self, shard_count: int, now: clock.Millis) -> ShardLoads:
+        """Return the load of every shard."""
+        busiest: dict[ids.ShardId, float] = {}
+        rest = float(0)
+        for heard in self.heard.values():
+            if now >= heard.forgotten_at:
+                continue
+            rest += heard.rest
+            for shard, rate in heard.rates.items():
+                busiest[shard] = busiest.get(shard, 0) + rate
+        return ShardLoads(busiest, IDLE_SHARD_RATE + rest / shard_count)
+
+
+def _blend(
+    before: _Heard | None,
+    report: LoadReport,
+    now: clock.Millis,
+) -> _Heard:
+    span = clock.seconds(report.interval_ms)
+    rates = {shard: count / span for shard, count in report.busiest.items()}
+    rest = report.rest / span
+    if before is not None:
+        rates = _average(before.rates, rates)
+        rest = NEWEST_SHARE * rest + (1 - NEWEST_SHARE) * before.rest
+    lasting = REPORTS_UNTIL_FORGOTTEN * report.interval_ms
+    return _Heard(clock.later(now, lasting), rates, rest)
+
+
+def _average(before: Rates, newest: Rates) -> dict[ids.ShardId, float]:
+    shards = set(before).union(newest)
+    blended = {
+        shard: NEWEST_SHARE * newest.get(shard, 0)
+        + (1 - NEWEST_SHARE) * before.get(shard, 0)
+        for shard in shards
+    }
+    return {
+        shard: rate for shard, rate in blended.items() if rate > IDLE_SHARD_RATE
+    }
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/moves.py
@@ -0,0 +1,207 @@
+"""Decide which shards change owner though their owner still serves."""
+
+import dataclasses
+import math
+import typing
+
+from sycamoreferry_core import (
+    actions,
+    assignment,
+    clock,
+    coordination,
+    events,
+    ids,
+    load_moves,
+    records,
+    revisions,
+    state,
+    windows,
+)
+
+# About the time from one batch of a drain to the next.
+BATCH_INTERVAL_MS = 250
+VOLUNTARY_INTERVAL_MS = 1000
+
+
+def consider_moves(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    """Empty leaving servers, follow pins, then mend imbalance."""
+    current = _note_leaving(current, now)
+    if current.pending is not None or not current.assignment.owners:
+        return actions.Decision(current)
+    usable = revisions.usable_servers(current, now)
+    if not usable or not current.has_authority(now):
+        return actions.Decision(current)
+    for decide_some in (_drain, _follow_pins, _move_voluntarily):
+        decision = decide_some(event, current, usable, now)
+        if decision.actions:
+            return decision
+        current = decision.state
+    return actions.Decision(current)
+
+
+def _note_leaving(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> coordination.CoordinatorState:
+    since = {
+        link.server: current.leaving_since.get(link.server, now)
+        for link in current.links.values()
+        if link.member is coordination.Member.LEAVING
+    }
+    if since == current.leaving_since:
+        return current
+    return dataclasses.replace(current, leaving_since=since)
+
+
+def _drain(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    usable: frozenset[ids.ServerId],
+    now: clock.Millis,
+) -> actions.Decision:
+    owned = current.assignment.shards_by_owner
+    for server, since in sorted(current.leaving_since.items()):
+        left_ms = clock.later(since, current.timing.drain_ms) - now
+        held = sorted(owned.get(server, ()))
+        if not held or (left_ms > 0 and not is_settled(current, usable)):
+            continue
+        size = _batch_size(len(held), left_ms, event.policy.batch_size)
+        changes = assignment.hand_out(
+            current.assignment,
+            held[:size],
+            _unreserved(usable, event.wishes.pins),
+        )
+        return revisions.append_revision(
+            current,
+            now,
+            changes,
+            records.MoveCause.DRAIN,
+            event.at,
+        )
+    return actions.Decision(current)
+
+
+def _batch_size(held: int, left_ms: int, smallest: int) -> int:
+    batches = max(1, left_ms // BATCH_INTERVAL_MS)
+    size = max(smallest, math.ceil(held / batches))
+    return min(size, assignment.SHARDS_PER_RECORD)
+
+
+def is_settled(
+    current: coordination.CoordinatorState,
+    usable: frozenset[ids.ServerId],
+) -> bool:
+    """Tell whether every usable server holds just what it is to own."""
+    owned = current.assignment.shards_by_owner
+    return all(
+        current.links[server].holds == owned.get(server, frozenset())
+        for server in usable
+    )
+
+
+def _unreserved(
+    usable: frozenset[ids.ServerId],
+    pins: typing.Mapping[ids.ShardId, ids.ServerId],
+) -> frozenset[ids.ServerId]:
+    return usable.difference(pins.values()) or usable
+
+
+def _follow_pins(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    usable: frozenset[ids.ServerId],
+    now: clock.Millis,
+) -> actions.Decision:
+    given: dict[ids.ServerId, list[ids.ShardId]] = {}
+    for shard, server in event.wishes.pins.items():
+        owner = current.assignment.owner_of(shard)
+        if server in usable and owner not in {server, None}:
+            given.setdefault(server, []).append(shard)
+    changes = assignment.to_changes(given)
+    if not changes:
+        return actions.Decision(current)
+    return revisions.append_revision(
+        current,
+        now,
+        changes,
+        records.MoveCause.PIN,
+        event.at,
+    )
+
+
+def _move_voluntarily(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    usable: frozenset[ids.ServerId],
+    now: clock.Millis,
+) -> actions.Decision:
+    next_at = clock.later(current.moves_considered_at, VOLUNTARY_INTERVAL_MS)
+    if now < next_at:
+        return actions.Decision(current)
+    current = dataclasses.replace(current, moves_considered_at=now)
+    if windows.in_peak(event.policy.peak_windows, event.at):
+        return actions.Decision(current)
+    if not is_settled(current, usable):
+        return actions.Decision(current)
+    plan = load_moves.plan_moves(_situation(event, current, usable))
+    if plan is None:
+        return actions.Decision(current)
+    return revisions.append_revision(
+        current,
+        now,
+        plan.changes,
+        plan.cause,
+        event.at,
+    )
+
+
+def _situation(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    usable: frozenset[ids.ServerId],
+) -> load_moves.Situation:
+    policy = event.policy
+    within_hour = _moved_within(event, clock.MILLIS_PER_HOUR)
+    spent = sum(len(move.shards) for move in within_hour)
+    return load_moves.Situation(
+        assigned=current.assignment,
+        loads=event.loads,
+        servers=usable,
+        pins=event.wishes.pins,
+        resting=frozenset(
+            shard
+            for move in _moved_within(event, policy.rest_after_move_ms)
+            for shard in move.shards
+        ),
+        filling=_filling(event, current),
+        threshold=policy.imbalance_threshold,
+        room=min(policy.batch_size, policy.churn_budget_per_hour - spent),
+    )
+
+
+def _moved_within(
+    event: events.MovesConsidered,
+    duration_ms: int,
+) -> tuple[state.RecentMove, ...]:
+    return tuple(
+        move
+        for move in event.recent_moves
+        if move.decided_at > event.at - duration_ms
+    )
+
+
+def _filling(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+) -> frozenset[ids.ServerId]:
+    takers = {
+        current.assignment.owner_of(shard)
+        for move in event.recent_moves
+        if move.cause is records.MoveCause.ARRIVAL
+        for shard in move.shards
+    }
+    return frozenset(taker for taker in takers if taker is not None)
--- a/packages/core/src/sycamoreferry_core/profiles.py
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -1,10 +1,14 @@
 """Check the named policy that operators publish."""
 
+import math
 import typing
 import zoneinfo
 
 import pydantic
 
+# A claim is appended and read back, and every server is greeted.
+CLAIM_AND_GREETING_MS = 300
+
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
 _Share = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
 
@@ -26,6 +30,20 @@
     order_delay_bound_ms: _Positive = 1000
     drain_ms: _Positive = 2000
 
+    @pydantic.model_validator(mode='after')
+    def check_take_over(self) -> typing.Self:
+        """Refuse a lease that a take-over would outlast."""
+        promise_ms = 2 * self.authority_ms * (1 + self.clock_drift_share)
+        silence_ms = max(self.detection_ms, math.ceil(promise_ms))
+        needed_ms = silence_ms + CLAIM_AND_GREETING_MS
+        if self.lease_ms < needed_ms:
+            raise ValueError(
+                f'lease_ms must be at least {needed_ms}: the silence before a'
+                ' claim (detection_ms, or a promise of twice authority_ms)'
+                f' and {CLAIM_AND_GREETING_MS} ms to claim and greet',
+            )
+        return self
+
 
 class Retries(_Part):
     """Set how requests are sent on again."""
@@ -35,6 +53,13 @@
     first_delay_ms: _Positive = 10
     longest_delay_ms: _Positive = 500
 
+    @pydantic.model_validator(mode='after')
+    def check_delays(self) -> typing.Self:
+        """Refuse a first delay above the longest."""
+        if self.first_delay_ms > self.longest_delay_ms:
+            raise ValueError('first_delay_ms must not exceed longest_delay_ms')
+        return self
+
 
 class Limits(_Part):
     """Bound what a service holds at once."""
@@ -45,6 +70,15 @@
     slots_per_target: _Positive = 2
     connections_per_target: _Positive = 100
 
+    @pydantic.model_validator(mode='after')
+    def check_deadlines(self) -> typing.Self:
+        """Refuse a default deadline above the longest."""
+        if self.default_deadline_ms > self.longest_deadline_ms:
+            raise ValueError(
+                'default_deadline_ms must not exceed longest_deadline_ms',
+            )
+        return self
+
 
 class PeakWindow(_Part):
     """Name a daily window in local time without voluntary moves."""
@@ -65,6 +99,16 @@
             ) from error
         return zone
 
+    @pydantic.model_validator(mode='after')
+    def check_length(self) -> typing.Self:
+        """Refuse a window without a length."""
+        if self.start == self.end:
+            raise ValueError(
+                'start and end are the same; a window may end a minute before'
+                ' it starts, on the next day',
+            )
+        return self
+
 
 class Moves(_Part):
     """Set when shards move for load."""
@@ -92,16 +136,6 @@
     moves: Moves = Moves()
     weights: Weights = Weights()
 
-    @pydantic.model_validator(mode='after')
-    def check_times(self) -> typing.Self:
-        """Refuse a lease that a take-over would outlast."""
-        if self.timing.lease_ms < 2 * self.timing.authority_ms:
-            raise ValueError(
-                'timing.lease_ms must be at least twice timing.authority_ms,'
-                ' or a take-over outlasts the lease',
-            )
-        return self
-
 
 def parse_profile(text: str) -> Profile:
     """Read a profile from JSON; raise pydantic.ValidationError."""
--- a/packages/core/src/sycamoreferry_core/revisions.py
+++ b/packages/core/src/sycamoreferry_core/revisions.py
@@ -23,15 +23,31 @@
         current.assignment,
         current.shard_count,
         usable_servers(current, now),
+        answering_leavers(current, now),
     )
     if not changes:
         return actions.Decision(current)
+    return append_revision(current, now, changes, records.MoveCause.LOSS)
+
+
+def append_revision(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+    changes: tuple[records.Ownership, ...],
+    cause: records.MoveCause,
+    decided_at: clock.UnixMillis = clock.UNIX_EPOCH,
+) -> actions.Decision:
+    """Append changes of owners for a cause."""
     record = records.AssignmentRevised(
-        record_id=ids.RecordId(f'revision/{current.me}/{now}'),
+        record_id=ids.RecordId(
+            f'revision/{current.service}/{current.me}/{now}',
+        ),
         service=current.service,
         term=current.term.term,
         shard_count=current.shard_count,
         changes=changes,
+        cause=cause,
+        decided_at=decided_at,
     )
     return actions.Decision(
         dataclasses.replace(current, pending=record, pending_since=now),
@@ -44,11 +60,26 @@
     now: clock.Millis,
 ) -> frozenset[ids.ServerId]:
     """Return the servers that are live and have not fallen silent."""
+    return _answering(current, now, coordination.Member.LIVE)
+
+
+def answering_leavers(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> frozenset[ids.ServerId]:
+    """Return the servers that are leaving and have not fallen silent."""
+    return _answering(current, now, coordination.Member.LEAVING)
+
+
+def _answering(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+    member: coordination.Member,
+) -> frozenset[ids.ServerId]:
     return frozenset(
         link.server
         for link in current.links.values()
-        if link.member is coordination.Member.LIVE
-        and not is_silent(current, link, now)
+        if link.member is member and not is_silent(current, link, now)
     )
 
 
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -71,6 +71,7 @@
 class RecentMove:
     """Hold a voluntary move that still counts as churn."""
 
+    cause: records.MoveCause
     decided_at: clock.UnixMillis
     shards: tuple[ids.ShardId, ...]
 
--- /dev/null
+++ b/packages/core/tests/test_load_moves.py
@@ -0,0 +1,202 @@
+import dataclasses
+import itertools
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamoreferry_core import ids, load_book, load_moves, records, state
+
+THRESHOLD = 1.3
+SERVERS = tuple(ids.ServerId(f's{number}') for number in range(4))
+
+_rates = strategies.lists(
+    strategies.integers(0, 50).map(float),
+    min_size=12,
+    max_size=12,
+)
+
+
+def _assigned(owners: typing.Sequence[ids.ServerId]) -> state.Assignment:
+    return state.Assignment(tuple(owners), (ids.Fence(0),) * len(owners))
+
+
+def _loads(rates: typing.Sequence[float]) -> load_book.ShardLoads:
+    return load_book.ShardLoads(
+        {ids.ShardId(shard): rate for shard, rate in enumerate(rates) if rate},
+    )
+
+
+def _situation(
+    owners: typing.Sequence[ids.ServerId],
+    rates: typing.Sequence[float],
+    servers: typing.Sequence[ids.ServerId] = SERVERS,
+) -> load_moves.Situation:
+    return load_moves.Situation(
+        assigned=_assigned(owners),
+        loads=_loads(rates),
+        servers=servers,
+        pins={},
+        resting=frozenset(),
+        filling=frozenset(),
+        threshold=THRESHOLD,
+        room=64,
+    )
+
+
+def _apply(
+    situation: load_moves.Situation,
+    plan: load_moves.Plan,
+) -> load_moves.Situation:
+    owners = list(situation.assigned.owners)
+    for change in plan.changes:
+        for shard in change.shards:
+            owners[shard] = change.server
+    return dataclasses.replace(situation, assigned=_assigned(owners))
+
+
+def _moved(plan: load_moves.Plan | None) -> set[ids.ShardId]:
+    changes = plan.changes if plan else ()
+    return {shard for change in changes for shard in change.shards}
+
+
+def _server_loads(situation: load_moves.Situation) -> dict[ids.ServerId, float]:
+    owned = situation.assigned.shards_by_owner
+    return {
+        server: situation.loads.of_shards(owned.get(server, frozenset()))
+        for server in situation.servers
+    }
+
+
+def _imbalance(situation: load_moves.Situation) -> float:
+    carried = _server_loads(situation).values()
+    return max(carried) * len(carried) / sum(carried)
+
+
+def _spread(rates: typing.Sequence[float]) -> list[ids.ServerId]:
+    return [SERVERS[shard % 4] for shard in range(len(rates))]
+
+
+@hypothesis.given(_rates)
+def test_moves_come_to_rest_and_none_goes_back(rates: list[float]) -> None:
+    situation = _situation(_spread(rates), rates)
+    left = set(enumerate(_spread(rates)))
+    imbalance = _imbalance(situation)
+    for _ in range(20):
+        plan = load_moves.plan_moves(situation)
+        if plan is None:
+            return
+        situation = _apply(situation, plan)
+        owners = situation.assigned.owners
+        taken = {(int(shard), owners[shard]) for shard in _moved(plan)}
+        assert not left & taken
+        left |= taken
+        assert _imbalance(situation) <= imbalance + 1e-9
+        imbalance = _imbalance(situation)
+    raise AssertionError('the moves did not come to rest')
+
+
+@hypothesis.given(_rates)
+def test_nothing_moves_below_the_threshold(rates: list[float]) -> None:
+    situation = _situation(_spread(rates), rates)
+    carried = _server_loads(situation)
+    mean = sum(carried.values()) / len(carried)
+    hypothesis.assume(max(carried.values()) <= THRESHOLD * mean)
+    assert load_moves.plan_moves(situation) is None
+
+
+@hypothesis.given(_rates)
+def test_one_move_is_made_where_one_is_enough(rates: list[float]) -> None:
+    situation = _situation(_spread(rates), rates)
+    enough = (1 + THRESHOLD) / 2
+    hypothesis.assume(_imbalance(situation) > THRESHOLD)
+    hypothesis.assume(_one_move_mends(situation, enough))
+    plan = load_moves.plan_moves(situation)
+    assert plan is not None
+    assert len(_moved(plan)) == 1
+    assert _imbalance(_apply(situation, plan)) <= enough + 1e-9
+
+
+def _one_move_mends(
+    situation: load_moves.Situation,
+    enough: float,
+) -> bool:
+    carried = _server_loads(situation)
+    mean = sum(carried.values()) / len(carried)
+    for shard, taker in itertools.product(range(12), SERVERS):
+        if situation.loads.of_shard(ids.ShardId(shard)) > mean:
+            continue
+        change = records.Ownership(taker, (ids.ShardId(shard),))
+        tried = load_moves.Plan(records.MoveCause.LOAD, (change,))
+        if _imbalance(_apply(situation, tried)) <= enough:
+            return True
+    return False
+
+
+def test_neighbours_leave_a_hot_shard() -> None:
+    rates = [100.0, 20.0, 20.0, 1.0, 1.0, 1.0]
+    owners = [SERVERS[0]] * 3 + [SERVERS[1], SERVERS[2], SERVERS[3]]
+    plan = load_moves.plan_moves(_situation(owners, rates))
+    # The hot shard stays; a move of it would only move the peak.
+    while plan is not None:
+        assert 0 not in _moved(plan)
+        situation = _apply(_situation(owners, rates), plan)
+        owners = list(situation.assigned.owners)
+        plan = load_moves.plan_moves(situation)
+    assert [shard for shard in range(6) if owners[shard] == SERVERS[0]] == [0]
+
+
+def test_arrival_takes_a_fair_share() -> None:
+    owners = [SERVERS[shard % 3] for shard in range(120)]
+    situation = _situation(owners, [0.0] * 120)
+    plan = load_moves.plan_moves(situation)
+    assert plan is not None
+    assert plan.cause is records.MoveCause.ARRIVAL
+    assert len(_moved(plan)) == 30
+    assert load_moves.plan_moves(_apply(situation, plan)) is None
+
+
+def test_arrival_is_filled_in_batches() -> None:
+    owners = [SERVERS[shard % 3] for shard in range(120)]
+    situation = dataclasses.replace(
+        _situation(owners, [0.0] * 120),
+        room=5,
+    )
+    while True:
+        plan = load_moves.plan_moves(situation)
+        if plan is None:
+            break
+        assert len(_moved(plan)) <= 5
+        situation = dataclasses.replace(
+            _apply(situation, plan),
+            filling=frozenset((SERVERS[3],)),
+        )
+    owned = situation.assigned.shards_by_owner
+    assert 27 <= len(owned[SERVERS[3]]) <= 30
+
+
+def test_resting_and_pinned_shards_stay() -> None:
+    rates = [30.0, 30.0, 30.0, 30.0, 1.0, 1.0, 1.0]
+    owners = [SERVERS[0]] * 3 + list(SERVERS)
+    situation = dataclasses.replace(
+        _situation(owners, rates),
+        resting=frozenset((ids.ShardId(0), ids.ShardId(1))),
+    )
+    assert not {0, 1} & _moved(load_moves.plan_moves(situation))
+    pinned = dataclasses.replace(
+        _situation(owners, rates),
+        pins={ids.ShardId(2): SERVERS[0]},
+    )
+    plan = load_moves.plan_moves(pinned)
+    assert _moved(plan) == {0, 1, 3}
+
+
+def test_no_room_moves_nothing() -> None:
+    owners = [SERVERS[0]] * 12
+    situation = _situation(owners, [1.0] * 12)
+    assert load_moves.plan_moves(dataclasses.replace(situation, room=0)) is None
+
+
+def test_one_server_moves_nothing() -> None:
+    situation = _situation([SERVERS[0]] * 12, [1.0] * 12, SERVERS[:1])
+    assert load_moves.plan_moves(situation) is None
