Carry loads and wishes to the decisions on moves

Instances count admitted requests by shard in a gate and report the 64 busiest and the rest to the coordinator of each service every 5 s, less often past 100 instances. The coordinator feeds the decisions on moves at each tick.

A server that the instance list leaves out keeps its address as long as it may own shards, so that orders and requests still reach it: left out is no loss, silence is. A drain asked by a record counts as leaving.

--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -7,7 +7,12 @@
 from grpclib import exceptions
 
 from sycamoreferry_core import clock
-from sycamoreferry_peer.generated import peer_grpc, peer_pb2
+from sycamoreferry_peer.generated import (
+    load_grpc,
+    load_pb2,
+    peer_grpc,
+    peer_pb2,
+)
 
 _UNREACHED = (
     exceptions.GRPCError,
@@ -91,12 +96,24 @@
             peer_pb2.StatusRequest(),
         )
 
+    async def report_load(
+        self,
+        address: PeerAddress,
+        request: load_pb2.LoadReport,
+    ) -> load_pb2.LoadReply | None:
+        """Report counts of requests; nothing where no answer came."""
+        stub = load_grpc.LoadStub(self._channel(address))
+        return await self._call(stub.Report, request)
+
     def _stub(self, address: PeerAddress) -> peer_grpc.PeerStub:
+        return peer_grpc.PeerStub(self._channel(address))
+
+    def _channel(self, address: PeerAddress) -> grpc_client.Channel:
         channel = self._channels.get(address)
         if channel is None:
             channel = grpc_client.Channel(address.host, address.port)
             self._channels[address] = channel
-        return peer_grpc.PeerStub(channel)
+        return channel
 
     async def _call(
         self,
--- a/packages/router/src/sycamoreferry_router/coordination_loop.py
+++ b/packages/router/src/sycamoreferry_router/coordination_loop.py
@@ -17,8 +17,15 @@
 )
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
-from sycamoreferry_platform import http_orders, wire
-from sycamoreferry_router import logs, metrics, settings, tail, view
+from sycamoreferry_platform import http_orders, unix_clock, wire
+from sycamoreferry_router import (
+    load_reports,
+    logs,
+    metrics,
+    settings,
+    tail,
+    view,
+)
 
 TICK_MS = 50
 
@@ -35,6 +42,8 @@
     tail: tail.Tail
     peers: peer_client.PeerClients
     clock: clock.Clock
+    unix_clock: unix_clock.UnixClock
+    loads: load_reports.LoadService
     metrics: metrics.Metrics
 
 
@@ -76,6 +85,7 @@
             if self._parts.seen.caught_up:
                 self._feed_view()
                 self.feed(events.Ticked())
+                self._consider_moves()
                 self._parts.metrics.has_authority.set(
                     {'service': self._service.name},
                     int(self.has_authority),
@@ -210,11 +220,26 @@
             events.ServersListed(
                 tuple(
                     (listed.server, coordination.Member(listed.state))
-                    for listed in seen.servers_of(self._service.service_name)
+                    for listed in seen.members_of(self._service.service_name)
                 ),
             ),
         )
 
+    def _consider_moves(self) -> None:
+        if not self.has_authority:
+            return
+        seen = self._parts.seen
+        service = self._service.service_name
+        self.feed(
+            events.MovesConsidered(
+                at=self._parts.unix_clock.now(),
+                policy=seen.profile(self._service.profile).moves,
+                loads=self._parts.loads.loads_of(service, self._service.shards),
+                wishes=seen.log_state.wishes_of(service),
+                recent_moves=seen.log_state.recent_moves.get(service, ()),
+            ),
+        )
+
     def _log_change(
         self,
         before: coordination.CoordinatorState,
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -17,11 +17,14 @@
     http_instance_list,
     http_log,
     http_orders,
+    unix_clock,
     wire,
 )
 from sycamoreferry_router import (
     coordination_loop,
     http_server,
+    load_counter,
+    load_reports,
     logs,
     metrics,
     peer_service,
@@ -89,6 +92,16 @@
                 patience_ms=chosen.platform.snapshot_patience_ms,
             ),
         )
+        self._loads = load_reports.LoadService(self._clock)
+        self._load_counter = load_counter.LoadCounter()
+        self._load_loop = load_reports.LoadLoop(
+            self._me,
+            chosen.services,
+            self._view,
+            self._load_counter,
+            self._loads,
+            self._peers,
+        )
         self._loops = {
             service.name: self._coordination(service, session)
             for service in chosen.services
@@ -104,6 +117,7 @@
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
+            (self._load_counter,),
         )
         self._server = http_server.HttpServer(
             chosen,
@@ -129,6 +143,7 @@
                     self._loops,
                     self._relay,
                 ),
+                self._loads,
             ]
         )
         listen = self._settings.listen
@@ -155,6 +170,7 @@
             self._tail.run(),
             self._tail.run_relay(),
             self._snapshots.run(),
+            self._load_loop.run(),
             self._follow_instance_list(),
             self._join(),
             *(loop.run() for loop in self._loops.values()),
@@ -179,6 +195,8 @@
                 tail=self._tail,
                 peers=self._peers,
                 clock=self._clock,
+                unix_clock=unix_clock.UnixClock(),
+                loads=self._loads,
                 metrics=self._metrics,
             ),
         )
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/load_counter.py
@@ -0,0 +1,48 @@
+"""Count the requests of each shard."""
+
+import collections
+
+from sycamoreferry_core import ids, load_book, outcomes
+from sycamoreferry_router import messages
+
+REPORTED_SHARDS = 64
+
+
+class LoadCounter:
+    """Count admitted requests as a gate that lets everything pass."""
+
+    def __init__(self) -> None:
+        self._counts: dict[
+            ids.ServiceName,
+            collections.Counter[ids.ShardId],
+        ] = collections.defaultdict(collections.Counter)
+
+    async def enter(
+        self,
+        identified: messages.Identified,
+    ) -> messages.Identified | outcomes.NotRun:
+        """Count the request."""
+        if identified.shard is not None:
+            self._counts[identified.service.service_name][identified.shard] += 1
+        return identified
+
+    async def leave(
+        self,
+        identified: messages.Identified,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        """Do nothing; a request counts when it comes."""
+
+    def take(
+        self,
+        service: ids.ServiceName,
+        interval_ms: int,
+    ) -> load_book.LoadReport:
+        """Return what was counted since the last report."""
+        counted = self._counts.pop(service, collections.Counter())
+        busiest = dict(counted.most_common(REPORTED_SHARDS))
+        return load_book.LoadReport(
+            interval_ms=interval_ms,
+            busiest=busiest,
+            rest=counted.total() - sum(busiest.values()),
+        )
--- /dev/null
+++ b/packages/router/src/sycamoreferry_router/load_reports.py
@@ -0,0 +1,145 @@
+"""Carry counts of requests for each shard to the coordinators."""
+
+import asyncio
+import typing
+
+from grpclib import server as grpc_server
+
+from sycamoreferry_core import clock, ids, load_book
+from sycamoreferry_peer import client as peer_client
+from sycamoreferry_peer.generated import load_grpc, load_pb2
+from sycamoreferry_router import calls, load_counter, settings, view
+
+REPORT_INTERVAL_MS = 5000
+# More instances report less often, so that a coordinator hears as much.
+INSTANCES_PER_INTERVAL = 100
+ADD_UP_INTERVAL_MS = 1000
+
+_Added = tuple[clock.Millis, load_book.ShardLoads]
+_NEVER_ADDED: _Added = (clock.LONG_AGO, load_book.ShardLoads())
+
+
+class LoadService(load_grpc.LoadBase):  # type: ignore[misc]
+    """Take the reports of other instances."""
+
+    def __init__(self, timer: clock.Clock) -> None:
+        self._clock = timer
+        self._books: dict[ids.ServiceName, load_book.LoadBook] = {}
+        self._added: dict[ids.ServiceName, _Added] = {}
+
+    async def Report(
+        self,
+        stream: grpc_server.Stream[load_pb2.LoadReport, load_pb2.LoadReply],
+    ) -> None:
+        """Take a report over the network."""
+        request = calls.required(await stream.recv_message())
+        self.take(
+            ids.ServiceName(request.service),
+            ids.InstanceId(request.instance),
+            load_book.LoadReport(
+                interval_ms=max(1, request.interval_ms),
+                busiest={
+                    ids.ShardId(counted.shard): counted.requests
+                    for counted in request.busiest[
+                        : load_counter.REPORTED_SHARDS
+                    ]
+                },
+                rest=request.rest,
+            ),
+        )
+        await stream.send_message(load_pb2.LoadReply())
+
+    def take(
+        self,
+        service: ids.ServiceName,
+        instance: ids.InstanceId,
+        report: load_book.LoadReport,
+    ) -> None:
+        """Take a report."""
+        book = self._books.get(service, load_book.LoadBook())
+        self._books[service] = book.take(instance, report, self._clock.now())
+
+    def loads_of(
+        self,
+        service: ids.ServiceName,
+        shard_count: int,
+    ) -> load_book.ShardLoads:
+        """Return the load of every shard as it was reported."""
+        now = self._clock.now()
+        added_at, added = self._added.get(service, _NEVER_ADDED)
+        if now >= clock.later(added_at, ADD_UP_INTERVAL_MS):
+            book = self._books.get(service, load_book.LoadBook())
+            added = book.add_up(shard_count, now)
+            self._added[service] = (now, added)
+        return added
+
+
+class LoadLoop:
+    """Report to the coordinator of each service."""
+
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        services: typing.Iterable[settings.Service],
+        seen: view.InstanceView,
+        counter: load_counter.LoadCounter,
+        taken: LoadService,
+        peers: peer_client.PeerClients,
+    ) -> None:
+        self._me = me
+        self._services = tuple(
+            service for service in services if service.is_keyed
+        )
+        self._view = seen
+        self._counter = counter
+        self._taken = taken
+        self._peers = peers
+
+    async def run(self) -> None:
+        """Report at every interval until cancelled."""
+        while True:
+            interval_ms = self._interval_ms()
+            await asyncio.sleep(clock.seconds(interval_ms))
+            for service in self._services:
+                name = service.service_name
+                report = self._counter.take(name, interval_ms)
+                await self._report(name, report)
+
+    def _interval_ms(self) -> int:
+        joined = len(self._view.log_state.instances)
+        return REPORT_INTERVAL_MS * (1 + joined // INSTANCES_PER_INTERVAL)
+
+    async def _report(
+        self,
+        service: ids.ServiceName,
+        report: load_book.LoadReport,
+    ) -> None:
+        log_state = self._view.log_state
+        coordinator = log_state.term_of(service).coordinator
+        if coordinator == self._me:
+            self._taken.take(service, self._me, report)
+            return
+        found = log_state.instances.get(coordinator)
+        if found is None:
+            return
+        await self._peers.report_load(
+            peer_client.PeerAddress(found.peer_host, found.peer_port),
+            _to_message(self._me, service, report),
+        )
+
+
+def _to_message(
+    me: ids.InstanceId,
+    service: ids.ServiceName,
+    report: load_book.LoadReport,
+) -> load_pb2.LoadReport:
+    return load_pb2.LoadReport(
+        instance=me,
+        service=service,
+        interval_ms=report.interval_ms,
+        busiest=[
+            load_pb2.ShardCount(shard=shard, requests=requests)
+            for shard, requests in report.busiest.items()
+        ],
+        rest=report.rest,
+    )
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -6,21 +6,9 @@
 
 from sycamoreferry_core import events, ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
-from sycamoreferry_router import coordination_loop, relay, view
+from sycamoreferry_router import calls, coordination_loop, relay, view
 
 _Stream = grpc_server.Stream
-MessageType = typing.TypeVar('MessageType')
-
-
-class EmptyCallError(Exception):
-    """Report a call that ended before its message came."""
-
-
-def required(message: MessageType | None) -> MessageType:
-    """Return the message of a call; raise EmptyCallError without one."""
-    if message is None:
-        raise EmptyCallError('the peer sent no message; it may have left')
-    return message
 
 
 class PeerService(peer_grpc.PeerBase):  # type: ignore[misc]
@@ -45,7 +33,7 @@
         stream: _Stream[peer_pb2.PromiseRequest, peer_pb2.PromiseReply],
     ) -> None:
         """Promise to claim nothing for a while, as the deputy of a term."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         loop = self._loops.get(request.service)
         promised = False
         if loop is not None and request.deputy == self._me:
@@ -72,7 +60,7 @@
         stream: _Stream[peer_pb2.TailRequest, peer_pb2.TailReply],
     ) -> None:
         """Hand out records of the log that this instance still holds."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         start = ids.Offset(request.start)
         await stream.send_message(self._relay.read_recent(start))
 
--- a/packages/router/src/sycamoreferry_router/view.py
+++ b/packages/router/src/sycamoreferry_router/view.py
@@ -3,10 +3,15 @@
 import asyncio
 import typing
 
+import msgspec
+
 from sycamoreferry_core import ids, profiles, state
 from sycamoreferry_platform import wire
 
 LIVE = 'live'
+LEAVING = 'leaving'
+# Servers that the list left out, whose addresses are still known.
+REMEMBERED_SERVERS = 256
 
 _DEFAULT_PROFILE = profiles.Profile()
 
@@ -35,10 +40,14 @@
         self,
         listed: typing.Iterable[wire.ListedServer],
     ) -> None:
-        """Take a newer instance list."""
-        self.servers = {entry.server: entry for entry in listed}
+        """Take a newer instance list; keep the addresses it leaves out."""
+        newest = {entry.server: entry for entry in listed}
+        self.servers = {**self.servers, **newest}
+        unlisted = [name for name in self.servers if name not in newest]
+        for forgotten in unlisted[:-REMEMBERED_SERVERS]:
+            self.servers.pop(forgotten)
         by_service: dict[ids.ServiceName, list[wire.ListedServer]] = {}
-        for entry in self.servers.values():
+        for entry in newest.values():
             by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {
             service: tuple(entries) for service, entries in by_service.items()
@@ -48,8 +57,32 @@
         self,
         service: ids.ServiceName,
     ) -> tuple[wire.ListedServer, ...]:
-        """Return the listed servers of a service."""
-        return self._by_service.get(service, ())
+        """Return the listed servers of a service, drained ones as leaving."""
+        listed = self._by_service.get(service, ())
+        drained = self.log_state.wishes_of(service).drained
+        if not drained:
+            return listed
+        return tuple(
+            msgspec.structs.replace(entry, state=LEAVING)
+            if entry.server in drained
+            else entry
+            for entry in listed
+        )
+
+    def members_of(
+        self,
+        service: ids.ServiceName,
+    ) -> tuple[wire.ListedServer, ...]:
+        """Return the listed servers, and owners that the list leaves out."""
+        listed = self.servers_of(service)
+        names = {entry.server for entry in listed}
+        owners = self.log_state.assignment_of(service).shards_by_owner
+        unlisted = (
+            self.servers[owner]
+            for owner in sorted(owners)
+            if owner in self.servers and owner not in names
+        )
+        return (*listed, *unlisted)
 
     def profile(self, name: str) -> profiles.Profile:
         """Return the profile in force, or the default before any is."""
