--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -23,6 +23,7 @@
     deputy: ids.InstanceId = ids.InstanceId('')
     settled: ids.Term = ids.NO_TERM
     unsettled: tuple[records.TermClaimed, ...] = ()
+    past_owners: tuple[ids.ServerId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +45,7 @@
         owned: dict[ids.ServerId, list[ids.ShardId]] = {}
         for shard, owner in enumerate(self.owners):
             owned.setdefault(owner, []).append(ids.ShardId(shard))
+        owned.pop(ids.ServerId(''), None)
         return {owner: frozenset(shards) for owner, shards in owned.items()}
 
 
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -32,6 +32,7 @@
     relay,
     settings,
     snapshot_loop,
+    status_report,
     tail,
     view,
 )
@@ -51,6 +52,7 @@
         self,
         chosen: settings.Settings,
         session: aiohttp.ClientSession,
+        forwarder: http_forward.HttpForwarder,
     ) -> None:
         self._settings = chosen
         self._me = ids.InstanceId(
@@ -112,7 +114,7 @@
                 chosen=chosen,
                 seen=self._view,
                 clock=self._clock,
-                forwarder=http_forward.HttpForwarder(session),
+                forwarder=forwarder,
                 origin=forward.Origin(self._me, self._data_centre),
                 metrics=self._metrics,
                 chance=random.Random(),
@@ -138,10 +140,10 @@
             [
                 peer_service.PeerService(
                     self._me,
-                    self._data_centre,
                     self._view,
                     self._loops,
                     self._relay,
+                    self._reporter(),
                 ),
                 self._loads,
             ]
@@ -163,6 +165,16 @@
         peers.close()
         self._peers.close()
 
+    def _reporter(self) -> status_report.StatusReporter:
+        return status_report.StatusReporter(
+            instance=self._me,
+            data_centre=self._data_centre,
+            seen=self._view,
+            loops=self._loops,
+            server=self._server,
+            clock=self._clock,
+        )
+
     def _background(
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
@@ -255,8 +267,13 @@
 async def run_instance(chosen: settings.Settings) -> None:
     """Run an instance with sessions of its own."""
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-    ) as session:
-        await Instance(chosen, session).run()
+    async with (
+        aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+        ) as session,
+        http_forward.open_forwarder(
+            chosen.bounds.whole_answer_bytes,
+        ) as forwarder,
+    ):
+        await Instance(chosen, session, forwarder).run()
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -47,6 +47,7 @@
     method: str
     started: int
     ended: int = 0
+    trace_parent: str = ''
     cancelled: bool = False
 
 
@@ -106,7 +107,7 @@
         app.add_route(
             self._serve,
             '/<path:path>',
-            methods=('GET', 'POST', 'PUT', 'PATCH', 'DELETE'),
+            methods=('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'),
         )
 
     async def _set_faults(
@@ -176,7 +177,7 @@
         await self._meet_network(request)
         refusal = self._refusal(request)
         if refusal is not None:
-            return _refuse(refusal)
+            return _refuse(request, refusal)
         self._present += 1
         try:
             async with self._slots:
@@ -207,7 +208,7 @@
     ) -> response.HTTPResponse:
         refusal = self._ownership_refusal(request)
         if refusal is not None:
-            return _refuse(refusal)
+            return _refuse(request, refusal)
         self._running += 1
         witnessed = self._witness(request)
         try:
@@ -242,6 +243,7 @@
             fence=int(request.headers.get(headers.FENCE, '-1')),
             method=request.method,
             started=self._clock.now(),
+            trace_parent=request.headers.get(headers.TRACE_PARENT, ''),
         )
         self.runs.append(run)
         return run
@@ -270,12 +272,18 @@
         return answer
 
 
-def _refuse(reason: str) -> response.HTTPResponse:
+def _refuse(
+    request: sanic_request.Request,
+    reason: str,
+) -> response.HTTPResponse:
     status = _CONFLICT if reason == 'not-owner' else _UNAVAILABLE
     return response.text(
         reason,
         status=status,
-        headers={headers.NOT_RUN: reason},
+        headers={
+            headers.NOT_RUN: reason,
+            headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, ''),
+        },
     )
 
 
--- a/packages/standins/src/sycamoreferry_standins/bench/group.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/group.py
@@ -138,6 +138,7 @@
             events.ServerAnswered(
                 server=order.server,
                 term=order.term,
+                number=order.number,
                 stamp=answer.stamp,
                 received_at=self.timer.now(),
                 holds=_held(answer),
--- a/packages/standins/src/sycamoreferry_standins/web.py
+++ b/packages/standins/src/sycamoreferry_standins/web.py
@@ -1,5 +1,6 @@
 """Run sanic applications beside each other on one loop."""
 
+import secrets
 import socket
 import typing
 
@@ -11,6 +12,10 @@
 
 LOOPBACK = '127.0.0.1'
 _BACKLOG = 1024
+# Lies below the ports that the system gives to outgoing connections.
+_LOWEST_PORT = 12_000
+_HIGHEST_PORT = 31_999
+_PORTS = range(_LOWEST_PORT, _HIGHEST_PORT + 1)
 
 
 def new_app(name: str) -> App:
@@ -31,10 +36,20 @@
 
 
 def free_port() -> int:
-    """Return a port on loopback that was free a moment ago."""
+    """Return a free port that no outgoing connection is given."""
+    while True:
+        port = secrets.choice(_PORTS)
+        if _is_free(port):
+            return port
+
+
+def _is_free(port: int) -> bool:
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 async def serve_app(app: App, bound: socket.socket) -> None:
