--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -9,7 +9,13 @@
 import aiohttp
 from grpclib import server as grpc_server
 
-from sycamoreferry_core import clock, ids, records, snapshots
+from sycamoreferry_core import (
+    admission_state,
+    clock,
+    ids,
+    state,
+)
+from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
@@ -21,24 +27,27 @@
     wire,
 )
 from sycamoreferry_router import (
+    admission_ring,
+    admission_service,
     coordination_loop,
     http_server,
-    load_counter,
     load_reports,
+    log_following,
     logs,
+    membership_loop,
     metrics,
+    partition_io,
+    partition_loop,
     peer_service,
     pipeline,
-    relay,
     settings,
-    snapshot_loop,
     status_report,
-    tail,
     view,
 )
-from sycamoreferry_router.filters import forward
+from sycamoreferry_router.filters import admission_gate, forward
 
 PEER_TIMEOUT_MS = 300
+ADMISSION_TIMEOUT_MS = 1000
 LEAVE_NOTICE_MS = 500
 EPOCH_BYTES = 4
 
@@ -67,40 +76,19 @@
             session,
             chosen.platform.instance_list_url,
         )
-        self._relay = relay.Relay(
-            self._view,
-            self._peers,
-            _seeds(chosen),
-            random.Random(),
-        )
-        self._tail = tail.Tail(
-            http_log.HttpLog(
-                session,
-                chosen.platform.log_url,
-                chosen.platform.stream,
-            ),
-            self._view,
-            self._relay,
-            chosen.platform.tail_wait_ms,
-        )
-        self._snapshots = snapshot_loop.SnapshotLoop(
+        self._following = log_following.LogFollowing(
+            chosen,
+            session,
             self._me,
             self._view,
-            self._tail,
+            self._peers,
             self._clock,
-            snapshots.SnapshotPolicy(
-                records=chosen.platform.snapshot_records,
-                interval_ms=chosen.platform.snapshot_interval_ms,
-                patience_ms=chosen.platform.snapshot_patience_ms,
-            ),
         )
         self._loads = load_reports.LoadService(self._clock)
-        self._load_counter = load_counter.LoadCounter()
         self._load_loop = load_reports.LoadLoop(
             self._me,
             chosen.services,
             self._view,
-            self._load_counter,
             self._loads,
             self._peers,
         )
@@ -109,6 +97,16 @@
             for service in chosen.services
             if service.is_keyed
         }
+        self._membership = self._build_membership()
+        admissions = self._admission_parts()
+        self._partitions = [
+            self._partition(number, session, admissions)
+            for number in range(chosen.admission.partitions)
+        ]
+        self._admissions = admission_ring.AdmissionRing(
+            self._partitions,
+            admissions,
+        )
         self._pipeline = pipeline.Pipeline(
             pipeline.Parts(
                 chosen=chosen,
@@ -119,7 +117,10 @@
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
-            (self._load_counter,),
+            gates=(
+                admission_gate.AdmissionGate(self._admissions, self._clock),
+                self._load_loop.counter,
+            ),
         )
         self._server = http_server.HttpServer(
             chosen,
@@ -142,10 +143,14 @@
                     self._me,
                     self._view,
                     self._loops,
-                    self._relay,
+                    self._following.relay,
                     self._reporter(),
                 ),
                 self._loads,
+                admission_service.AdmissionService(
+                    self._me,
+                    self._partitions,
+                ),
             ]
         )
         listen = self._settings.listen
@@ -179,15 +184,65 @@
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
-            self._tail.run(),
-            self._tail.run_relay(),
-            self._snapshots.run(),
+            *self._following.background(),
             self._load_loop.run(),
             self._follow_instance_list(),
-            self._join(),
+            self._membership.run(),
+            self._admissions.run(),
             *(loop.run() for loop in self._loops.values()),
         ]
 
+    def _build_membership(self) -> membership_loop.MembershipLoop:
+        listen = self._settings.listen
+        return membership_loop.MembershipLoop(
+            state.InstanceState(
+                instance=self._me,
+                data_centre=self._data_centre,
+                peer_host=str(listen.host),
+                peer_port=listen.peer_port,
+                request_port=listen.request_port,
+            ),
+            self._view,
+            self._following.tail,
+            self._peers,
+            tuple(self._loops.values()),
+            self._clock,
+        )
+
+    def _admission_parts(self) -> partition_io.Parts:
+        chosen = self._settings.admission
+        return partition_io.Parts(
+            me=self._me,
+            seen=self._view,
+            clients=admission_client.AdmissionClients(
+                self._peers,
+                ADMISSION_TIMEOUT_MS,
+                PEER_TIMEOUT_MS,
+            ),
+            clock=self._clock,
+            timing=admission_state.Timing(
+                window_ms=chosen.window_ms,
+                limit_without_log_ms=chosen.limit_without_log_ms,
+                detection_ms=chosen.detection_ms,
+                batch_ms=chosen.batch_ms,
+            ),
+            read_wait_ms=self._settings.platform.tail_wait_ms,
+        )
+
+    def _partition(
+        self,
+        number: int,
+        session: aiohttp.ClientSession,
+        parts: partition_io.Parts,
+    ) -> partition_loop.PartitionLoop:
+        platform = self._settings.platform
+        stream = http_log.HttpLog(
+            session,
+            platform.log_url,
+            f'{platform.stream}-admission-{number}',
+        )
+        return partition_loop.PartitionLoop(number, stream, parts)
+
     def _coordination(
         self,
         service: settings.Service,
@@ -204,7 +259,7 @@
             self._me,
             coordination_loop.Parts(
                 seen=self._view,
-                tail=self._tail,
+                tail=self._following.tail,
                 peers=self._peers,
                 clock=self._clock,
                 unix_clock=unix_clock.UnixClock(),
@@ -224,20 +279,6 @@
     def _take_list(self, listed: tuple[wire.ListedServer, ...]) -> None:
         self._view.replace_servers(listed)
 
-    async def _join(self) -> None:
-        listen = self._settings.listen
-        joined = records.InstanceJoined(
-            record_id=tail.new_record_id('join'),
-            instance=self._me,
-            data_centre=self._data_centre,
-            peer_host=str(listen.host),
-            peer_port=listen.peer_port,
-            request_port=listen.request_port,
-        )
-        while await self._tail.publish(joined) is None:
-            _log.warning('the log took no join record; trying again')
-        _log.info('{} joined', self._me)
-
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
         self._pipeline.start_leaving()
@@ -247,21 +288,8 @@
         )
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
-        await self._tail.publish(
-            records.InstanceLeft(
-                record_id=tail.new_record_id('leave'),
-                instance=self._me,
-            ),
-        )
-
-
-def _seeds(
-    chosen: settings.Settings,
-) -> tuple[peer_client.PeerAddress, ...]:
-    return tuple(
-        peer_client.PeerAddress(str(peer.host), peer.port)
-        for peer in chosen.peers
-    )
+        await self._admissions.drain()
+        await self._membership.leave()
 
 
 async def run_instance(chosen: settings.Settings) -> None:
--- a/packages/router/src/sycamoreferry_router/load_reports.py
+++ b/packages/router/src/sycamoreferry_router/load_reports.py
@@ -82,7 +82,6 @@
         me: ids.InstanceId,
         services: typing.Iterable[settings.Service],
         seen: view.InstanceView,
-        counter: load_counter.LoadCounter,
         taken: LoadService,
         peers: peer_client.PeerClients,
     ) -> None:
@@ -90,8 +89,8 @@
         self._services = tuple(
             service for service in services if service.is_keyed
         )
+        self.counter = load_counter.LoadCounter()
         self._view = seen
-        self._counter = counter
         self._taken = taken
         self._peers = peers
 
@@ -102,7 +101,7 @@
             await asyncio.sleep(clock.seconds(interval_ms))
             for service in self._services:
                 name = service.service_name
-                report = self._counter.take(name, interval_ms)
+                report = self.counter.take(name, interval_ms)
                 await self._report(name, report)
 
     def _interval_ms(self) -> int:
