Hand over the term when a coordinator leaves

A leaving coordinator now claims the next term for its deputy, and a deputy that is no candidate any more is replaced at the next tick.

A profile's lease must outlast a renewal interval, the silence before a claim, and claim and greeting together; it was held only to twice the authority.

--- a/packages/core/src/sycamoreferry_core/claims.py
+++ b/packages/core/src/sycamoreferry_core/claims.py
@@ -200,7 +200,7 @@
     """Claim the next term where there is no deputy, or a silent one."""
     patience = DEPUTY_PATIENCE * current.timing.detection_ms
     silent = now > clock.later(current.deputy_heard_at, patience)
-    lacking = silent or not current.term.deputy
+    lacking = silent or not _is_candidate(current, current.term.deputy)
     if current.pending is not None or not lacking or not current.log_reached:
         return actions.Decision(current)
     if choose_deputy(current) in {'', current.term.deputy}:
@@ -208,26 +208,52 @@
     return claim_term(current, now)
 
 
+def _is_candidate(
+    current: coordination.CoordinatorState,
+    instance: ids.InstanceId,
+) -> bool:
+    return any(known.instance == instance for known in current.candidates)
+
+
+def hand_over(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> records.TermClaimed | None:
+    """Return a claim for the deputy, where a coordinator leaves."""
+    heir = current.term.deputy
+    if not current.has_authority(now) or not _is_candidate(current, heir):
+        return None
+    return _write_claim(current, now, heir)
+
+
 def claim_term(
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
     """Append a claim of the term that follows the current one."""
+    claim = _write_claim(current, now, current.me)
+    return actions.Decision(
+        dataclasses.replace(current, pending=claim, pending_since=now),
+        (actions.AppendRecord(claim),),
+    )
+
+
+def _write_claim(
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+    coordinator: ids.InstanceId,
+) -> records.TermClaimed:
     term = ids.Term(current.term.term + 1)
-    claim = records.TermClaimed(
+    return records.TermClaimed(
         record_id=ids.RecordId(
             f'claim/{current.service}/{term}/{current.me}/{now}'
         ),
         service=current.service,
         term=term,
         follows=current.term.term,
-        coordinator=current.me,
+        coordinator=coordinator,
         deputy=choose_deputy(current),
     )
-    return actions.Decision(
-        dataclasses.replace(current, pending=claim, pending_since=now),
-        (actions.AppendRecord(claim),),
-    )
 
 
 def choose_deputy(
--- a/packages/core/src/sycamoreferry_core/orders.py
+++ b/packages/core/src/sycamoreferry_core/orders.py
@@ -10,6 +10,7 @@
     digests,
     ids,
     links,
+    profiles,
 )
 
 RENEWALS_PER_LEASE = 6
@@ -77,7 +78,7 @@
     link: coordination.ServerLink,
     now: clock.Millis,
 ) -> bool:
-    interval = current.timing.lease_ms // RENEWALS_PER_LEASE
+    interval = current.timing.lease_ms // profiles.RENEWALS_PER_LEASE
     return now >= clock.later(link.asked_at, interval)
 
 
--- a/packages/core/src/sycamoreferry_core/profiles.py
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -8,6 +8,8 @@
 
 # A claim is appended and read back, and every server is greeted.
 CLAIM_AND_GREETING_MS = 300
+# A lease is renewed this often, so the rest of it is what a loss leaves.
+RENEWALS_PER_LEASE = 6
 
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
 _Share = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
@@ -33,14 +35,16 @@
     @pydantic.model_validator(mode='after')
     def check_take_over(self) -> typing.Self:
         """Refuse a lease that a take-over would outlast."""
-        promise_ms = 2 * self.authority_ms * (1 + self.clock_drift_share)
+        promise_ms = self.authority_ms * (1 + self.clock_drift_share)
         silence_ms = max(self.detection_ms, math.ceil(promise_ms))
-        needed_ms = silence_ms + CLAIM_AND_GREETING_MS
+        interval_ms = self.lease_ms // RENEWALS_PER_LEASE
+        needed_ms = interval_ms + silence_ms + CLAIM_AND_GREETING_MS
         if self.lease_ms < needed_ms:
             raise ValueError(
-                f'lease_ms must be at least {needed_ms}: the silence before a'
-                ' claim (detection_ms, or a promise of twice authority_ms)'
-                f' and {CLAIM_AND_GREETING_MS} ms to claim and greet',
+                f'lease_ms must be at least {needed_ms}: {interval_ms} from'
+                f' one renewal to the next, {silence_ms} of silence before a'
+                ' claim (detection_ms, or a promise of authority_ms), and'
+                f' {CLAIM_AND_GREETING_MS} to claim and greet',
             )
         return self
 
--- a/packages/core/tests/test_missing_deputy.py
+++ b/packages/core/tests/test_missing_deputy.py
@@ -1,6 +1,16 @@
+import dataclasses
+
 import pytest
 
-from sycamoreferry_core import actions, claims, clock, coordination, ids, state
+from sycamoreferry_core import (
+    actions,
+    claims,
+    clock,
+    coordination,
+    ids,
+    records,
+    state,
+)
 
 NOW = clock.Millis(1_000)
 ME = ids.InstanceId('one')
@@ -37,6 +47,8 @@
         ('', (ME, OTHER), True),
         ('', (ME,), False),
         (OTHER, (ME, OTHER), False),
+        ('left', (ME, OTHER), True),
+        ('left', (ME,), False),
     ],
 )
 def test_coordinator_without_deputy_takes_the_first_candidate(
@@ -46,3 +58,45 @@
 ) -> None:
     decided = _leading(deputy, candidates)
     assert bool(decided.actions) is claims_again
+
+
+@pytest.mark.parametrize(
+    ('authority_until', 'candidates', 'is_handed_over'),
+    [
+        (NOW + 1, (ME, OTHER, 'three'), True),
+        (NOW, (ME, OTHER, 'three'), False),
+        (NOW + 1, (ME, 'three'), False),
+    ],
+)
+def test_leaving_coordinator_hands_over_to_its_deputy(
+    authority_until: int,
+    candidates: tuple[str, ...],
+    is_handed_over: bool,
+) -> None:
+    leading = _leading(OTHER, candidates).state
+    claim = claims.hand_over(
+        dataclasses.replace(
+            leading,
+            term=dataclasses.replace(
+                leading.term,
+                unsettled=(_claimed(),),
+            ),
+            authority_until=clock.Millis(authority_until),
+        ),
+        NOW,
+    )
+    assert (claim is not None) is is_handed_over
+    if claim is not None:
+        assert (claim.term, claim.follows) == (2, 1)
+        assert (claim.coordinator, claim.deputy) == (OTHER, 'three')
+
+
+def _claimed() -> records.TermClaimed:
+    return records.TermClaimed(
+        record_id=ids.RecordId('claim'),
+        service=ids.ServiceName('manifest-svc'),
+        term=ids.Term(1),
+        follows=ids.NO_TERM,
+        coordinator=ME,
+        deputy=OTHER,
+    )
--- a/packages/core/tests/test_profiles.py
+++ b/packages/core/tests/test_profiles.py
@@ -68,10 +68,11 @@
 @pytest.mark.parametrize(
     ('part', 'changes'),
     [
-        # 2 * 500 * 1.01 to be silent, 300 to claim and greet.
-        ('timing', {'lease_ms': 1309, 'authority_ms': 500}),
-        ('timing', {'lease_ms': 1400, 'detection_ms': 1101}),
-        ('timing', {'clock_drift_share': 0.3}),
+        # A sixth from renewal to renewal, 900 * 1.01 to be silent, and 300
+        # to claim and greet.
+        ('timing', {'lease_ms': 1449, 'authority_ms': 900}),
+        ('timing', {'lease_ms': 1500, 'detection_ms': 951}),
+        ('timing', {'clock_drift_share': 0.95}),
         ('retries', {'first_delay_ms': 501}),
         ('limits', {'default_deadline_ms': 60001}),
         ('moves.peak_windows.0', {'end': '18:00'}),
@@ -90,8 +91,8 @@
 @pytest.mark.parametrize(
     'timing',
     [
-        {'lease_ms': 1310, 'authority_ms': 500},
-        {'lease_ms': 1400, 'detection_ms': 1100},
+        {'lease_ms': 1450, 'authority_ms': 900},
+        {'lease_ms': 1500, 'detection_ms': 950},
     ],
 )
 def test_lease_may_just_outlast_a_take_over(timing: dict[str, int]) -> None:
--- a/packages/router/src/sycamoreferry_router/coordination_loop.py
+++ b/packages/router/src/sycamoreferry_router/coordination_loop.py
@@ -8,6 +8,7 @@
 from sycamoreferry_core import (
     actions,
     authority,
+    claims,
     clock,
     coordination,
     coordinator,
@@ -60,7 +61,7 @@
     ) -> None:
         self._service = service
         self._orders = orders
-        self._parts = parts
+        self.parts = parts
         self._tasks: set[asyncio.Task[None]] = set()
         self._state = coordination.CoordinatorState(
             me=me,
@@ -77,23 +78,23 @@
     @property
     def has_authority(self) -> bool:
         """Tell whether this instance may give orders now."""
-        return self._state.has_authority(self._parts.clock.now())
+        return self._state.has_authority(self.parts.clock.now())
 
     @property
     def is_acting(self) -> bool:
         """Tell whether this instance does what its role asks for."""
-        return self._state.is_acting(self._parts.clock.now())
+        return self._state.is_acting(self.parts.clock.now())
 
     async def run(self) -> None:
         """Decide at every tick until cancelled."""
         while True:
             await asyncio.sleep(clock.seconds(TICK_MS))
-            if self._parts.seen.caught_up:
+            if self.parts.seen.caught_up:
                 self._feed_view()
                 self.feed(events.Ticked())
                 if self.has_authority:
-                    self.feed(_to_moves_considered(self._service, self._parts))
-                self._parts.metrics.has_authority.set(
+                    self.feed(_to_moves_considered(self._service, self.parts))
+                self.parts.metrics.has_authority.set(
                     {'service': self._service.name},
                     int(self.has_authority),
                 )
@@ -101,7 +102,7 @@
     def feed(self, event: events.Event) -> None:
         """Decide on an event and start its actions."""
         before = self._state
-        decision = coordinator.decide(event, before, self._parts.clock.now())
+        decision = coordinator.decide(event, before, self.parts.clock.now())
         self._state = decision.state
         _log_change(self._service.name, before, decision.state)
         for action in decision.actions:
@@ -109,8 +110,8 @@
 
     async def carry_out_read(self) -> None:
         """Read the tail as proof that the term is current."""
-        sent_at = self._parts.clock.now()
-        reached = await self._parts.tail.read_now()
+        sent_at = self.parts.clock.now()
+        reached = await self.parts.tail.read_now()
         self._feed_view()
         if reached:
             self.feed(events.TailRead(sent_at, self._log_term().term))
@@ -122,8 +123,8 @@
         address = self._peer_address(action.deputy)
         if address is None:
             return
-        sent_at = self._parts.clock.now()
-        reply = await self._parts.peers.promise(
+        sent_at = self.parts.clock.now()
+        reply = await self.parts.peers.promise(
             address,
             peer_pb2.PromiseRequest(
                 service=self._service.name,
@@ -140,7 +141,7 @@
         address = self._peer_address(action.holder)
         if address is None:
             return
-        reply = await self._parts.peers.release(
+        reply = await self.parts.peers.release(
             address,
             peer_pb2.ReleaseRequest(
                 service=self._service.name,
@@ -160,7 +161,7 @@
     def release(self, term: ids.Term) -> bool:
         """Act under no term before this one; tell whether none is left."""
         self.feed(events.ReleaseAsked(term))
-        now = self._parts.clock.now()
+        now = self.parts.clock.now()
         return authority.has_released(self._state, term, now)
 
     async def carry_out_probe(self, action: actions.ProbeHolders) -> None:
@@ -169,7 +170,7 @@
             address = self._peer_address(holder)
             if address is None:
                 continue
-            reply = await self._parts.peers.probe(
+            reply = await self.parts.peers.probe(
                 address,
                 peer_pb2.ProbeRequest(
                     instance=holder,
@@ -183,7 +184,7 @@
     async def carry_out_append(self, action: actions.AppendRecord) -> None:
         """Append a record and wait for its verdict."""
         record = action.record
-        verdict = await self._parts.tail.publish(record)
+        verdict = await self.parts.tail.publish(record)
         self._feed_view()
         if verdict is None:
             _log.warning('{} was not read back yet', record.record_id)
@@ -192,11 +193,11 @@
 
     async def carry_out_order(self, order: actions.Order) -> None:
         """Give an order to a backend server, if it may still be given."""
-        listed = self._parts.seen.servers.get(order.server)
+        listed = self.parts.seen.servers.get(order.server)
         answer: wire.OrderAnswer | None = None
         is_current = order.term == self._state.term.term
         if listed is not None and is_current and self.has_authority:
-            self._parts.metrics.orders.inc(
+            self.parts.metrics.orders.inc(
                 {'service': self._service.name, 'kind': type(order).__name__},
             )
             answer = await self._orders.give(
@@ -204,7 +205,7 @@
                 listed,
                 self._state.timing.detection_ms // 2,
             )
-        now = self._parts.clock.now()
+        now = self.parts.clock.now()
         self.feed(http_orders.to_event(order, answer, now))
 
     def _start(self, work: Work) -> None:
@@ -213,19 +214,19 @@
         task.add_done_callback(self._tasks.discard)
 
     def _log_term(self) -> state.TermState:
-        return self._parts.seen.log_state.term_of(self._service.service_name)
+        return self.parts.seen.log_state.term_of(self._service.service_name)
 
     def _peer_address(
         self,
         instance: ids.InstanceId,
     ) -> peer_client.PeerAddress | None:
-        found = self._parts.seen.log_state.instances.get(instance)
+        found = self.parts.seen.log_state.instances.get(instance)
         if found is None:
             return None
         return peer_client.PeerAddress(found.peer_host, found.peer_port)
 
     def _feed_view(self) -> None:
-        seen = self._parts.seen
+        seen = self.parts.seen
         profile = seen.profile(self._service.profile)
         pending = self._state.pending
         folded = pending is not None and (
@@ -256,6 +257,13 @@
         )
 
 
+async def hand_over(loop: CoordinationLoop) -> None:
+    """Give the term of a leaving coordinator to its deputy."""
+    claim = claims.hand_over(loop.current, loop.parts.clock.now())
+    if claim is not None:
+        await loop.parts.tail.publish(claim)
+
+
 def _to_moves_considered(
     service: settings.Service,
     parts: Parts,
--- a/packages/router/src/sycamoreferry_router/membership_loop.py
+++ b/packages/router/src/sycamoreferry_router/membership_loop.py
@@ -45,7 +45,9 @@
                 await self._watch_others()
 
     async def leave(self) -> None:
-        """Tell the log that this instance is gone."""
+        """Hand over what this instance leads, and tell the log."""
+        for loop in self._loops:
+            await coordination_loop.hand_over(loop)
         await self._tail.publish(_left(self._me.instance))
 
     @property
