Measure churn, imbalance, folding and profiles in force

scripts/bench churn places shards beside modulo hashing and consistent hashing with 100 virtual nodes, at 17 and 400 servers and 1,024 and 65,536 shards; scripts/bench profiles starts nine instances and publishes ten numbers.

A first assignment of more than 4,096 shards takes several records, and with the shards without an owner left out of shards_by_owner the rest was never given: test_records_that_follow_each_other_give_every_shard fails on the commit before. test_arrival_is_filled_from_an_even_table and test_a_hot_shard_does_not_hide_the_next_hot_server fail there too.

--- a/packages/core/src/sycamoreferry_core/assignment.py
+++ b/packages/core/src/sycamoreferry_core/assignment.py
@@ -61,9 +61,11 @@
 ) -> list[ids.ShardId]:
     if not assigned.owners:
         return [ids.ShardId(shard) for shard in range(shard_count)]
-    return sorted(
-        shard
-        for owner, shards in assigned.shards_by_owner.items()
+    owned = assigned.shards_by_owner
+    if sum(len(owned.get(server, ())) for server in kept) == shard_count:
+        return []
+    return [
+        ids.ShardId(shard)
+        for shard, owner in enumerate(assigned.owners)
         if owner not in kept
-        for shard in shards
-    )
+    ]
--- a/packages/core/src/sycamoreferry_core/load_moves.py
+++ b/packages/core/src/sycamoreferry_core/load_moves.py
@@ -1,5 +1,6 @@
 """Plan the moves that could wait: for arrivals and for load."""
 
+import bisect
 import collections
 import dataclasses
 import typing
@@ -38,6 +39,9 @@
     changes: tuple[records.Ownership, ...]
 
 
+Weighed = tuple[float, ids.ShardId]
+
+
 class _Draft:
     """Try moves on a copy of who owns what."""
 
@@ -55,6 +59,7 @@
             for server, shards in self.owned.items()
         }
         self._left = situation.room
+        self._movable: dict[ids.ServerId, list[Weighed]] = {}
 
     @property
     def has_room(self) -> bool:
@@ -73,10 +78,15 @@
             server for server in sorted(self.load) if server not in reserved
         ]
 
-    def movable(self, server: ids.ServerId) -> list[ids.ShardId]:
-        """Return the shards of a server that may move now."""
-        held = self.owned[server] - self._situation.resting
-        return sorted(held.difference(self._situation.pins))
+    def movable(self, server: ids.ServerId) -> list[Weighed]:
+        """Return the shards of a server that may move now, by weight."""
+        known = self._movable.get(server)
+        if known is None:
+            held = self.owned[server] - self._situation.resting
+            free = held.difference(self._situation.pins)
+            known = sorted((self.weigh(shard), shard) for shard in free)
+            self._movable[server] = known
+        return known
 
     def weigh(self, shard: ids.ShardId) -> float:
         """Return the load of a shard."""
@@ -84,15 +94,17 @@
 
     def move(
         self,
-        shard: ids.ShardId,
+        weighed: Weighed,
         giver: ids.ServerId,
         taker: ids.ServerId,
     ) -> None:
-        """Note one move."""
+        """Note one move; a shard moves only once in a plan."""
+        weight, shard = weighed
+        self.movable(giver).remove(weighed)
         self.owned[giver].discard(shard)
         self.owned[taker].add(shard)
-        self.load[giver] -= self.weigh(shard)
-        self.load[taker] += self.weigh(shard)
+        self.load[giver] -= weight
+        self.load[taker] += weight
         self.given[taker].append(shard)
         self._left -= 1
 
@@ -116,9 +128,10 @@
     pool = draft.pool()
     reserved = set(situation.pins.values()).intersection(draft.owned)
     for server in sorted(reserved):
-        for shard in draft.movable(server):
+        for weighed in tuple(draft.movable(server)):
             if draft.has_room:
-                draft.move(shard, server, min(pool, key=draft.load.__getitem__))
+                taker = min(pool, key=draft.load.__getitem__)
+                draft.move(weighed, server, taker)
     return records.MoveCause.LOAD
 
 
@@ -148,24 +161,17 @@
     givers = [server for server in draft.pool() if server != taker]
     while draft.has_room:
         giver = max(givers, key=draft.load.__getitem__)
-        spare = min(mean - draft.load[taker], draft.load[giver] - mean)
-        shard = _closest(draft, giver, spare)
-        if shard is None:
+        # The taker may not pass the mean, nor the giver fall below it.
+        even = (draft.load[giver] - draft.load[taker]) / 2
+        spare = min(mean - draft.load[taker], even) * _ROUNDING
+        fitting = bisect.bisect(draft.movable(giver), spare, key=_weight)
+        if not fitting:
             return
-        draft.move(shard, giver, taker)
+        draft.move(draft.movable(giver)[fitting - 1], giver, taker)
 
 
-def _closest(
-    draft: _Draft,
-    giver: ids.ServerId,
-    spare: float,
-) -> ids.ShardId | None:
-    fitting = [
-        shard
-        for shard in draft.movable(giver)
-        if draft.weigh(shard) <= spare * _ROUNDING
-    ]
-    return max(fitting, key=draft.weigh, default=None)
+def _weight(weighed: Weighed) -> float:
+    return weighed[0]
 
 
 def _relieve_hottest(draft: _Draft, situation: Situation) -> records.MoveCause:
@@ -178,21 +184,17 @@
 def _relieve(draft: _Draft, situation: Situation, mean: float) -> None:
     # Halfway back to even, so that the next small change moves nothing.
     enough = (1 + situation.threshold) / 2 * mean
-    while draft.has_room:
-        giver = max(draft.load, key=draft.load.__getitem__)
+    hot = set(draft.load)
+    while hot and draft.has_room:
+        giver = max(sorted(hot), key=draft.load.__getitem__)
         if draft.load[giver] <= enough:
             return
         taker = min(draft.pool(), key=draft.load.__getitem__)
-        shard = _best_relief(draft, giver, taker, mean)
-        if shard is None:
-            return
-        top = max(
-            draft.load[giver] - draft.weigh(shard),
-            draft.load[taker] + draft.weigh(shard),
-        )
-        if draft.load[giver] - top < LEAST_GAIN_SHARE * mean:
-            return
-        draft.move(shard, giver, taker)
+        weighed = _best_relief(draft, giver, taker, mean)
+        if weighed is None:
+            hot.discard(giver)
+        else:
+            draft.move(weighed, giver, taker)
 
 
 def _best_relief(
@@ -200,17 +202,32 @@
     giver: ids.ServerId,
     taker: ids.ServerId,
     mean: float,
-) -> ids.ShardId | None:
-    # A shard above the mean is hot wherever it is; its neighbours move.
-    movable = [
-        shard for shard in draft.movable(giver) if draft.weigh(shard) <= mean
-    ]
+) -> Weighed | None:
+    movable = draft.movable(giver)
     half = (draft.load[giver] - draft.load[taker]) / 2
-    return min(
-        movable,
-        key=lambda shard: abs(draft.weigh(shard) - half),
-        default=None,
-    )
+    place = bisect.bisect(movable, half, key=_weight)
+    near = [
+        weighed
+        for weighed in movable[max(0, place - 1) : place + 1]
+        # A shard above the mean is hot wherever it is; its neighbours move.
+        if _weight(weighed) <= mean
+    ]
+    if not near:
+        place = bisect.bisect(movable, mean, key=_weight)
+        near = movable[max(0, place - 1) : place]
+    gains = [(_gain(draft, giver, taker, one), one) for one in near]
+    gain, best = max(gains, default=(0, None))
+    return best if gain >= LEAST_GAIN_SHARE * mean else None
+
+
+def _gain(
+    draft: _Draft,
+    giver: ids.ServerId,
+    taker: ids.ServerId,
+    weighed: Weighed,
+) -> float:
+    left = draft.load[giver] - _weight(weighed)
+    return draft.load[giver] - max(left, draft.load[taker] + _weight(weighed))
 
 
 _PLANNERS = (_free_reserved, _fill_arrivals, _relieve_hottest)
--- a/packages/core/tests/test_assignment.py
+++ b/packages/core/tests/test_assignment.py
@@ -64,6 +64,26 @@
     assert given == assignment.SHARDS_PER_RECORD
 
 
+def test_records_that_follow_each_other_give_every_shard() -> None:
+    count = 3 * assignment.SHARDS_PER_RECORD
+    unowned = state.Assignment(
+        (ids.ServerId(''),) * count,
+        (ids.NO_FENCE,) * count,
+    )
+    servers = {ids.ServerId('a'), ids.ServerId('b')}
+    for _ in range(3):
+        owners = list(unowned.owners)
+        for change in assignment.plan_changes(unowned, count, servers):
+            for shard in change.shards:
+                owners[shard] = change.server
+        unowned = state.Assignment(tuple(owners), unowned.fences)
+    assert collections.Counter(unowned.owners) == {
+        'a': count // 2,
+        'b': count // 2,
+    }
+    assert assignment.plan_changes(unowned, count, servers) == ()
+
+
 def _spread(
     assigned: state.Assignment,
     servers: set[ids.ServerId],
--- a/packages/core/tests/test_load_moves.py
+++ b/packages/core/tests/test_load_moves.py
@@ -156,6 +156,24 @@
     assert load_moves.plan_moves(_apply(situation, plan)) is None
 
 
+def test_arrival_is_filled_from_an_even_table() -> None:
+    names = [ids.ServerId(f'many-{number}') for number in range(40)]
+    owners = [names[shard % 39] for shard in range(390)]
+    plan = load_moves.plan_moves(_situation(owners, [0.0] * 390, names))
+    assert plan is not None
+    assert 8 <= len(_moved(plan)) <= 10
+
+
+def test_a_hot_shard_does_not_hide_the_next_hot_server() -> None:
+    owners = [SERVERS[0], *[SERVERS[1]] * 5, SERVERS[2], SERVERS[3]]
+    situation = _situation(owners, [300.0, *[60.0] * 5, 0.0, 0.0])
+    plan = load_moves.plan_moves(situation)
+    assert plan is not None
+    # The mean is 150, and three of five have to go to come below 172.5.
+    assert len(_moved(plan)) == 3
+    assert 0 not in _moved(plan)
+
+
 def test_arrival_is_filled_in_batches() -> None:
     owners = [SERVERS[shard % 3] for shard in range(120)]
     situation = dataclasses.replace(
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,13 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report, slopes
+from sycamoreferry_standins.bench import (
+    churn,
+    control,
+    profiles,
+    report,
+    slopes,
+)
 
 Measure = typing.Callable[
     [],
@@ -18,6 +24,8 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'churn': churn.measure,
+    'profiles': profiles.measure,
     'control': control.measure,
     'slopes': slopes.measure,
 }
