--- a/packages/core/tests/test_profiles.py
+++ b/packages/core/tests/test_profiles.py
@@ -65,9 +65,39 @@
     assert [where for where, _ in problems] == [f'moves.peak_windows.0.{path}']
 
 
-def test_lease_must_outlast_a_take_over() -> None:
-    timing = {'lease_ms': 900, 'authority_ms': 500}
-    assert _problems({'timing': timing}) == [('', 'value_error')]
+@pytest.mark.parametrize(
+    ('part', 'changes'),
+    [
+        # A sixth from renewal to renewal, 900 * 1.01 to be silent, and 300
+        # to claim and greet.
+        ('timing', {'lease_ms': 1449, 'authority_ms': 900}),
+        ('timing', {'lease_ms': 1500, 'detection_ms': 951}),
+        ('timing', {'clock_drift_share': 0.95}),
+        ('retries', {'first_delay_ms': 501}),
+        ('limits', {'default_deadline_ms': 60001}),
+        ('moves.peak_windows.0', {'end': '18:00'}),
+    ],
+)
+def test_fields_must_fit_together(
+    part: str,
+    changes: dict[str, object],
+) -> None:
+    content: dict[str, object] = {part: changes}
+    if part.startswith('moves'):
+        content = {'moves': {'peak_windows': [WINDOW | changes]}}
+    assert _problems(content) == [(part, 'value_error')]
+
+
+@pytest.mark.parametrize(
+    'timing',
+    [
+        {'lease_ms': 1450, 'authority_ms': 900},
+        {'lease_ms': 1500, 'detection_ms': 950},
+    ],
+)
+def test_lease_may_just_outlast_a_take_over(timing: dict[str, int]) -> None:
+    profile = profiles.Profile.model_validate({'timing': timing})
+    assert profile.timing.lease_ms == timing['lease_ms']
 
 
 def test_profile_survives_writing_and_reading() -> None:
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -12,17 +12,16 @@
 from sycamoreferry_core import (
     clock,
     ids,
-    records,
-    snapshots,
+    state,
 )
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
     http_forward,
     http_instance_list,
-    http_log,
     http_orders,
     http_probe,
+    unix_clock,
     wall_clock,
     wire,
 )
@@ -32,15 +31,15 @@
     coordination_loop,
     crash_guard,
     http_server,
+    load_reports,
+    log_following,
     logs,
+    membership_loop,
     metrics,
     peer_service,
     pipeline,
-    relay,
     settings,
-    snapshot_loop,
     status_report,
-    tail,
     view,
 )
 from sycamoreferry_router.filters import admission_gate, forward
@@ -74,38 +73,28 @@
             session,
             chosen.platform.instance_list_url,
         )
-        self._relay = relay.Relay(
+        self._following = log_following.LogFollowing(
+            chosen,
+            session,
+            self._me,
             self._view,
             self._peers,
-            _seeds(chosen),
-            random.Random(),
-        )
-        self._tail = tail.Tail(
-            http_log.HttpLog(
-                session,
-                chosen.platform.log_url,
-                chosen.platform.stream,
-            ),
-            self._view,
-            self._relay,
-            chosen.platform.tail_wait_ms,
+            self._clock,
         )
-        self._snapshots = snapshot_loop.SnapshotLoop(
+        self._loads = load_reports.LoadService(self._clock)
+        self._load_loop = load_reports.LoadLoop(
             self._me,
+            chosen.services,
             self._view,
-            self._tail,
-            self._clock,
-            snapshots.SnapshotPolicy(
-                records=chosen.platform.snapshot_records,
-                interval_ms=chosen.platform.snapshot_interval_ms,
-                patience_ms=chosen.platform.snapshot_patience_ms,
-            ),
+            self._loads,
+            self._peers,
         )
         self._loops = {
             service.name: self._coordination(service, session)
             for service in chosen.services
             if service.is_keyed
         }
+        self._membership = self._build_membership()
         self._admissions = admission_setup.build_ring(
             chosen,
             self._me,
@@ -124,7 +113,7 @@
                 guard=crash_guard.CrashGuard(
                     crash_guard.Parts(
                         seen=self._view,
-                        publish=self._tail.publish,
+                        publish=self._following.tail.publish,
                         probe=http_probe.HttpProbe(session).probe,
                         wall_clock=wall_clock.WallClock(),
                     ),
@@ -134,6 +123,7 @@
             ),
             gates=(
                 admission_gate.AdmissionGate(self._admissions, self._clock),
+                self._load_loop.counter,
             ),
         )
         self._server = http_server.HttpServer(
@@ -157,9 +147,10 @@
                     self._me,
                     self._view,
                     self._loops,
-                    self._relay,
+                    self._following.relay,
                     self._reporter(),
                 ),
+                self._loads,
                 admission_service.AdmissionService(
                     self._me,
                     self._admissions.loops,
@@ -197,15 +188,31 @@
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
-            self._tail.run(),
-            self._tail.run_relay(),
-            self._snapshots.run(),
+            *self._following.background(),
+            self._load_loop.run(),
             self._follow_instance_list(),
-            self._join(),
+            self._membership.run(),
             self._admissions.run(),
             *(loop.run() for loop in self._loops.values()),
         ]
 
+    def _build_membership(self) -> membership_loop.MembershipLoop:
+        listen = self._settings.listen
+        return membership_loop.MembershipLoop(
+            state.InstanceState(
+                instance=self._me,
+                data_centre=self._data_centre,
+                peer_host=str(listen.host),
+                peer_port=listen.peer_port,
+                request_port=listen.request_port,
+            ),
+            self._view,
+            self._following.tail,
+            self._peers,
+            tuple(self._loops.values()),
+            self._clock,
+        )
+
     def _coordination(
         self,
         service: settings.Service,
@@ -222,9 +229,11 @@
             self._me,
             coordination_loop.Parts(
                 seen=self._view,
-                tail=self._tail,
+                tail=self._following.tail,
                 peers=self._peers,
                 clock=self._clock,
+                unix_clock=unix_clock.UnixClock(),
+                loads=self._loads,
                 metrics=self._metrics,
             ),
         )
@@ -240,20 +249,6 @@
     def _take_list(self, listed: tuple[wire.ListedServer, ...]) -> None:
         self._view.replace_servers(listed)
 
-    async def _join(self) -> None:
-        listen = self._settings.listen
-        joined = records.InstanceJoined(
-            record_id=tail.new_record_id('join'),
-            instance=self._me,
-            data_centre=self._data_centre,
-            peer_host=str(listen.host),
-            peer_port=listen.peer_port,
-            request_port=listen.request_port,
-        )
-        while await self._tail.publish(joined) is None:
-            _log.warning('the log took no join record; trying again')
-        _log.info('{} joined', self._me)
-
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
         self._pipeline.start_leaving()
@@ -264,21 +259,7 @@
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
         await self._admissions.drain()
-        await self._tail.publish(
-            records.InstanceLeft(
-                record_id=tail.new_record_id('leave'),
-                instance=self._me,
-            ),
-        )
-
-
-def _seeds(
-    chosen: settings.Settings,
-) -> tuple[peer_client.PeerAddress, ...]:
-    return tuple(
-        peer_client.PeerAddress(str(peer.host), peer.port)
-        for peer in chosen.peers
-    )
+        await self._membership.leave()
 
 
 async def run_instance(chosen: settings.Settings) -> None:
--- a/packages/router/src/sycamoreferry_router/peer_service.py
+++ b/packages/router/src/sycamoreferry_router/peer_service.py
@@ -7,6 +7,7 @@
 from sycamoreferry_core import ids
 from sycamoreferry_peer.generated import peer_grpc, peer_pb2
 from sycamoreferry_router import (
+    calls,
     coordination_loop,
     relay,
     status_report,
@@ -14,18 +15,6 @@
 )
 
 _Stream = grpc_server.Stream
-MessageType = typing.TypeVar('MessageType')
-
-
-class EmptyCallError(Exception):
-    """Report a call that ended before its message came."""
-
-
-def required(message: MessageType | None) -> MessageType:
-    """Return the message of a call; raise EmptyCallError without one."""
-    if message is None:
-        raise EmptyCallError('the peer sent no message; it may have left')
-    return message
 
 
 class PeerService(peer_grpc.PeerBase):  # type: ignore[misc]
@@ -50,7 +39,7 @@
         stream: _Stream[peer_pb2.PromiseRequest, peer_pb2.PromiseReply],
     ) -> None:
         """Promise to claim nothing for a while, as the deputy of a term."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         loop = self._loops.get(request.service)
         promised = False
         if loop is not None and request.deputy == self._me:
@@ -65,7 +54,7 @@
         stream: _Stream[peer_pb2.ReleaseRequest, peer_pb2.ReleaseReply],
     ) -> None:
         """Act under no earlier term, and say when no promise is left."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         loop = self._loops.get(request.service)
         released = False
         if loop is not None and request.holder == self._me:
@@ -77,7 +66,7 @@
         stream: _Stream[peer_pb2.ProbeRequest, peer_pb2.ProbeReply],
     ) -> None:
         """Say whether this instance does what its role asks for."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         loop = self._loops.get(request.service)
         mine = loop is not None and request.instance == self._me
         acting = mine and loop is not None and loop.is_acting
@@ -90,7 +79,7 @@
         stream: _Stream[peer_pb2.TailRequest, peer_pb2.TailReply],
     ) -> None:
         """Hand out records of the log that this instance still holds."""
-        request = required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         start = ids.Offset(request.start)
         await stream.send_message(self._relay.read_recent(start))
 
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -9,7 +9,9 @@
 
 from sycamoreferry_standins.bench import (
     admission,
+    churn,
     control,
+    profiles,
     report,
     slopes,
 )
@@ -24,6 +26,8 @@
 
 EXPERIMENTS: dict[str, Measure] = {
     'admission': admission.measure,
+    'churn': churn.measure,
+    'profiles': profiles.measure,
     'control': control.measure,
     'slopes': slopes.measure,
 }
