--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report, slopes
+from sycamoreferry_standins.bench import control, report, slopes, unavailable
 
 Measure = typing.Callable[
     [],
@@ -20,6 +20,7 @@
 EXPERIMENTS: dict[str, Measure] = {
     'control': control.measure,
     'slopes': slopes.measure,
+    'unavailable': unavailable.measure,
 }
 
 
