Let followers probe twice as often and claim after 1.2 s

Cause: with both holders lost, followers claimed after 1.8 s of silence, past the lease of 1.5 s, so answering servers lost their shards for a while. A claim still needs two unanswered probes. Left: a renewal may be 0.27 s old at the loss, so a gap of some 0.4 s stays unless leases lengthen.

--- a/packages/core/src/sycamoreferry_core/claims.py
+++ b/packages/core/src/sycamoreferry_core/claims.py
@@ -17,7 +17,8 @@
 
 # How many followers may claim, one after another.
 LINE_LENGTH = 3
-FOLLOWER_PATIENCE = 3
+FOLLOWER_PATIENCE = 2
+PROBES_PER_DETECTION = 2
 PENDING_PATIENCE = 2
 DEPUTY_PATIENCE = 5
 
@@ -156,7 +157,8 @@
     current: coordination.CoordinatorState,
     now: clock.Millis,
 ) -> actions.Decision:
-    if now < clock.later(current.proof_asked_at, current.timing.detection_ms):
+    interval = current.timing.detection_ms // PROBES_PER_DETECTION
+    if now < clock.later(current.proof_asked_at, interval):
         return actions.Decision(current)
     holders = tuple(
         holder
