--- a/packages/standins/src/sycamoreferry_standins/trial/system.py
+++ b/packages/standins/src/sycamoreferry_standins/trial/system.py
@@ -66,6 +66,7 @@
         self.log = member.TrialLog()
         self.violations: list[TwoOwners] = []
         self.wrong_fences: list[str] = []
+        self.granted: set[tuple[int, int, str]] = set()
         self.unowned_ms: collections.Counter[int] = collections.Counter()
         self.clocks: dict[str, network.DriftClock] = {}
         self._highest: dict[int, tuple[int, str]] = {}
@@ -214,6 +215,7 @@
             fence = book.fence_of(ids.ShardId(shard))
             if fence is None:
                 continue
+            self.granted.add((shard, fence, server))
             highest, holder = self._highest.get(shard, (-1, ''))
             if fence < highest or (fence == highest and holder != server):
                 self.wrong_fences.append(f'{shard} at {server}: {fence}')
--- a/packages/standins/tests/test_coordination_trial.py
+++ b/packages/standins/tests/test_coordination_trial.py
@@ -1,4 +1,6 @@
 import dataclasses
+import itertools
+import operator
 import pathlib
 import random
 
@@ -11,9 +13,11 @@
     authority,
     clock,
     coordination,
+    fold,
     links,
     orders,
     profiles,
+    state,
 )
 from sycamoreferry_standins import grant_book
 from sycamoreferry_standins.trial import faults, member, network, system
@@ -252,6 +256,28 @@
     assert _replay(trace).violations
 
 
+def _check_assignments(trial: system.System) -> None:
+    """Check that the log holds every assignment that was acted on."""
+    assigned: set[tuple[int, int, str]] = set()
+    at_offset = {}
+    folded = state.LogState()
+    for entry in trial.log.read(0, ''):
+        before = folded.assignment_of(member.SERVICE)
+        folded = fold.fold_one(folded, entry)
+        after = folded.assignment_of(member.SERVICE)
+        at_offset[folded.next_offset] = after
+        assert all(map(operator.le, before.fences, after.fences))
+        assigned.update(
+            zip(itertools.count(), after.fences, after.owners, strict=False),
+        )
+    assert trial.granted <= assigned
+    for known in trial.shared.members.values():
+        seen = known.log_state
+        if seen.next_offset:
+            kept = at_offset[seen.next_offset]
+            assert seen.assignment_of(member.SERVICE) == kept
+
+
 def _run(
     seed: int,
     setup: system.Setup,
@@ -276,6 +302,7 @@
         trial = _run(seed, setup)
         assert not trial.violations, seed
         assert not trial.wrong_fences, seed
+        _check_assignments(trial)
 
 
 @pytest.mark.parametrize(
