--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -14,6 +14,7 @@
     profiles,
     report,
     slopes,
+    unavailable,
 )
 
 Measure = typing.Callable[
@@ -30,6 +31,7 @@
     'profiles': profiles.measure,
     'control': control.measure,
     'slopes': slopes.measure,
+    'unavailable': unavailable.measure,
 }
 
 
