Let sanic drop the signals that nobody hears, and measure the hop

Cause: with TOUCHUP off sanic looked up nine signals for each request. Ruled out: TOUCHUP for every app; it rewrites sanic's classes and fails the second time in a process, so only a process with one app sets it.

--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -67,8 +67,11 @@
         self,
         host: str,
         port: int,
+        *,
+        is_only_app: bool = False,
     ) -> sanic_server.AsyncioServer:
-        """Listen for callers."""
+        """Listen for callers; sanic can speed up one app in a process."""
+        self._app.config.TOUCHUP = is_only_app
         server = await self._app.create_server(
             host=host,
             port=port,
@@ -100,7 +103,6 @@
         )
         app.config.KEEP_ALIVE_TIMEOUT = _KEEP_ALIVE_SECONDS
         app.config.RESPONSE_TIMEOUT = _RESPONSE_TIMEOUT_SECONDS
-        app.config.TOUCHUP = False
         app.add_route(self._show_health, '/healthz')
         app.add_route(self._show_readiness, '/readyz')
         app.add_route(self._show_metrics, '/metrics')
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -138,6 +138,7 @@
         server = await self._server.start(
             str(listen.host),
             listen.request_port,
+            is_only_app=True,
         )
         _log.info('{} listens on port {}', self._me, listen.request_port)
         tasks = [running.create_task(work) for work in self._background()]
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,15 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report, slopes
+from sycamoreferry_standins.bench import (
+    balancing,
+    control,
+    hop,
+    limits,
+    report,
+    slopes,
+    waiting,
+)
 
 Measure = typing.Callable[
     [],
@@ -18,8 +26,12 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'balancing': balancing.measure,
     'control': control.measure,
+    'hop': hop.measure,
+    'limits': limits.measure,
     'slopes': slopes.measure,
+    'waiting': waiting.measure,
 }
 
 
