--- a/packages/core/src/sycamoreferry_core/limits.py
+++ b/packages/core/src/sycamoreferry_core/limits.py
@@ -6,6 +6,8 @@
 START_LIMIT = 2
 # Latency may grow to this multiple of its base before the limit shrinks.
 TOLERANCE = 3.0
+# What the instance itself and the links add is no sign of a loaded target.
+SLACK_MS = 5
 _BACKOFF = 0.9
 _SHED_BACKOFF = 0.5
 _RECENT_SHARE = 0.1
@@ -35,7 +37,7 @@
     """Return the limit after an answer; it grows only where it is used."""
     recent = held.recent_ms + _RECENT_SHARE * (latency_ms - held.recent_ms)
     limit = held.limit
-    if recent > TOLERANCE * base_ms:
+    if recent > TOLERANCE * base_ms + SLACK_MS:
         limit -= limit * (1 - _BACKOFF) / max(1, in_flight)
     elif in_flight + 1 >= int(limit):
         limit += 1 / limit
--- a/packages/router/src/sycamoreferry_router/metrics.py
+++ b/packages/router/src/sycamoreferry_router/metrics.py
@@ -1,19 +1,26 @@
 """Count what the instance does."""
 
-from aioprometheus import collectors, renderer
+import collections
 
-from sycamoreferry_core import outcomes, state
+from aioprometheus import collectors as prometheus
+from aioprometheus import renderer
+
+from sycamoreferry_core import outcomes, result_codes, state
+
+_Ended = tuple[str, result_codes.ResultCode]
 
 
 class Metrics:
     """Hold the metrics of one instance."""
 
     def __init__(self) -> None:
-        self.registry = collectors.Registry()
+        self.registry = prometheus.Registry()
         self.requests = self._counter(
             'ferry_requests_total',
             'Requests by service and result code.',
         )
+        # The library checks labels at each step, which is dear on this path.
+        self._ended: collections.Counter[_Ended] = collections.Counter()
         self.retries = self._counter(
             'ferry_retries_total',
             'Requests that were sent on again, by service.',
@@ -41,7 +48,7 @@
 
     def count_outcome(self, service: str, outcome: outcomes.Outcome) -> None:
         """Count how a request ended."""
-        self.requests.inc({'service': service, 'code': str(int(outcome.code))})
+        self._ended[service, outcome.code] += 1
 
     def observe(self, log_state: state.LogState, in_flight: int) -> None:
         """Take what is true at the moment of a scrape."""
@@ -52,11 +59,14 @@
 
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the exposition and its headers."""
+        for (service, code), count in self._ended.items():
+            labels = {'service': service, 'code': str(int(code))}
+            self.requests.set(labels, count)
         content, extra = renderer.render(self.registry, [accept])
         return content, dict(extra)
 
-    def _counter(self, name: str, help_text: str) -> collectors.Counter:
-        return collectors.Counter(name, help_text, registry=self.registry)
+    def _counter(self, name: str, help_text: str) -> prometheus.Counter:
+        return prometheus.Counter(name, help_text, registry=self.registry)
 
-    def _gauge(self, name: str, help_text: str) -> collectors.Gauge:
-        return collectors.Gauge(name, help_text, registry=self.registry)
+    def _gauge(self, name: str, help_text: str) -> prometheus.Gauge:
+        return prometheus.Gauge(name, help_text, registry=self.registry)
--- a/packages/router/src/sycamoreferry_router/traces.py
+++ b/packages/router/src/sycamoreferry_router/traces.py
@@ -14,6 +14,7 @@
 _log = logs.part_logger('trace')
 _propagator = tracecontext.TraceContextTextMapPropagator()
 _tracer = trace.get_tracer('sycamoreferry')
+_NO_SPAN: contextlib.nullcontext[None] = contextlib.nullcontext()
 
 
 class LogExporter(export.SpanExporter):
@@ -40,12 +41,26 @@
     trace.set_tracer_provider(provider)
 
 
-@contextlib.contextmanager
 def hop(
     name: str,
     caller_headers: typing.Mapping[str, str] | None = None,
-) -> typing.Iterator[trace.Span]:
+) -> contextlib.AbstractContextManager[trace.Span | None]:
     """Run a block in a span, under the caller's span where it names one."""
+    if _is_off():
+        return _NO_SPAN
+    return _run_in_span(name, caller_headers)
+
+
+def _is_off() -> bool:
+    # Without a provider the library makes and drops a span for each hop.
+    return isinstance(trace.get_tracer_provider(), trace.ProxyTracerProvider)
+
+
+@contextlib.contextmanager
+def _run_in_span(
+    name: str,
+    caller_headers: typing.Mapping[str, str] | None,
+) -> typing.Iterator[trace.Span]:
     token = None
     if caller_headers is not None and 'traceparent' in caller_headers:
         token = context.attach(_propagator.extract(dict(caller_headers)))
@@ -59,4 +74,5 @@
 
 def hand_on(onward: typing.MutableMapping[str, str]) -> None:
     """Name the current span as the parent of the next hop's."""
-    _propagator.inject(onward)
+    if not _is_off():
+        _propagator.inject(onward)
