--- a/packages/platform/src/sycamoreferry_platform/http_forward.py
+++ b/packages/platform/src/sycamoreferry_platform/http_forward.py
@@ -201,13 +201,10 @@
         async with asyncio.timeout(clock.seconds(request.timeout_ms)):
             answer = await self._send(request, server, reusable=reusable)
             try:
-                received = await self._receive(answer, ends_at)
+                return await self._receive(answer, ends_at, reusable)
             except BaseException:
                 answer.close()
                 raise
-        if isinstance(received, Received):
-            return dataclasses.replace(received, needs_echo=reusable)
-        return received
 
     async def _send(
         self,
@@ -241,6 +238,7 @@
         self,
         answer: aiohttp.ClientResponse,
         ends_at: float,
+        needs_echo: bool,
     ) -> Received | CutOff:
         if not _is_framed(answer):
             answer.close()
@@ -249,7 +247,13 @@
         download = None
         if not answer.content.at_eof():
             download = Download(answer, body, ends_at)
-        return Received(answer.status, answer.headers, body, download)
+        return Received(
+            answer.status,
+            answer.headers,
+            body,
+            download,
+            needs_echo=needs_echo,
+        )
 
 
 def _url(server: wire.ListedServer, target: str) -> yarl.URL:
