--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -12,6 +12,7 @@
     control,
     hop,
     limits,
+    outage,
     report,
     slopes,
     waiting,
@@ -30,6 +31,7 @@
     'control': control.measure,
     'hop': hop.measure,
     'limits': limits.measure,
+    'outage': outage.measure,
     'slopes': slopes.measure,
     'waiting': waiting.measure,
 }
