--- a/packages/platform/src/sycamoreferry_platform/hop_headers.py
+++ b/packages/platform/src/sycamoreferry_platform/hop_headers.py
@@ -45,35 +45,32 @@
 _DROPPED_FROM_REQUESTS = _HOP_BY_HOP | _OWN_OF_REQUESTS
 _DROPPED_FROM_ANSWERS = _HOP_BY_HOP | _OWN_OF_ANSWERS
 
-Headers = typing.Mapping[str, str]
+Pairs = typing.Iterable[tuple[str, str]]
 
 
-def of_request(received: Headers) -> multidict.CIMultiDict[str]:
+def of_request(received: Pairs) -> multidict.CIMultiDict[str]:
     """Return the headers of a caller that a server may see."""
     return _pass_on(received, _DROPPED_FROM_REQUESTS)
 
 
-def of_answer(received: Headers) -> multidict.CIMultiDict[str]:
+def of_answer(received: Pairs) -> multidict.CIMultiDict[str]:
     """Return the headers of a server that a caller may see."""
     return _pass_on(received, _DROPPED_FROM_ANSWERS)
 
 
 def _pass_on(
-    received: Headers,
+    received: Pairs,
     dropped: frozenset[str],
 ) -> multidict.CIMultiDict[str]:
-    named = received.get('Connection')
-    if named is not None:
-        dropped = dropped | _named_by(received)
-    return multidict.CIMultiDict(
-        pair for pair in received.items() if pair[0].lower() not in dropped
-    )
-
-
-def _named_by(received: Headers) -> set[str]:
-    return {
-        option.strip().lower()
-        for name, text in received.items()
-        if name.lower() == 'connection'
-        for option in text.split(',')
-    }
+    kept = []
+    options = ''
+    for pair in received:
+        name = pair[0].lower()
+        if name not in dropped:
+            kept.append(pair)
+        elif name == 'connection':
+            options = f'{options},{pair[1]}'
+    onward = multidict.CIMultiDict(kept)
+    for option in options.split(','):
+        onward.popall(option.strip(), None)
+    return onward
--- a/packages/router/src/sycamoreferry_router/filters/answer.py
+++ b/packages/router/src/sycamoreferry_router/filters/answer.py
@@ -55,11 +55,9 @@
     outcome: outcomes.Answered,
     instance: ids.InstanceId,
 ) -> HttpAnswer:
-    received = multidict.CIMultiDict(outcome.headers)
-    onward = hop_headers.of_answer(received)
-    length = received.get(headers.CONTENT_LENGTH)
-    if length is not None and _may_name_length(outcome):
-        onward[headers.CONTENT_LENGTH] = length
+    onward = hop_headers.of_answer(outcome.headers)
+    if _may_name_length(outcome):
+        onward.extend(_length(outcome))
     onward.extend(_way_headers(outcome, instance))
     onward[headers.REQUEST_ID] = outcome.request_id
     return HttpAnswer(
@@ -70,6 +68,12 @@
     )
 
 
+def _length(outcome: outcomes.Answered) -> dict[str, str]:
+    received = multidict.CIMultiDict(outcome.headers)
+    length = received.get(headers.CONTENT_LENGTH)
+    return {} if length is None else {headers.CONTENT_LENGTH: length}
+
+
 def _may_name_length(outcome: outcomes.Answered) -> bool:
     if outcome.status in _BODILESS:
         return False
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -53,7 +53,7 @@
     remaining: int,
 ) -> multidict.CIMultiDict[str]:
     identified = selected.identified
-    onward = hop_headers.of_request(identified.incoming.headers)
+    onward = hop_headers.of_request(identified.incoming.headers.items())
     onward[headers.REQUEST_ID] = identified.request_id
     onward[headers.DEADLINE_MS] = str(remaining)
     onward[headers.INSTANCE] = origin.instance
--- a/packages/router/tests/test_answer.py
+++ b/packages/router/tests/test_answer.py
@@ -125,7 +125,7 @@
     pairs: list[tuple[str, str]],
 ) -> None:
     received = multidict.CIMultiDict(pairs)
-    onward = hop_headers.of_answer(received)
+    onward = hop_headers.of_answer(received.items())
     assert not {'connection', 'keep-alive'} & {name.lower() for name in onward}
     named = ','.join(received.getall('Connection', [])).lower()
     for name in ('X-One', 'X-Two', 'Set-Cookie'):
@@ -139,7 +139,7 @@
     'forged', ['ferry-shard', 'FERRY-FENCE', 'Ferry-Instance']
 )
 def test_no_caller_speaks_for_the_instance(forged: str) -> None:
-    onward = hop_headers.of_request(multidict.CIMultiDict([(forged, '7')]))
+    onward = hop_headers.of_request([(forged, '7')])
     assert not onward
 
 
