Answer unknown where the router itself fails

Cause: an exception that no filter expects ended in sanic's own error page, without a code. Ruled out: not run, since a server may have been reached. Seen to fail first without _serve_safely.

--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -9,6 +9,7 @@
 from sycamoreferry_platform import http_forward
 from sycamoreferry_router import (
     attempts,
+    logs,
     messages,
     metrics,
     settings,
@@ -18,6 +19,7 @@
 from sycamoreferry_router.filters import accept, admit, forward, identify
 
 REQUEST_ID_BYTES = 8
+_log = logs.part_logger('pipeline')
 _OUTCOME_UNKNOWN = result_codes.ResultCode.OUTCOME_UNKNOWN
 
 
@@ -75,7 +77,7 @@
     async def serve(self, incoming: messages.Incoming) -> outcomes.Outcome:
         """Return how the request ended."""
         with traces.hop('ferry.request', incoming.headers):
-            outcome = await self._serve(incoming)
+            outcome = await self._serve_safely(incoming)
         service = self._known.services.get(incoming.service)
         self._parts.metrics.count_outcome(
             service.name if service else 'unknown',
@@ -83,6 +85,17 @@
         )
         return outcome
 
+    async def _serve_safely(
+        self,
+        incoming: messages.Incoming,
+    ) -> outcomes.Outcome:
+        try:
+            return await self._serve(incoming)
+        except Exception as error:
+            # Whatever went wrong, only this is surely true.
+            _log.error('a request failed inside the router: {!r}', error)
+            return outcomes.Unknown(_OUTCOME_UNKNOWN)
+
     async def _serve(self, incoming: messages.Incoming) -> outcomes.Outcome:
         accepted = accept.accept(incoming, self._known.bounds)
         if isinstance(accepted, outcomes.NotRun):
--- a/packages/router/tests/test_attempts.py
+++ b/packages/router/tests/test_attempts.py
@@ -167,6 +167,23 @@
     assert len(servers.sent_to) - count <= earned
 
 
+class _Broken(_Servers):
+    """Fail in a way that no filter expects."""
+
+    async def forward(
+        self,
+        request: http_forward.ForwardedRequest,
+        server: wire.ListedServer,
+    ) -> http_forward.ForwardOutcome:
+        raise ValueError('not expected')
+
+
+def test_failure_inside_the_router_leaves_the_outcome_unknown() -> None:
+    requests = [_incoming('POST', number) for number in range(5)]
+    ended = asyncio.run(_serve_all(_Broken([]), requests))
+    assert {outcome.kind for outcome in ended} == {outcomes.Kind.UNKNOWN}
+
+
 def _assigned(offset: int, owner: ids.ServerId) -> state.LogState:
     return state.LogState(
         next_offset=ids.Offset(offset),
