--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -6,7 +6,7 @@
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes, retries
 from sycamoreferry_platform import headers, hop_headers, http_forward
-from sycamoreferry_router import messages, traces
+from sycamoreferry_router import crash_guard, messages, traces
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,9 +21,13 @@
     selected: messages.Selected,
     forwarder: http_forward.HttpForwarder,
     origin: Origin,
+    guard: crash_guard.CrashGuard,
     now: clock.Millis,
 ) -> messages.Forwarded | outcomes.NotRun:
     """Return what became of the request at the server."""
+    refused = guard.refuse(selected)
+    if refused is not None:
+        return refused
     remaining = selected.identified.deadline - now
     if remaining <= 0:
         return outcomes.NotRun(
@@ -43,7 +47,10 @@
         remaining_ms=remaining,
         request_id=selected.identified.request_id,
     )
-    outcome = await forwarder.forward(request, selected.server)
+    outcome = await guard.forward(
+        selected,
+        forwarder.forward(request, selected.server),
+    )
     return messages.Forwarded(selected, outcome)
 
 
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -10,44 +10,41 @@
 from grpclib import server as grpc_server
 
 from sycamoreferry_core import (
-    admission_state,
     clock,
     ids,
-    records,
-    snapshots,
+    state,
 )
-from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_platform import (
     boot_clock,
     http_forward,
     http_instance_list,
-    http_log,
     http_orders,
+    http_probe,
+    unix_clock,
+    wall_clock,
     wire,
 )
 from sycamoreferry_router import (
-    admission_ring,
     admission_service,
+    admission_setup,
     coordination_loop,
+    crash_guard,
     http_server,
+    load_reports,
+    log_following,
     logs,
+    membership_loop,
     metrics,
-    partition_io,
-    partition_loop,
     peer_service,
     pipeline,
-    relay,
     settings,
-    snapshot_loop,
     status_report,
-    tail,
     view,
 )
 from sycamoreferry_router.filters import admission_gate, forward
 
 PEER_TIMEOUT_MS = 300
-ADMISSION_TIMEOUT_MS = 1000
 LEAVE_NOTICE_MS = 500
 EPOCH_BYTES = 4
 
@@ -76,46 +73,35 @@
             session,
             chosen.platform.instance_list_url,
         )
-        self._relay = relay.Relay(
+        self._following = log_following.LogFollowing(
+            chosen,
+            session,
+            self._me,
             self._view,
             self._peers,
-            _seeds(chosen),
-            random.Random(),
-        )
-        self._tail = tail.Tail(
-            http_log.HttpLog(
-                session,
-                chosen.platform.log_url,
-                chosen.platform.stream,
-            ),
-            self._view,
-            self._relay,
-            chosen.platform.tail_wait_ms,
+            self._clock,
         )
-        self._snapshots = snapshot_loop.SnapshotLoop(
+        self._loads = load_reports.LoadService(self._clock)
+        self._load_loop = load_reports.LoadLoop(
             self._me,
+            chosen.services,
             self._view,
-            self._tail,
-            self._clock,
-            snapshots.SnapshotPolicy(
-                records=chosen.platform.snapshot_records,
-                interval_ms=chosen.platform.snapshot_interval_ms,
-                patience_ms=chosen.platform.snapshot_patience_ms,
-            ),
+            self._loads,
+            self._peers,
         )
         self._loops = {
             service.name: self._coordination(service, session)
             for service in chosen.services
             if service.is_keyed
         }
-        admissions = self._admission_parts()
-        self._partitions = [
-            self._partition(number, session, admissions)
-            for number in range(chosen.admission.partitions)
-        ]
-        self._admissions = admission_ring.AdmissionRing(
-            self._partitions,
-            admissions,
+        self._membership = self._build_membership()
+        self._admissions = admission_setup.build_ring(
+            chosen,
+            self._me,
+            self._view,
+            self._peers,
+            session,
+            self._clock,
         )
         self._pipeline = pipeline.Pipeline(
             pipeline.Parts(
@@ -124,11 +110,20 @@
                 clock=self._clock,
                 forwarder=forwarder,
                 origin=forward.Origin(self._me, self._data_centre),
+                guard=crash_guard.CrashGuard(
+                    crash_guard.Parts(
+                        seen=self._view,
+                        publish=self._following.tail.publish,
+                        probe=http_probe.HttpProbe(session).probe,
+                        wall_clock=wall_clock.WallClock(),
+                    ),
+                ),
                 metrics=self._metrics,
                 chance=random.Random(),
             ),
             gates=(
                 admission_gate.AdmissionGate(self._admissions, self._clock),
+                self._load_loop.counter,
             ),
         )
         self._server = http_server.HttpServer(
@@ -152,12 +147,13 @@
                     self._me,
                     self._view,
                     self._loops,
-                    self._relay,
+                    self._following.relay,
                     self._reporter(),
                 ),
+                self._loads,
                 admission_service.AdmissionService(
                     self._me,
-                    self._partitions,
+                    self._admissions.loops,
                 ),
             ]
         )
@@ -193,48 +189,30 @@
         self,
     ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
-            self._tail.run(),
-            self._tail.run_relay(),
-            self._snapshots.run(),
+            *self._following.background(),
+            self._load_loop.run(),
             self._follow_instance_list(),
-            self._join(),
+            self._membership.run(),
             self._admissions.run(),
             *(loop.run() for loop in self._loops.values()),
         ]
 
-    def _admission_parts(self) -> partition_io.Parts:
-        chosen = self._settings.admission
-        return partition_io.Parts(
-            me=self._me,
-            seen=self._view,
-            clients=admission_client.AdmissionClients(
-                self._peers,
-                ADMISSION_TIMEOUT_MS,
-                PEER_TIMEOUT_MS,
-            ),
-            clock=self._clock,
-            timing=admission_state.Timing(
-                window_ms=chosen.window_ms,
-                limit_without_log_ms=chosen.limit_without_log_ms,
-                detection_ms=chosen.detection_ms,
-                batch_ms=chosen.batch_ms,
+    def _build_membership(self) -> membership_loop.MembershipLoop:
+        listen = self._settings.listen
+        return membership_loop.MembershipLoop(
+            state.InstanceState(
+                instance=self._me,
+                data_centre=self._data_centre,
+                peer_host=str(listen.host),
+                peer_port=listen.peer_port,
+                request_port=listen.request_port,
             ),
-            read_wait_ms=self._settings.platform.tail_wait_ms,
-        )
-
-    def _partition(
-        self,
-        number: int,
-        session: aiohttp.ClientSession,
-        parts: partition_io.Parts,
-    ) -> partition_loop.PartitionLoop:
-        platform = self._settings.platform
-        stream = http_log.HttpLog(
-            session,
-            platform.log_url,
-            f'{platform.stream}-admission-{number}',
+            self._view,
+            self._following.tail,
+            self._peers,
+            tuple(self._loops.values()),
+            self._clock,
         )
-        return partition_loop.PartitionLoop(number, stream, parts)
 
     def _coordination(
         self,
@@ -252,9 +230,11 @@
             self._me,
             coordination_loop.Parts(
                 seen=self._view,
-                tail=self._tail,
+                tail=self._following.tail,
                 peers=self._peers,
                 clock=self._clock,
+                unix_clock=unix_clock.UnixClock(),
+                loads=self._loads,
                 metrics=self._metrics,
             ),
         )
@@ -270,20 +250,6 @@
     def _take_list(self, listed: tuple[wire.ListedServer, ...]) -> None:
         self._view.replace_servers(listed)
 
-    async def _join(self) -> None:
-        listen = self._settings.listen
-        joined = records.InstanceJoined(
-            record_id=tail.new_record_id('join'),
-            instance=self._me,
-            data_centre=self._data_centre,
-            peer_host=str(listen.host),
-            peer_port=listen.peer_port,
-            request_port=listen.request_port,
-        )
-        while await self._tail.publish(joined) is None:
-            _log.warning('the log took no join record; trying again')
-        _log.info('{} joined', self._me)
-
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
         self._pipeline.start_leaving()
@@ -294,21 +260,7 @@
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
         await self._admissions.drain()
-        await self._tail.publish(
-            records.InstanceLeft(
-                record_id=tail.new_record_id('leave'),
-                instance=self._me,
-            ),
-        )
-
-
-def _seeds(
-    chosen: settings.Settings,
-) -> tuple[peer_client.PeerAddress, ...]:
-    return tuple(
-        peer_client.PeerAddress(str(peer.host), peer.port)
-        for peer in chosen.peers
-    )
+        await self._membership.leave()
 
 
 async def run_instance(chosen: settings.Settings) -> None:
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -8,11 +8,14 @@
 import typer
 
 from sycamoreferry_standins.bench import (
+    admission,
     balancing,
+    churn,
     control,
     hop,
     limits,
     outage,
+    profiles,
     report,
     slopes,
     waiting,
@@ -27,11 +30,14 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'admission': admission.measure,
     'balancing': balancing.measure,
+    'churn': churn.measure,
     'control': control.measure,
     'hop': hop.measure,
     'limits': limits.measure,
     'outage': outage.measure,
+    'profiles': profiles.measure,
     'slopes': slopes.measure,
     'waiting': waiting.measure,
 }
