--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -223,7 +223,7 @@
         refusal = self._ownership_refusal(request)
         if refusal is not None:
             witnessed.refused = True
-            return _refuse(refusal)
+            return _refuse(request, refusal)
         return await self._answer(request)
 
     async def _work(self, request: sanic_request.Request) -> None:
