Replay the loss of instances, with callers behind a balancer

A fourth trace pauses one instance for 4 s, kills another and starts it again. Callers now avoid an instance that did not answer for 2 s, as the platform's balancer does, and take a refused connection as not run.

--- a/packages/ctl/src/sycamoreferry_ctl/replaying.py
+++ b/packages/ctl/src/sycamoreferry_ctl/replaying.py
@@ -144,7 +144,7 @@
             ),
             departures=tuple(self._departures),
             publications=tuple(self._publications),
-            retries=await self._count_retries(urls) - retries_before,
+            retries=max(0, await self._count_retries(urls) - retries_before),
         )
 
     async def act_on_process(self, line: trace.ProcessLine) -> None:
@@ -249,14 +249,17 @@
                 report(number + 1)
 
     async def _count_retries(self, urls: typing.Iterable[str]) -> int:
-        total = 0
-        for url in urls:
+        counts = await asyncio.gather(*map(self._retries_of, urls))
+        return sum(counts)
+
+    async def _retries_of(self, url: str) -> int:
+        """Return the retries of an instance; none where it has gone."""
+        try:
             async with self._session.get(f'{url}/metrics') as answer:
-                total += sum(
-                    int(float(count))
-                    for count in _RETRIES.findall(await answer.text())
-                )
-        return total
+                exposed = await answer.text()
+        except aiohttp.ClientError:
+            return 0
+        return sum(int(float(count)) for count in _RETRIES.findall(exposed))
 
 
 @functools.singledispatch
--- a/packages/ctl/src/sycamoreferry_ctl/trace_caller.py
+++ b/packages/ctl/src/sycamoreferry_ctl/trace_caller.py
@@ -1,7 +1,6 @@
 """Send the requests of a trace as its callers would."""
 
 import asyncio
-import contextlib
 import http
 import itertools
 import typing
@@ -20,11 +19,34 @@
 RESEND_PAUSE_MS = 200
 # What a caller waits past its deadline before it gives up on the answer.
 ANSWER_SLACK_MS = 1000
+AVOIDED_MS = 2000
 
 _ANSWERED = str(int(result_codes.ResultCode.ANSWERED))
 _ALREADY_ANSWERED = str(int(result_codes.ResultCode.ALREADY_ANSWERED))
 
 
+class Balancer:
+    """Take instances in turn, but for those that did not answer lately."""
+
+    def __init__(self, urls: typing.Sequence[str]) -> None:
+        self._urls = itertools.cycle(urls)
+        self._count = len(urls)
+        self._avoided: dict[str, clock.Millis] = {}
+
+    def choose(self, now: clock.Millis) -> str:
+        """Return the instance that is next in turn."""
+        chosen = next(self._urls)
+        for _ in range(self._count):
+            if self._avoided.get(chosen, now) <= now:
+                break
+            chosen = next(self._urls)
+        return chosen
+
+    def avoid(self, url: str, now: clock.Millis) -> None:
+        """Take an instance out of turn for a while."""
+        self._avoided[url] = clock.later(now, AVOIDED_MS)
+
+
 class TraceCaller:
     """Send requests to the instances in turn, and note each attempt."""
 
@@ -37,7 +59,7 @@
     ) -> None:
         self.attempts: list[trace_observations.Attempt] = []
         self._session = session
-        self._urls = itertools.cycle(urls)
+        self._balancer = Balancer(urls)
         self._clock = timer
         self._answer_bytes = {
             size.name: size.answer_bytes for size in workload.services
@@ -54,11 +76,19 @@
     async def _try(self, line: trace.RequestSent, number: int) -> int | None:
         request_id = ids.RequestId(f'{line.request_id}.{number}')
         sent_at = self._clock.now()
+        url = self._balancer.choose(sent_at)
         kind = outcomes.Kind.UNKNOWN
         answered: aiohttp.ClientResponse | None = None
         content = b''
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-            answered, content = await self._send(line, request_id)
+        try:
+            answered, content = await self._send(line, request_id, url)
+        except aiohttp.ClientConnectorError:
+            kind = outcomes.Kind.NOT_RUN
+        except (aiohttp.ClientError, TimeoutError):
+            kind = outcomes.Kind.UNKNOWN
+        if answered is None:
+            self._balancer.avoid(url, self._clock.now())
+        else:
             kind = kind_of(answered.headers)
         named = {} if answered is None else answered.headers
         attempt = trace_observations.Attempt(
@@ -81,11 +111,12 @@
         self,
         line: trace.RequestSent,
         request_id: ids.RequestId,
+        url: str,
     ) -> tuple[aiohttp.ClientResponse, bytes]:
         limit_ms = line.deadline_ms + ANSWER_SLACK_MS
         async with self._session.request(
             line.method,
-            f'{next(self._urls)}/{line.service}{line.target}',
+            f'{url}/{line.service}{line.target}',
             data=line.body.encode() or None,
             headers=headers_of(line, request_id),
             timeout=aiohttp.ClientTimeout(total=clock.seconds(limit_ms)),
--- a/packages/standins/src/sycamoreferry_standins/trace_maker.py
+++ b/packages/standins/src/sycamoreferry_standins/trace_maker.py
@@ -267,6 +267,19 @@
     return lines
 
 
+def make_instance_loss() -> list[trace.Line]:
+    """Return a night in which instances are paused, killed and replaced."""
+    maker = RequestMaker(PROCESSION, 'loss', random.Random(SEED + 3))
+    lines: list[trace.Line] = [
+        trace.ProcessPaused(at_ms=3000, process='entry-1'),
+        trace.ProcessContinued(at_ms=7000, process='entry-1'),
+        trace.ProcessKilled(at_ms=12_000, process='entry-2'),
+        trace.ProcessStarted(at_ms=16_000, process='entry-2'),
+    ]
+    lines.extend(maker.spread(count=600, start_ms=0, end_ms=20_000))
+    return lines
+
+
 def peak_of_day(day: Day, number: int) -> tuple[int, int]:
     """Return start and end of a day's peak in the time of the trace."""
     date = day.first + number * _DAY
@@ -309,6 +322,7 @@
     'procession': make_procession,
     'launch': make_launch,
     'clock-change': make_clock_change,
+    'instance-loss': make_instance_loss,
 }
 
 
