--- a/packages/ctl/src/sycamoreferry_ctl/cli.py
+++ b/packages/ctl/src/sycamoreferry_ctl/cli.py
@@ -3,7 +3,7 @@
 import typer
 
 from sycamoreferry_ctl import exit_status
-from sycamoreferry_ctl.commands import change, profile, replay, show
+from sycamoreferry_ctl.commands import change, profile, quarantine, replay, show
 
 _STATUSES = '; '.join(
     f'{int(status)} {meaning}'
@@ -18,6 +18,7 @@
     pretty_exceptions_enable=False,
 )
 app.add_typer(profile.app, name='profile')
+app.add_typer(quarantine.app, name='quarantine')
 app.command(
     name='assignment',
     epilog='Example: ferryctl assignment --service imbentaryo --key depot-7',
@@ -38,6 +39,14 @@
     name='status',
     epilog='Example: FERRY_LOG_URL=http://127.0.0.1:9000 ferryctl status',
 )(show.show_status)
+app.command(
+    name='drain',
+    epilog='Example: ferryctl drain imbentaryo imbentaryo-3',
+)(change.drain)
+app.command(
+    name='move',
+    epilog='Example: ferryctl move imbentaryo depot-7 imbentaryo-3',
+)(change.move)
 app.command(
     name='release',
     epilog='Example: ferryctl release imbentaryo 7 --sure',
--- a/packages/ctl/src/sycamoreferry_ctl/exit_status.py
+++ b/packages/ctl/src/sycamoreferry_ctl/exit_status.py
@@ -25,6 +25,6 @@
         "the platform's log did not answer; call again when it is back"
     ),
     ExitStatus.NOT_EVERYWHERE: (
-        'accepted, and not yet in force at the instances that are listed'
+        'accepted, and not yet in force or done as the output lists'
     ),
 }
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -67,7 +67,9 @@
         operator = Operator(system)
         await _check_views(operator)
         await _check_profiles(operator, tmp_path)
+        await _check_moves(operator)
         await _check_release(operator)
+        await _check_quarantine(operator)
         await _check_replay(operator, tmp_path)
         await system.started['entry-2'].kill()
         silent = await operator.call('status')
@@ -114,6 +116,28 @@
     assert 'lease_ms: 1600' in shown.stdout
 
 
+async def _check_moves(operator: Operator) -> None:
+    key = 'manifest-1'
+    shown = ('assignment', '--service', KEYED.name)
+    owned = (await operator.rows(*shown, '--key', key))[0]
+    drained = await operator.call('drain', KEYED.name, owned['server'])
+    assert drained.exit_code == 0, drained.output
+    owners = {row['server'] for row in await operator.rows(*shown)}
+    assert owned['server'] not in owners
+    target = min(owners - {owned['server']})
+    moved = await operator.call('move', KEYED.name, key, target)
+    assert moved.exit_code == 0, moved.output
+    owner = (await operator.rows(*shown, '--key', key))[0]['server']
+    assert owner == target
+    for undo in (
+        ('drain', KEYED.name, owned['server'], '--undo'),
+        ('move', KEYED.name, key, target, '--undo'),
+    ):
+        assert (await operator.call(*undo)).exit_code == 0
+    unknown = await operator.call('move', 'x', key, target)
+    assert unknown.exit_code == 2
+
+
 async def _check_release(operator: Operator) -> None:
     refused = await operator.call('release', KEYED.name, '999', '--sure')
     assert refused.exit_code == 1
@@ -126,6 +150,12 @@
     assert (await operator.rows('terms'))[0]['unsettled'] == 0
 
 
+async def _check_quarantine(operator: Operator) -> None:
+    assert await operator.rows('quarantine', 'list') == []
+    released = await operator.call('quarantine', 'release', 'none')
+    assert released.exit_code == 0
+
+
 async def _check_replay(operator: Operator, path: pathlib.Path) -> None:
     for name, lines, status in (
         ('good', GOOD_TRACE, 0),
