--- a/packages/core/src/sycamoreferry_core/coordinator.py
+++ b/packages/core/src/sycamoreferry_core/coordinator.py
@@ -13,6 +13,7 @@
     events,
     ids,
     links,
+    moves,
     orders,
     revisions,
     settlement,
@@ -140,6 +141,15 @@
     return actions.Decision(listed)
 
 
+@decide.register
+def _decide_moves_considered(
+    event: events.MovesConsidered,
+    current: coordination.CoordinatorState,
+    now: clock.Millis,
+) -> actions.Decision:
+    return moves.consider_moves(event, current, now)
+
+
 @decide.register
 def _decide_tail_read(
     event: events.TailRead,
--- a/packages/core/src/sycamoreferry_core/events.py
+++ b/packages/core/src/sycamoreferry_core/events.py
@@ -3,7 +3,14 @@
 import dataclasses
 import typing
 
-from sycamoreferry_core import clock, coordination, ids, profiles, state
+from sycamoreferry_core import (
+    clock,
+    coordination,
+    ids,
+    load_book,
+    profiles,
+    state,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,6 +37,17 @@
     members: tuple[tuple[ids.ServerId, coordination.Member], ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class MovesConsidered:
+    """Tell what moves depend on: time of day, policy, loads and wishes."""
+
+    at: clock.UnixMillis
+    policy: profiles.Moves
+    loads: load_book.ShardLoads = load_book.ShardLoads()
+    wishes: state.Wishes = state.Wishes()
+    recent_moves: tuple[state.RecentMove, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class TailRead:
     """Tell that the tail showed no later claim."""
@@ -117,6 +135,7 @@
     Ticked
     | StateFolded
     | ServersListed
+    | MovesConsidered
     | TailRead
     | TailReadFailed
     | DeputyPromised
--- a/packages/core/src/sycamoreferry_core/fold.py
+++ b/packages/core/src/sycamoreferry_core/fold.py
@@ -240,6 +240,7 @@
         if move.decided_at > oldest
     )
     moved = state.RecentMove(
+        cause=record.cause,
         decided_at=record.decided_at,
         shards=tuple(
             shard for change in record.changes for shard in change.shards
@@ -378,3 +379,18 @@
     instances = dict(log_state.instances)
     instances.pop(record.instance)
     return Accepted(dataclasses.replace(log_state, instances=instances))
+
+
+@apply_record.register(records.ServerCrashed)
+@apply_record.register(records.SuspicionCleared)
+def _apply_to_crash_book(
+    record: records.ServerCrashed | records.SuspicionCleared,
+    log_state: state.LogState,
+    entry: records.LoggedRecord,
+) -> Verdict:
+    book = log_state.crash_book
+    if isinstance(record, records.ServerCrashed):
+        book = book.note(record.crash)
+    else:
+        book = book.clear(record.digest)
+    return Accepted(dataclasses.replace(log_state, crash_book=book))
--- a/packages/router/src/sycamoreferry_router/admission_ring.py
+++ b/packages/router/src/sycamoreferry_router/admission_ring.py
@@ -39,6 +39,11 @@
         """Return this instance."""
         return self._parts.me
 
+    @property
+    def loops(self) -> typing.Sequence[_Loop]:
+        """Return the loop of each partition."""
+        return self._loops
+
     async def run(self) -> None:
         """Run every partition until cancelled."""
         await asyncio.gather(*(loop.run() for loop in self._loops))
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -227,8 +227,7 @@
         return await self._answer(request)
 
     async def _work(self, request: sanic_request.Request) -> None:
-        crash_key = self._faults.crash_on_key
-        if crash_key and request.headers.get(headers.KEY) == crash_key:
+        if self._is_crashed_by(request):
             self._faults = msgspec.structs.replace(self._faults, crashed=True)
             self._book.forget()
             _cut_off(request)
@@ -238,6 +237,11 @@
         if self._faults.crashed:
             _cut_off(request)
 
+    def _is_crashed_by(self, request: sanic_request.Request) -> bool:
+        # In a service without keys, the path takes the key's place.
+        named = request.headers.get(headers.KEY, request.path)
+        return named == self._faults.crash_on_key
+
     def _witness(self, request: sanic_request.Request) -> Run:
         run = Run(
             server=self.described.server,
--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -7,7 +7,15 @@
 
 import typer
 
-from sycamoreferry_standins.bench import control, report, slopes, unavailable
+from sycamoreferry_standins.bench import (
+    admission,
+    churn,
+    control,
+    profiles,
+    report,
+    slopes,
+    unavailable,
+)
 
 Measure = typing.Callable[
     [],
@@ -18,6 +26,9 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'admission': admission.measure,
+    'churn': churn.measure,
+    'profiles': profiles.measure,
     'control': control.measure,
     'slopes': slopes.measure,
     'unavailable': unavailable.measure,
