--- a/packages/core/src/sycamoreferry_core/profiles.py
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -32,22 +32,6 @@
     order_delay_bound_ms: _Positive = 1000
     drain_ms: _Positive = 2000
 
-    @pydantic.model_validator(mode='after')
-    def check_take_over(self) -> typing.Self:
-        """Refuse a lease that a take-over would outlast."""
-        promise_ms = self.authority_ms * (1 + self.clock_drift_share)
-        silence_ms = max(self.detection_ms, math.ceil(promise_ms))
-        interval_ms = self.lease_ms // RENEWALS_PER_LEASE
-        needed_ms = interval_ms + silence_ms + CLAIM_AND_GREETING_MS
-        if self.lease_ms < needed_ms:
-            raise ValueError(
-                f'lease_ms must be at least {needed_ms}: {interval_ms} from'
-                f' one renewal to the next, {silence_ms} of silence before a'
-                ' claim (detection_ms, or a promise of authority_ms), and'
-                f' {CLAIM_AND_GREETING_MS} to claim and greet',
-            )
-        return self
-
 
 class Retries(_Part):
     """Set how requests are sent on again."""
@@ -140,6 +124,23 @@
     moves: Moves = Moves()
     weights: Weights = Weights()
 
+    @pydantic.model_validator(mode='after')
+    def check_take_over(self) -> typing.Self:
+        """Refuse a lease that a take-over would outlast."""
+        timing = self.timing
+        promise_ms = timing.authority_ms * (1 + timing.clock_drift_share)
+        silence_ms = max(timing.detection_ms, math.ceil(promise_ms))
+        interval_ms = timing.lease_ms // RENEWALS_PER_LEASE
+        needed_ms = interval_ms + silence_ms + CLAIM_AND_GREETING_MS
+        if timing.lease_ms < needed_ms:
+            raise ValueError(
+                f'timing.lease_ms must be at least {needed_ms}:'
+                f' {interval_ms} from one renewal to the next, {silence_ms} of silence before a'
+                ' claim (detection_ms, or a promise of authority_ms), and'
+                f' {CLAIM_AND_GREETING_MS} to claim and greet',
+            )
+        return self
+
 
 def parse_profile(text: str) -> Profile:
     """Read a profile from JSON; raise pydantic.ValidationError."""
--- a/packages/core/tests/test_profiles.py
+++ b/packages/core/tests/test_profiles.py
@@ -85,7 +85,8 @@
     content: dict[str, object] = {part: changes}
     if part.startswith('moves'):
         content = {'moves': {'peak_windows': [WINDOW | changes]}}
-    assert _problems(content) == [(part, 'value_error')]
+    where = '' if part == 'timing' else part
+    assert _problems(content) == [(where, 'value_error')]
 
 
 @pytest.mark.parametrize(
--- a/packages/standins/tests/test_replacement.py
+++ b/packages/standins/tests/test_replacement.py
@@ -34,6 +34,7 @@
 CALLERS = 6
 WARM_RUNS = 30
 ANSWERED = str(int(result_codes.ResultCode.ANSWERED))
+LIST_INTERVAL_MS = 500
 DRAIN_MS = profiles.Timing().drain_ms
 
 
@@ -113,30 +114,49 @@
     return run.cancelled or not run.ended
 
 
+async def _stop_as_planned(
+    system: cluster.Cluster,
+    load: Load,
+    server: wire.ListedServer,
+) -> clock.Millis:
+    """Empty a server under load; return when the stop was asked for."""
+    has_run = functools.partial(_has_run, system, server)
+    await cluster.wait_for(has_run, 'runs at the server')
+    asked_at = boot_clock.BootClock().now()
+    await _relist(system, server, view.LEAVING)
+    is_empty = functools.partial(_owns_nothing, system, server)
+    await cluster.wait_for(is_empty, 'an empty server')
+    await _wait_for_ends(load, len(load.ends) + 20 * CALLERS)
+    return asked_at
+
+
 @pytest.mark.processes
 async def test_planned_stop_of_a_backend_server(
     tmp_path: pathlib.Path,
 ) -> None:
-    timer = boot_clock.BootClock()
     async with cluster.Cluster(SMALL, tmp_path, entries=2) as system:
         server = (await system.control.listed_servers())[0]
         async with Load(system) as load:
-            has_run = functools.partial(_has_run, system, server)
-            await cluster.wait_for(has_run, 'runs at the server')
-            asked_at = timer.now()
-            await _relist(system, server, view.LEAVING)
-            is_empty = functools.partial(_owns_nothing, system, server)
-            await cluster.wait_for(is_empty, 'an empty server')
-            ended = len(load.ends)
-            await _wait_for_ends(load, ended + 20 * CALLERS)
+            asked_at = await _stop_as_planned(system, load, server)
         runs = await system.control.runs_of(server)
-        list_lag_ms = 500
-        latest = clock.later(asked_at, DRAIN_MS + list_lag_ms)
+        latest = clock.later(asked_at, DRAIN_MS + LIST_INTERVAL_MS)
         assert max(run.started for run in runs) <= latest
         assert not any(map(_is_cut_off, runs))
         assert set(load.ends) == {ANSWERED}
 
 
+@pytest.mark.processes
+async def test_planned_stop_refuses_no_run_at_its_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with cluster.Cluster(SMALL, tmp_path, entries=2) as system:
+        server = (await system.control.listed_servers())[0]
+        async with Load(system) as load:
+            await _stop_as_planned(system, load, server)
+        runs = await system.control.runs_of(server)
+        assert not any(run.refused for run in runs)
+
+
 async def _wait_for_ends(load: Load, count: int) -> None:
     async def is_reached() -> bool:
         return len(load.ends) >= count
