--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -8,6 +8,7 @@
 import typer
 
 from sycamoreferry_standins.bench import (
+    admission,
     churn,
     control,
     profiles,
@@ -24,6 +25,7 @@
 DIRECTORY = pathlib.Path('var/bench')
 
 EXPERIMENTS: dict[str, Measure] = {
+    'admission': admission.measure,
     'churn': churn.measure,
     'profiles': profiles.measure,
     'control': control.measure,
