--- a/packages/core/src/sycamoreferry_core/profiles.py
+++ b/packages/core/src/sycamoreferry_core/profiles.py
@@ -143,8 +143,9 @@
         if timing.lease_ms < needed_ms:
             raise ValueError(
                 f'timing.lease_ms must be at least {needed_ms}:'
-                f' {interval_ms} from one renewal to the next, {silence_ms} of silence before a'
-                ' claim (detection_ms, or a promise of authority_ms), and'
+                f' {interval_ms} from one renewal to the next,'
+                f' {silence_ms} of silence before a claim'
+                ' (detection_ms, or a promise of authority_ms), and'
                 f' {CLAIM_AND_GREETING_MS} to claim and greet',
             )
         return self
