Let a caller that was refused for want of room come back past 5001

Cause: the gate tells the owner of a refusal beside the answer, so a caller that repeats at once may still meet 5001; the test took that for the end. It comes back on 3006 and 5001 and is as strict on the runs. The random machine runs as a function, so that docs/PROOFS.md can name it.

--- a/packages/standins/tests/test_admission_processes.py
+++ b/packages/standins/tests/test_admission_processes.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import clock, ids
 from sycamoreferry_platform import headers
 from sycamoreferry_standins import (
     backend_server,
@@ -28,6 +28,8 @@
 PATIENT_MS = '20000'
 PARTITIONS = 8
 CLAIM = re.compile(r'partition (\d): owner \S+, deputy (\S+)')
+# Refused for want of room; still known, until the owner hears of that.
+COME_BACK = frozenset(('3006', '5001'))
 
 
 async def _book(
@@ -50,6 +52,18 @@
         return 'gone'
 
 
+async def _book_when_there_is_room(
+    system: cluster.Cluster,
+    entry: cluster.Entry,
+    key: str,
+) -> str:
+    while True:
+        code = await _book(system, entry, key)
+        if code not in COME_BACK:
+            return code
+        await asyncio.sleep(clock.seconds(cluster.POLL_MS))
+
+
 async def _ends_as(
     system: cluster.Cluster,
     entry: cluster.Entry,
@@ -127,7 +141,13 @@
         for server in await system.control.listed_servers():
             await system.control.set_server_faults(server, slow)
         started = [
-            asyncio.create_task(_book(system, system.entries[0], f'{key}-cut'))
+            asyncio.create_task(
+                _book_when_there_is_room(
+                    system,
+                    system.entries[0],
+                    f'{key}-cut',
+                ),
+            )
             for key in KEYS
         ]
         await cluster.wait_for(
--- a/packages/standins/tests/test_admission_world.py
+++ b/packages/standins/tests/test_admission_world.py
@@ -189,11 +189,14 @@
         assert not self.callers.doubled_runs(TIMING.window_ms)
 
 
-AdmissionMachine.TestCase.settings = hypothesis.settings(
-    max_examples=60,
-    stateful_step_count=15,
-)
-test_nothing_runs_twice = AdmissionMachine.TestCase
+def test_nothing_runs_twice() -> None:
+    stateful.run_state_machine_as_test(
+        AdmissionMachine,
+        settings=hypothesis.settings(
+            max_examples=60,
+            stateful_step_count=15,
+        ),
+    )
 
 
 class Step(msgspec.Struct, kw_only=True):
