--- /dev/null
+++ b/packages/core/tests/test_admission_journal.py
@@ -0,0 +1,163 @@
+import collections
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from sycamoreferry_core import (
+    admission_journal,
+    admission_records,
+    admission_window,
+    ids,
+    records,
+)
+
+WINDOW_MS = 1000
+
+
+class Step(typing.NamedTuple):
+    """Claim, or append a batch under one of the claims so far."""
+
+    claims: bool
+    claim: int
+    key: str
+    elapsed: int
+
+
+STEPS = strategies.lists(
+    strategies.builds(
+        Step,
+        strategies.sampled_from((True, False, False, False)),
+        strategies.integers(0, 2),
+        strategies.sampled_from(('k1', 'k2', 'k3')),
+        strategies.integers(0, 50),
+    ),
+    max_size=20,
+)
+
+
+def _batch(
+    claim: int,
+    number: int,
+    key: str,
+    stamp: int,
+) -> admission_records.AdmissionBatch:
+    return admission_records.AdmissionBatch(
+        claim=ids.Offset(claim),
+        number=number,
+        owner=ids.InstanceId(f'owner-{claim}'),
+        deputy=ids.InstanceId('deputy'),
+        stamp=stamp,
+        admitted=(
+            admission_records.Admitted(
+                ids.AdmissionKey(key),
+                ids.Fingerprint('same'),
+                ids.AttemptId(f'{claim}/{number}'),
+                100,
+                admission_records.Order(ids.Offset(claim), number),
+            ),
+        ),
+    )
+
+
+def _write(steps: list[Step]) -> list[records.LoggedRecord]:
+    claims: list[int] = []
+    numbers: collections.Counter[int] = collections.Counter()
+    logged: list[records.LoggedRecord] = []
+    stamp = 0
+    for step in steps:
+        offset = len(logged)
+        stamp += step.elapsed
+        record: admission_records.AnyAdmissionRecord
+        if step.claims or not claims:
+            claims.append(offset)
+            record = admission_records.AdmissionClaimed(
+                ids.InstanceId(f'owner-{offset}'),
+                ids.InstanceId('deputy'),
+            )
+        else:
+            claim = claims[-1 - step.claim % len(claims)]
+            numbers[claim] += 1
+            record = _batch(claim, numbers[claim], step.key, stamp)
+        payload = admission_records.encode_record(record)
+        logged.append(records.LoggedRecord(ids.Offset(offset), payload))
+    return logged
+
+
+def _fold(
+    logged: typing.Iterable[records.LoggedRecord],
+) -> admission_journal.Journal:
+    journal = admission_journal.Journal(WINDOW_MS)
+    for entry in logged:
+        journal = admission_journal.fold_one(journal, entry)
+    return journal
+
+
+def _valid(
+    logged: list[records.LoggedRecord],
+) -> list[tuple[ids.Offset, admission_records.Admitted]]:
+    current = -1
+    valid = []
+    for offset, payload in logged:
+        record = admission_records.decode_record(payload)
+        if isinstance(record, admission_records.AdmissionClaimed):
+            current = offset
+        elif record is not None and record.claim == current:
+            valid.append((offset, record.admitted[0]))
+    return valid
+
+
+@hypothesis.given(STEPS)
+def test_only_batches_of_the_last_claim_count(steps: list[Step]) -> None:
+    logged = _write(steps)
+    journal = _fold(logged)
+    newest = {admitted.key: admitted for _, admitted in _valid(logged)}
+    for key in ('k1', 'k2', 'k3'):
+        known = journal.find(ids.AdmissionKey(key))
+        wanted = newest.get(ids.AdmissionKey(key))
+        assert (known and known.attempt) == (wanted and wanted.attempt)
+
+
+@hypothesis.given(STEPS, strategies.integers(0, 20))
+def test_repeated_records_change_nothing(steps: list[Step], cut: int) -> None:
+    logged = _write(steps)
+    assert _fold([*logged, *logged[cut:]]) == _fold(logged)
+
+
+@hypothesis.given(STEPS, strategies.integers(0, 20))
+def test_reader_past_retention_misses_nothing_in_view(
+    steps: list[Step],
+    first: int,
+) -> None:
+    logged = _write(steps)
+    late = _fold(logged[first:])
+    whole = _fold(logged)
+    if any(b'AdmissionClaimed' in entry.payload for entry in logged[first:]):
+        assert late.claim == whole.claim
+    for offset, admitted in _valid(logged):
+        if offset >= first:
+            known = late.find(admitted.key)
+            assert known is not None
+            assert known.order >= tuple(admitted.order)
+
+
+def test_entries_are_forgotten_after_the_window_and_no_sooner() -> None:
+    logged = _write([Step(True, 0, '', 0), Step(False, 0, 'k1', 0)])
+    for number, stamp in enumerate((WINDOW_MS, WINDOW_MS + 1), start=2):
+        batch = _batch(0, number, 'k2', stamp)
+        payload = admission_records.encode_record(batch)
+        logged.append(records.LoggedRecord(ids.Offset(number), payload))
+        known = _fold(logged).find(ids.AdmissionKey('k1'))
+        assert (known is None) == (stamp > WINDOW_MS)
+
+
+def test_old_entries_leave_the_memory() -> None:
+    window = admission_window.Window()
+    for number in range(1000):
+        admitted = _batch(0, number, f'key-{number}', 0).admitted[0]
+        entry = admission_window.new_entry(admitted, number)
+        window = window.with_entry(admitted.key, entry)
+    assert window.size == 1000
+    for turn in range(admission_window.BUCKETS):
+        window = window.sweep(turn, 900)
+    assert window.size == 100
--- a/packages/router/src/sycamoreferry_router/partition_loop.py
+++ b/packages/router/src/sycamoreferry_router/partition_loop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import typing
 
 from sycamoreferry_core import (
     admission,
@@ -12,11 +13,13 @@
     admission_state,
     clock,
     ids,
+    state,
 )
 from sycamoreferry_platform import log_port
 from sycamoreferry_router import logs, partition_io
 
 TICK_MS = 25
+IDLE_TICK_MS = 50
 READ_RETRY_MS = 200
 
 _Answers = asyncio.Future[admission_actions.Answer]
@@ -37,6 +40,8 @@
         self.calls = partition_io.PartitionCalls(number, stream, parts)
         self._parts = parts
         self._followed = asyncio.Event()
+        self._ranked: typing.Mapping[ids.InstanceId, state.InstanceState] = {}
+        self._line: tuple[admission_events.Member, ...] = ()
         self._answers: dict[ids.AttemptId, list[_Answers]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._state = admission_state.start(
@@ -53,10 +58,14 @@
     @property
     def line(self) -> tuple[admission_events.Member, ...]:
         """Return the joined instances in the partition's order."""
-        return admission_routing.line_of(
-            self._number,
-            self._parts.seen.log_state.instances.values(),
-        )
+        instances = self._parts.seen.log_state.instances
+        if instances is not self._ranked:
+            self._ranked = instances
+            self._line = admission_routing.line_of(
+                self._number,
+                instances.values(),
+            )
+        return self._line
 
     async def run(self) -> None:
         """Follow the stream and decide at every tick until cancelled."""
@@ -133,7 +142,9 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await asyncio.sleep(clock.seconds(TICK_MS))
+            waiting = self._state.owner.waiting
+            tick_ms = TICK_MS if waiting else IDLE_TICK_MS
+            await asyncio.sleep(clock.seconds(tick_ms))
             if not self._parts.seen.caught_up:
                 continue
             line = self.line
