Fold a batch that lands twice once, by test

Seen to fail first without the check of the batch's number; the other tests of the fold failed without _adopt, the check of the claim and the age of entries.

--- a/packages/core/tests/test_admission_journal.py
+++ b/packages/core/tests/test_admission_journal.py
@@ -161,3 +161,26 @@
     for turn in range(admission_window.BUCKETS):
         window = window.sweep(turn, 900)
     assert window.size == 100
+
+
+def test_batch_that_lands_twice_brings_no_released_key_back() -> None:
+    logged = _write([Step(True, 0, '', 0), Step(False, 0, 'k1', 0)])
+    admitted = _batch(0, 1, 'k1', 0).admitted[0]
+    release = admission_records.AdmissionBatch(
+        claim=ids.Offset(0),
+        number=2,
+        owner=ids.InstanceId('owner-0'),
+        deputy=ids.InstanceId('deputy'),
+        stamp=0,
+        concluded=(
+            admission_records.Concluded(
+                admitted.key,
+                admitted.attempt,
+                admission_records.Ending.NOT_RUN,
+            ),
+        ),
+    )
+    payload = admission_records.encode_record(release)
+    logged.append(records.LoggedRecord(ids.Offset(2), payload))
+    logged.append(records.LoggedRecord(ids.Offset(3), logged[1].payload))
+    assert _fold(logged).find(admitted.key) is None
