--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/membership.py
@@ -0,0 +1,100 @@
+"""Decide which joined instances are gone."""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, fold, ids
+
+MISSES_UNTIL_LOST = 3
+# Every instance is asked once in about this many rounds.
+ROUNDS_PER_SWEEP = 30
+# An instance that came back after its removal is cut off from this one only.
+SPARED_MS = 600_000
+
+Instances = typing.Collection[ids.InstanceId]
+
+
+@dataclasses.dataclass(frozen=True)
+class Watch:
+    """Hold which instances left probes unanswered."""
+
+    misses: typing.Mapping[ids.InstanceId, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    removed_at: typing.Mapping[ids.InstanceId, clock.Millis] = (
+        dataclasses.field(default_factory=dict)
+    )
+    last_asked: ids.InstanceId = ids.InstanceId('')
+
+
+def choose_asked(
+    watch: Watch,
+    joined: Instances,
+) -> tuple[ids.InstanceId, ...]:
+    """Return whom to probe in this round: suspects, then the next in turn."""
+    in_turn = sorted(joined)
+    later = [name for name in in_turn if name > watch.last_asked]
+    earlier = [name for name in in_turn if name <= watch.last_asked]
+    count = 1 + len(in_turn) // ROUNDS_PER_SWEEP
+    suspects = [name for name in in_turn if name in watch.misses]
+    return tuple(dict.fromkeys((*suspects, *(later + earlier)[:count])))
+
+
+def note_probe(
+    watch: Watch,
+    instance: ids.InstanceId,
+    answered: bool,
+) -> Watch:
+    """Return the watch after a probe."""
+    misses = dict(watch.misses)
+    count = misses.pop(instance, 0)
+    if not answered:
+        misses[instance] = count + 1
+    return dataclasses.replace(watch, misses=misses, last_asked=instance)
+
+
+def find_lost(
+    watch: Watch,
+    joined: Instances,
+    holders: Instances,
+    now: clock.Millis,
+) -> tuple[ids.InstanceId, ...]:
+    """Return whom to remove; a holder of a term is left to its deputy."""
+    return tuple(
+        instance
+        for instance, count in sorted(watch.misses.items())
+        if count >= MISSES_UNTIL_LOST
+        and instance in joined
+        and instance not in holders
+        and not _is_spared(watch, instance, now)
+    )
+
+
+def note_removal(
+    watch: Watch,
+    instance: ids.InstanceId,
+    now: clock.Millis,
+) -> Watch:
+    """Return the watch after a removal; old removals are forgotten."""
+    kept = {
+        name: removed_at
+        for name, removed_at in watch.removed_at.items()
+        if now < clock.later(removed_at, SPARED_MS)
+    }
+    misses = {
+        name: count for name, count in watch.misses.items() if name != instance
+    }
+    return dataclasses.replace(
+        watch,
+        misses=misses,
+        removed_at=fold.with_entry(kept, instance, now),
+    )
+
+
+def _is_spared(
+    watch: Watch,
+    instance: ids.InstanceId,
+    now: clock.Millis,
+) -> bool:
+    removed_at = watch.removed_at.get(instance, clock.LONG_AGO)
+    return now < clock.later(removed_at, SPARED_MS)
--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -7,7 +7,12 @@
 from grpclib import exceptions
 
 from sycamoreferry_core import clock
-from sycamoreferry_peer.generated import peer_grpc, peer_pb2
+from sycamoreferry_peer.generated import (
+    load_grpc,
+    load_pb2,
+    peer_grpc,
+    peer_pb2,
+)
 
 _UNREACHED = (
     exceptions.GRPCError,
@@ -99,6 +104,15 @@
             peer_pb2.StatusRequest(),
         )
 
+    async def report_load(
+        self,
+        address: PeerAddress,
+        request: load_pb2.LoadReport,
+    ) -> load_pb2.LoadReply | None:
+        """Report counts of requests; nothing where no answer came."""
+        stub = load_grpc.LoadStub(self.channel(address))
+        return await self._call(stub.Report, request)
+
     def channel(self, address: PeerAddress) -> grpc_client.Channel:
         """Return the channel to an instance."""
         channel = self._channels.get(address)
--- a/packages/router/src/sycamoreferry_router/admission_service.py
+++ b/packages/router/src/sycamoreferry_router/admission_service.py
@@ -11,7 +11,7 @@
 )
 from sycamoreferry_peer import admission_client
 from sycamoreferry_peer.generated import admission_grpc, admission_pb2
-from sycamoreferry_router import partition_loop, peer_service
+from sycamoreferry_router import calls, partition_loop
 
 _Stream = grpc_server.Stream
 
@@ -32,7 +32,7 @@
         stream: _Stream[admission_pb2.AdmitRequest, admission_pb2.AdmitReply],
     ) -> None:
         """Admit an attempt, or say why not."""
-        request = peer_service.required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         answered = await self._loops[request.partition].ask(
             admission_events.Asked(
                 key=ids.AdmissionKey(request.key),
@@ -56,7 +56,7 @@
         ],
     ) -> None:
         """Take how an attempt ended."""
-        request = peer_service.required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         loop = self._loops[request.partition]
         taken = loop.end(
             admission_records.Concluded(
@@ -77,7 +77,7 @@
         stream: _Stream[admission_pb2.CopyRequest, admission_pb2.CopyReply],
     ) -> None:
         """Hold admissions for the owner, as the deputy of its claim."""
-        request = peer_service.required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         held = request.deputy == self._me and self._loops[
             request.partition
         ].hold_copy(
@@ -95,7 +95,7 @@
         stream: _Stream[admission_pb2.YieldRequest, admission_pb2.YieldReply],
     ) -> None:
         """Admit nothing more under older claims."""
-        request = peer_service.required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         if request.holder != self._me:
             await stream.send_message(admission_pb2.YieldReply(over=False))
             return
@@ -120,7 +120,7 @@
         ],
     ) -> None:
         """Say that this instance is there, and follow the partition."""
-        request = peer_service.required(await stream.recv_message())
+        request = calls.required(await stream.recv_message())
         self._loops[request.partition].follow()
         await stream.send_message(
             admission_pb2.PartitionProbeReply(instance=self._me),
