--- a/packages/standins/src/sycamoreferry_standins/bench/__main__.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/__main__.py
@@ -9,11 +9,17 @@
 
 from sycamoreferry_standins.bench import (
     admission,
+    balancing,
     churn,
     control,
+    hop,
+    limits,
+    outage,
     profiles,
     report,
     slopes,
+    unavailable,
+    waiting,
 )
 
 Measure = typing.Callable[
@@ -26,10 +32,16 @@
 
 EXPERIMENTS: dict[str, Measure] = {
     'admission': admission.measure,
+    'balancing': balancing.measure,
     'churn': churn.measure,
-    'profiles': profiles.measure,
     'control': control.measure,
+    'hop': hop.measure,
+    'limits': limits.measure,
+    'outage': outage.measure,
+    'profiles': profiles.measure,
     'slopes': slopes.measure,
+    'unavailable': unavailable.measure,
+    'waiting': waiting.measure,
 }
 
 
