--- a/packages/standins/tests/test_coordination_trial.py
+++ b/packages/standins/tests/test_coordination_trial.py
@@ -185,7 +185,9 @@
 
 
 def _replay(trace: Trace) -> system.System:
-    timing = profiles.Timing(
+    # One owner must hold also under times that a profile is refused for,
+    # since they would cost availability.
+    timing = profiles.Timing.model_construct(
         limit_without_log_ms=trace.limit,
         lease_ms=trace.lease,
         authority_ms=trace.authority,
