Let requests at work end before their shard is handed over

Cause: a revoke took effect at once, so a server that checks the fence when it commits refused the requests that were at work for that shard; a planned stop cut them off, although each was sent on and none was lost. Change: a revoke carries the profile's drain time as a grace, the server closes each shard as its requests end, and the coordinator renews between two revokes once half of the lease is left. Cost: a moved shard with a long request waits for it, drain_ms at the most.

--- a/packages/core/src/sycamoreferry_core/actions.py
+++ b/packages/core/src/sycamoreferry_core/actions.py
@@ -83,12 +83,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Revoke:
-    """Take shards back from a backend server."""
+    """Take shards back, each when its requests in flight have ended."""
 
     server: ids.ServerId
     term: ids.Term
     number: ids.OrderNumber
     shards: tuple[ids.ShardId, ...]
+    grace_ms: int
 
 
 Order = Greet | Grant | Renew | Revoke
--- a/packages/core/src/sycamoreferry_core/orders.py
+++ b/packages/core/src/sycamoreferry_core/orders.py
@@ -47,12 +47,7 @@
         return _renew(current, link, now)
     surplus = link.holds - mine
     if surplus:
-        return actions.Revoke(
-            server=link.server,
-            term=current.term.term,
-            number=_next_number(current),
-            shards=tuple(sorted(surplus)),
-        )
+        return _take_back(current, link, surplus, now)
     missing = grantable_shards(current, link, now)
     if missing:
         return _grant(current, link, missing)
@@ -178,6 +173,41 @@
     )
 
 
+def _take_back(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    surplus: frozenset[ids.ShardId],
+    now: clock.Millis,
+) -> actions.Order:
+    # The server may hold on to shards while their requests end; its lease on
+    # all the others must go on meanwhile.
+    if _is_lease_short(current, link, now):
+        return _renew_now(current, link)
+    return _revoke(current, link, surplus)
+
+
+def _is_lease_short(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    now: clock.Millis,
+) -> bool:
+    return now > clock.later(link.lease_bound, -current.timing.lease_ms // 2)
+
+
+def _revoke(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+    surplus: frozenset[ids.ShardId],
+) -> actions.Order:
+    return actions.Revoke(
+        server=link.server,
+        term=current.term.term,
+        number=_next_number(current),
+        shards=tuple(sorted(surplus)),
+        grace_ms=current.timing.drain_ms,
+    )
+
+
 def _renew(
     current: coordination.CoordinatorState,
     link: coordination.ServerLink,
@@ -185,6 +215,13 @@
 ) -> actions.Order | None:
     if not _is_due(current, link, now):
         return None
+    return _renew_now(current, link)
+
+
+def _renew_now(
+    current: coordination.CoordinatorState,
+    link: coordination.ServerLink,
+) -> actions.Order:
     return actions.Renew(
         server=link.server,
         term=current.term.term,
--- a/packages/platform/src/sycamoreferry_platform/http_orders.py
+++ b/packages/platform/src/sycamoreferry_platform/http_orders.py
@@ -75,6 +75,7 @@
         term=order.term,
         number=order.number,
         shards=order.shards,
+        grace_ms=order.grace_ms,
     )
 
 
--- a/packages/platform/src/sycamoreferry_platform/wire.py
+++ b/packages/platform/src/sycamoreferry_platform/wire.py
@@ -80,9 +80,14 @@
 
 
 class RevokeOrder(Order, frozen=True, tag=True):
-    """Take shards back."""
+    """Take shards back, each when its requests in flight have ended.
+
+    The server runs no new request for these shards, and answers that it holds
+    a shard until its requests have ended or the grace is over.
+    """
 
     shards: tuple[ids.ShardId, ...]
+    grace_ms: int = 0
 
 
 AnyOrder = GreetOrder | GrantOrder | RenewOrder | RevokeOrder
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -194,14 +194,14 @@
         return self._ownership_refusal(request)
 
     def _ownership_refusal(self, request: sanic_request.Request) -> str | None:
-        shard = request.headers.get(headers.SHARD)
-        if shard is None:
+        granted = _granted(request)
+        if granted is None or self._book.may_begin(*granted):
             return None
-        held = self._book.holds(
-            ids.ShardId(int(shard)),
-            ids.Fence(int(request.headers.get(headers.FENCE, '-1'))),
-        )
-        return None if held else 'not-owner'
+        return 'not-owner'
+
+    def _may_commit(self, request: sanic_request.Request) -> bool:
+        granted = _granted(request)
+        return granted is None or self._book.holds(*granted)
 
     async def _run(
         self,
@@ -212,18 +212,19 @@
             return _refuse(request, refusal)
         self._running += 1
         witnessed = self._witness(request)
+        shard = ids.ShardId(witnessed.shard)
         try:
-            await self._work(request)
+            with self._book.closing.running(shard):
+                await self._work(request)
+                witnessed.refused = not self._may_commit(request)
         except asyncio.CancelledError:
             witnessed.cancelled = True
             raise
         finally:
             witnessed.ended = self._clock.now()
             self._running -= 1
-        refusal = self._ownership_refusal(request)
-        if refusal is not None:
-            witnessed.refused = True
-            return _refuse(request, refusal)
+        if witnessed.refused:
+            return _refuse(request, 'not-owner')
         return await self._answer(request)
 
     async def _work(self, request: sanic_request.Request) -> None:
@@ -281,6 +282,16 @@
         return answer
 
 
+def _granted(
+    request: sanic_request.Request,
+) -> tuple[ids.ShardId, ids.Fence] | None:
+    shard = request.headers.get(headers.SHARD)
+    if shard is None:
+        return None
+    fence = int(request.headers.get(headers.FENCE, '-1'))
+    return ids.ShardId(int(shard)), ids.Fence(fence)
+
+
 def _refuse(
     request: sanic_request.Request,
     reason: str,
--- a/packages/standins/src/sycamoreferry_standins/grant_book.py
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -5,6 +5,7 @@
 
 from sycamoreferry_core import clock, digests, ids
 from sycamoreferry_platform import wire
+from sycamoreferry_standins import closing_shards
 
 _NO_ORDER = ids.OrderNumber(0)
 
@@ -21,6 +22,7 @@
         self._lease_end = clock.LONG_AGO
         self._fences: dict[ids.ShardId, ids.Fence] = {}
         self._lapsed: dict[ids.ShardId, ids.Fence] = {}
+        self.closing = closing_shards.ClosingShards(timer)
 
     @property
     def term(self) -> ids.Term:
@@ -40,12 +42,17 @@
         self._lease_end = clock.LONG_AGO
         self._fences = {}
         self._lapsed = {}
+        self.closing.forget()
 
     def fence_of(self, shard: ids.ShardId) -> ids.Fence | None:
         """Return the fence of a shard that is granted now."""
         self._lapse()
         return self._fences.get(shard)
 
+    def may_begin(self, shard: ids.ShardId, fence: ids.Fence) -> bool:
+        """Tell whether a new request for a shard may run."""
+        return self.holds(shard, fence) and not self.closing.is_closing(shard)
+
     def holds(self, shard: ids.ShardId, fence: ids.Fence) -> bool:
         """Tell whether a shard is granted now under a fence."""
         held = self.fence_of(shard)
@@ -71,6 +78,7 @@
                 held = self._fences.get(shard, ids.NO_FENCE)
                 self._fences[shard] = max(held, group.fence)
                 self._lapsed.pop(shard, None)
+                self.closing.reopen(shard)
         return self._answer(accepted=True)
 
     def renew(self, order: wire.RenewOrder) -> wire.OrderAnswer:
@@ -85,10 +93,10 @@
         )
 
     def revoke(self, order: wire.RevokeOrder) -> wire.OrderAnswer:
-        """Give shards back."""
+        """Give shards back, each when its requests in flight have ended."""
         for shard in order.shards:
-            self._fences.pop(shard, None)
-            self._lapsed.pop(shard, None)
+            self.closing.close(shard, order.grace_ms)
+        self._lapse()
         return self._answer(accepted=True)
 
     def greet(self) -> wire.OrderAnswer:
@@ -99,6 +107,9 @@
         if self._clock.now() >= self._lease_end:
             self._lapsed.update(self._fences)
             self._fences = {}
+        for shard in self.closing.take_closed():
+            self._fences.pop(shard, None)
+            self._lapsed.pop(shard, None)
 
     def _is_stale(self, order: wire.AnyOrder) -> bool:
         last = (self._term, self._number)
