--- a/packages/router/src/sycamoreferry_router/coordination_loop.py
+++ b/packages/router/src/sycamoreferry_router/coordination_loop.py
@@ -19,7 +19,7 @@
 )
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
-from sycamoreferry_platform import http_orders, unix_clock, wire
+from sycamoreferry_platform import http_orders, wire
 from sycamoreferry_router import (
     load_reports,
     logs,
@@ -36,6 +36,9 @@
 _log = logs.part_logger('coordinator')
 
 
+AnyClock = clock.Clock
+
+
 @dataclasses.dataclass(frozen=True)
 class Parts:
     """Hold what the loop works with."""
@@ -43,8 +46,8 @@
     seen: view.InstanceView
     tail: tail.Tail
     peers: peer_client.PeerClients
-    clock: clock.Clock
-    unix_clock: unix_clock.UnixClock
+    clock: AnyClock
+    wall_clock: AnyClock
     loads: load_reports.LoadService
     metrics: metrics.Metrics
 
@@ -271,7 +274,7 @@
     name = service.service_name
     log_state = parts.seen.log_state
     return events.MovesConsidered(
-        at=parts.unix_clock.now(),
+        at=clock.UnixMillis(parts.wall_clock.now()),
         policy=parts.seen.profile(service.profile).moves,
         loads=parts.loads.loads_of(name, service.shards),
         wishes=log_state.wishes_of(name),
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -21,7 +21,6 @@
     http_instance_list,
     http_orders,
     http_probe,
-    unix_clock,
     wall_clock,
     wire,
 )
@@ -233,7 +232,7 @@
                 tail=self._following.tail,
                 peers=self._peers,
                 clock=self._clock,
-                unix_clock=unix_clock.UnixClock(),
+                wall_clock=wall_clock.WallClock(),
                 loads=self._loads,
                 metrics=self._metrics,
             ),
