Let the stand-in's cold start have its effect

Cause: the fault cold_start_ms of the backend server stand-in was declared and read by nothing, found while reading the whole as a newcomer would. Ruled out: dropping the field, since a cold start is among the faults that the users name. Change: requests that run before the cold start is over take as long as it still lasts. Measured: test_cold_server_answers_late passes; it was not run without the change.

--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -96,6 +96,7 @@
         self._present = 0
         self._running = 0
         self._faults = ServerFaults()
+        self._cold_until = clock.LONG_AGO
         self._thawed = asyncio.Event()
         self._thawed.set()
 
@@ -116,6 +117,10 @@
         request: sanic_request.Request,
     ) -> response.HTTPResponse:
         self._faults = msgspec.json.decode(request.body, type=ServerFaults)
+        self._cold_until = clock.later(
+            self._clock.now(),
+            self._faults.cold_start_ms,
+        )
         if self._faults.crashed:
             self._book.forget()
         if self._faults.frozen:
@@ -232,7 +237,8 @@
             self._faults = msgspec.structs.replace(self._faults, crashed=True)
             self._book.forget()
             _cut_off(request)
-        work = self.described.work_ms + self._faults.extra_delay_ms
+        cold = max(0, self._cold_until - self._clock.now())
+        work = self.described.work_ms + self._faults.extra_delay_ms + cold
         await asyncio.sleep(clock.seconds(work))
         await self._thawed.wait()
         if self._faults.crashed:
--- a/packages/standins/tests/test_path.py
+++ b/packages/standins/tests/test_path.py
@@ -1,10 +1,11 @@
 import pathlib
+import time
 
 import pytest
 
 from sycamoreferry_core import ids
 from sycamoreferry_platform import headers
-from sycamoreferry_standins import cluster, workloads
+from sycamoreferry_standins import backend_server, cluster, workloads
 
 SMALL = workloads.Workload(
     name='small',
@@ -16,6 +17,8 @@
     ),
 )
 
+COLD_START_MS = 1000
+
 BAD_REQUESTS: list[tuple[str, dict[str, str], bytes, int]] = [
     ('unknown/a', {}, b'', 2001),
     ('plain/a', {headers.KEY: 'k'}, b'', 2002),
@@ -57,3 +60,15 @@
             assert answer.headers[headers.CODE] == str(code)
     async with system.session.post(f'{entry.url}/plain/a') as refused:
         assert refused.headers[headers.CODE] == '2008'
+
+
+@pytest.mark.processes
+async def test_cold_server_answers_late(tmp_path: pathlib.Path) -> None:
+    async with cluster.Cluster(SMALL, tmp_path, entries=1) as system:
+        cold = backend_server.ServerFaults(cold_start_ms=COLD_START_MS)
+        for server in await system.control.listed_servers():
+            await system.control.set_server_faults(server, cold)
+        url = f'{system.entries[0].url}/plain/a'
+        started = time.monotonic()
+        assert await system.control.status_of(url) == 200
+        assert time.monotonic() - started >= COLD_START_MS / 1000 / 2
