Choose record ids in one place, and read a server's answer in one place

Cause: reading the whole change again showed new_record_id twice, in the router's tail and in ctl, and the bench's group building the event that http_orders.to_event already makes. Ruled out: merging the pairs that share only a shape (commands, messages, the judges of a trace), where the logic differs. Behaviour is as before; no test or bound changed.

--- a/packages/ctl/src/sycamoreferry_ctl/commands/change.py
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/change.py
@@ -8,6 +8,7 @@
 
 from sycamoreferry_core import clock, ids, keys, records, result_codes, state
 from sycamoreferry_ctl import connection, exit_status, log_access, output
+from sycamoreferry_platform import record_ids
 
 WAIT_MS = 30_000
 POLL_MS = 500
@@ -58,7 +59,7 @@
     Status 4 means asked for, and not done within the wait.
     """
     record = records.DrainRequested(
-        record_id=log_access.new_record_id('drain'),
+        record_id=record_ids.new_record_id('drain'),
         service=ids.ServiceName(service),
         server=ids.ServerId(server),
         drain=not undo,
@@ -93,7 +94,7 @@
     name = ids.ServiceName(service)
     shard = _shard_of(connection.read_state(log_url, stream), name, key)
     record = records.ShardPinned(
-        record_id=log_access.new_record_id('move'),
+        record_id=record_ids.new_record_id('move'),
         service=name,
         shard=shard,
         server=None if undo else ids.ServerId(server),
@@ -132,7 +133,7 @@
         )
         raise typer.Exit(exit_status.ExitStatus.BAD_INPUT)
     record = records.HoldersReleased(
-        record_id=log_access.new_record_id('release'),
+        record_id=record_ids.new_record_id('release'),
         service=ids.ServiceName(service),
         term=ids.Term(term),
     )
--- a/packages/ctl/src/sycamoreferry_ctl/commands/quarantine.py
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/quarantine.py
@@ -13,9 +13,9 @@
     records,
     state,
 )
-from sycamoreferry_ctl import connection, log_access, output
+from sycamoreferry_ctl import connection, output
 from sycamoreferry_ctl.commands import change
-from sycamoreferry_platform import wall_clock
+from sycamoreferry_platform import record_ids, wall_clock
 
 _Digest = typing.Annotated[
     str,
@@ -70,7 +70,7 @@
     a server at once when its caller repeats it.
     """
     record = records.SuspicionCleared(
-        record_id=log_access.new_record_id('release'),
+        record_id=record_ids.new_record_id('release'),
         digest=ids.RequestDigest(digest),
     )
     change.append(record, log_url, stream)
--- a/packages/ctl/src/sycamoreferry_ctl/log_access.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_access.py
@@ -1,13 +1,11 @@
 """Read the state that the log holds, and append records to it."""
 
 import asyncio
-import secrets
 
 from sycamoreferry_core import clock, ids, records, result_codes, state
 from sycamoreferry_platform import log_port
 from sycamoreferry_platform import log_state as platform_log_state
 
-RECORD_ID_BYTES = 8
 READ_BACK_TRIES = 50
 READ_BACK_PAUSE_MS = 100
 
@@ -16,11 +14,6 @@
     """Report that the log did not answer."""
 
 
-def new_record_id(prefix: str) -> ids.RecordId:
-    """Return a record id that no other writer chooses."""
-    return ids.RecordId(f'{prefix}/{secrets.token_hex(RECORD_ID_BYTES)}')
-
-
 async def read_state(
     log_service: log_port.LogService,
     known: state.LogState | None = None,
--- a/packages/ctl/src/sycamoreferry_ctl/publishing.py
+++ b/packages/ctl/src/sycamoreferry_ctl/publishing.py
@@ -4,7 +4,7 @@
 
 from sycamoreferry_core import ids, profiles, records, result_codes
 from sycamoreferry_ctl import log_access
-from sycamoreferry_platform import log_port
+from sycamoreferry_platform import log_port, record_ids
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +29,7 @@
 ) -> Published | PublishRefused:
     """Publish a profile that revises a number, and read it back."""
     record = records.ProfilePublished(
-        record_id=log_access.new_record_id('profile'),
+        record_id=record_ids.new_record_id('profile'),
         name=name,
         revises=revises,
         body=profiles.format_profile(profile),
--- /dev/null
+++ b/packages/platform/src/sycamoreferry_platform/record_ids.py
@@ -0,0 +1,12 @@
+"""Choose ids for records."""
+
+import secrets
+
+from sycamoreferry_core import ids
+
+RECORD_ID_BYTES = 8
+
+
+def new_record_id(prefix: str) -> ids.RecordId:
+    """Return a record id that no other writer chooses."""
+    return ids.RecordId(f'{prefix}/{secrets.token_hex(RECORD_ID_BYTES)}')
--- a/packages/router/src/sycamoreferry_router/crash_guard.py
+++ b/packages/router/src/sycamoreferry_router/crash_guard.py
@@ -15,8 +15,8 @@
     records,
     result_codes,
 )
-from sycamoreferry_platform import http_forward, http_probe, wire
-from sycamoreferry_router import logs, messages, settings, tail, view
+from sycamoreferry_platform import http_forward, http_probe, record_ids, wire
+from sycamoreferry_router import logs, messages, settings, view
 
 PUBLISH_PAUSE_MS = 1000
 MOST_UNPUBLISHED = 16
@@ -192,7 +192,7 @@
 
     async def _publish(self, crash: quarantine.Crash) -> None:
         record = records.ServerCrashed(
-            record_id=tail.new_record_id('crash'),
+            record_id=record_ids.new_record_id('crash'),
             crash=crash,
         )
         while True:
@@ -206,7 +206,7 @@
     async def _clear(self, digest: ids.RequestDigest) -> None:
         await self._parts.publish(
             records.SuspicionCleared(
-                record_id=tail.new_record_id('clear'),
+                record_id=record_ids.new_record_id('clear'),
                 digest=digest,
             ),
         )
--- a/packages/router/src/sycamoreferry_router/membership_loop.py
+++ b/packages/router/src/sycamoreferry_router/membership_loop.py
@@ -6,6 +6,7 @@
 from sycamoreferry_core import clock, ids, membership, records, state
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
+from sycamoreferry_platform import record_ids
 from sycamoreferry_router import coordination_loop, logs, tail, view
 
 ROUND_MS = 1000
@@ -56,7 +57,7 @@
 
     async def _join(self) -> None:
         joined = records.InstanceJoined(
-            record_id=tail.new_record_id('join'),
+            record_id=record_ids.new_record_id('join'),
             instance=self._me.instance,
             data_centre=self._me.data_centre,
             peer_host=self._me.peer_host,
@@ -111,6 +112,6 @@
 
 def _left(instance: ids.InstanceId) -> records.InstanceLeft:
     return records.InstanceLeft(
-        record_id=tail.new_record_id('leave'),
+        record_id=record_ids.new_record_id('leave'),
         instance=instance,
     )
--- a/packages/router/src/sycamoreferry_router/tail.py
+++ b/packages/router/src/sycamoreferry_router/tail.py
@@ -1,7 +1,6 @@
 """Fold the log's tail into the view, and append to the log."""
 
 import asyncio
-import secrets
 
 from sycamoreferry_core import clock, fold, ids, records, result_codes
 from sycamoreferry_platform import log_port, log_state
@@ -10,16 +9,10 @@
 RETRY_MS = 200
 RELAY_INTERVAL_MS = 1000
 READ_BACK_MS = 5000
-RECORD_ID_BYTES = 8
 
 _log = logs.part_logger('tail')
 
 
-def new_record_id(prefix: str) -> ids.RecordId:
-    """Return a record id that no other writer chooses."""
-    return ids.RecordId(f'{prefix}/{secrets.token_hex(RECORD_ID_BYTES)}')
-
-
 class Tail:
     """Follow one stream of the log."""
 
--- a/packages/standins/src/sycamoreferry_standins/bench/group.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/group.py
@@ -17,7 +17,7 @@
     records,
     state,
 )
-from sycamoreferry_platform import http_orders, wire
+from sycamoreferry_platform import http_orders
 from sycamoreferry_standins import grant_book
 
 TICK_MS = 50
@@ -134,19 +134,4 @@
         self.orders[type(order).__name__] += 1
         self.order_bytes += len(msgspec.json.encode(body))
         self.order_bytes += len(msgspec.json.encode(answer))
-        self._feed(
-            events.ServerAnswered(
-                server=order.server,
-                term=order.term,
-                number=order.number,
-                stamp=answer.stamp,
-                received_at=self.timer.now(),
-                holds=_held(answer),
-            ),
-        )
-
-
-def _held(answer: wire.OrderAnswer) -> frozenset[ids.ShardId] | None:
-    if answer.groups is None:
-        return None
-    return frozenset(shard for group in answer.groups for shard in group.shards)
+        self._feed(http_orders.to_event(order, answer, self.timer.now()))
