Name the ports package for what it holds

packages/platform held the ports and the HTTP transports of the product's own interface. The adapter of the users' platform takes the name platform/, so the package is called ports.

--- a/packages/ctl/src/sycamoreferry_ctl/commands/change.py
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/change.py
@@ -8,7 +8,7 @@
 
 from sycamoreferry_core import clock, ids, keys, records, result_codes, state
 from sycamoreferry_ctl import connection, exit_status, log_access, output
-from sycamoreferry_platform import record_ids
+from sycamoreferry_ports import record_ids
 
 WAIT_MS = 30_000
 POLL_MS = 500
--- a/packages/ctl/src/sycamoreferry_ctl/commands/quarantine.py
+++ b/packages/ctl/src/sycamoreferry_ctl/commands/quarantine.py
@@ -15,7 +15,7 @@
 )
 from sycamoreferry_ctl import connection, output
 from sycamoreferry_ctl.commands import change
-from sycamoreferry_platform import record_ids, wall_clock
+from sycamoreferry_ports import record_ids, wall_clock
 
 _Digest = typing.Annotated[
     str,
--- a/packages/ctl/src/sycamoreferry_ctl/connection.py
+++ b/packages/ctl/src/sycamoreferry_ctl/connection.py
@@ -10,7 +10,7 @@
 
 from sycamoreferry_core import state
 from sycamoreferry_ctl import exit_status, log_access, output
-from sycamoreferry_platform import http_log
+from sycamoreferry_ports import http_log
 
 LogUrl = typing.Annotated[
     str,
--- a/packages/ctl/src/sycamoreferry_ctl/log_access.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_access.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from sycamoreferry_core import clock, ids, records, result_codes, state
-from sycamoreferry_platform import log_port
-from sycamoreferry_platform import log_state as platform_log_state
+from sycamoreferry_ports import log_port
+from sycamoreferry_ports import log_state as platform_log_state
 
 READ_BACK_TRIES = 50
 READ_BACK_PAUSE_MS = 100
--- a/packages/ctl/src/sycamoreferry_ctl/publishing.py
+++ b/packages/ctl/src/sycamoreferry_ctl/publishing.py
@@ -4,7 +4,7 @@
 
 from sycamoreferry_core import ids, profiles, records, result_codes
 from sycamoreferry_ctl import log_access
-from sycamoreferry_platform import log_port, record_ids
+from sycamoreferry_ports import log_port, record_ids
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/ctl/src/sycamoreferry_ctl/replaying.py
+++ b/packages/ctl/src/sycamoreferry_ctl/replaying.py
@@ -13,7 +13,7 @@
 
 from sycamoreferry_core import clock, ids, keys, profiles, state
 from sycamoreferry_ctl import log_access, publishing, statuses, trace_caller
-from sycamoreferry_platform import boot_clock, http_log, wire
+from sycamoreferry_ports import boot_clock, http_log, wire
 from sycamoreferry_standins import (
     control,
     trace,
--- a/packages/ctl/src/sycamoreferry_ctl/trace_caller.py
+++ b/packages/ctl/src/sycamoreferry_ctl/trace_caller.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers, send_once
+from sycamoreferry_ports import headers, send_once
 from sycamoreferry_standins import (
     answers,
     trace,
--- a/packages/platform/src/sycamoreferry_platform/http_forward.py
+++ b/packages/ports/src/sycamoreferry_ports/http_forward.py
@@ -11,7 +11,7 @@
 from aiohttp import hdrs
 
 from sycamoreferry_core import clock, ids, outcomes
-from sycamoreferry_platform import headers, send_once, wire
+from sycamoreferry_ports import headers, send_once, wire
 
 # A server opens a connection in about a millisecond.
 CONNECT_TIMEOUT_MS = 300
--- a/packages/platform/src/sycamoreferry_platform/http_instance_list.py
+++ b/packages/ports/src/sycamoreferry_ports/http_instance_list.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from sycamoreferry_core import clock
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 
 TIMEOUT_MS = 1000
 
--- a/packages/platform/src/sycamoreferry_platform/http_log.py
+++ b/packages/ports/src/sycamoreferry_ports/http_log.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamoreferry_core import clock, ids, records
-from sycamoreferry_platform import log_port, wire
+from sycamoreferry_ports import log_port, wire
 
 READ_LIMIT = 500
 TIMEOUT_MS = 1000
--- a/packages/platform/src/sycamoreferry_platform/http_orders.py
+++ b/packages/ports/src/sycamoreferry_ports/http_orders.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamoreferry_core import actions, clock, events, ids
-from sycamoreferry_platform import headers, wire
+from sycamoreferry_ports import headers, wire
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(wire.OrderAnswer)
--- a/packages/platform/src/sycamoreferry_platform/http_probe.py
+++ b/packages/ports/src/sycamoreferry_ports/http_probe.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from sycamoreferry_core import clock
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 
 TIMEOUT_MS = 300
 
--- a/packages/platform/src/sycamoreferry_platform/log_state.py
+++ b/packages/ports/src/sycamoreferry_ports/log_state.py
@@ -1,7 +1,7 @@
 """Read the folded state from the log, wherever the log still begins."""
 
 from sycamoreferry_core import fold, ids, snapshots, state
-from sycamoreferry_platform import log_port
+from sycamoreferry_ports import log_port
 
 
 class LogUnreadableError(Exception):
--- a/packages/platform/tests/test_http_forward.py
+++ b/packages/ports/tests/test_http_forward.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sycamoreferry_core import ids, outcomes
-from sycamoreferry_platform import headers, http_forward, wire
+from sycamoreferry_ports import headers, http_forward, wire
 from sycamoreferry_standins import scripted_server, web
 
 
--- a/packages/platform/tests/test_send_once.py
+++ b/packages/ports/tests/test_send_once.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from sycamoreferry_platform import send_once
+from sycamoreferry_ports import send_once
 
 
 class CuttingServer:
--- a/packages/router/src/sycamoreferry_router/admission_setup.py
+++ b/packages/router/src/sycamoreferry_router/admission_setup.py
@@ -5,7 +5,7 @@
 from sycamoreferry_core import admission_state, clock, ids
 from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
-from sycamoreferry_platform import http_log
+from sycamoreferry_ports import http_log
 from sycamoreferry_router import (
     admission_ring,
     partition_io,
--- a/packages/router/src/sycamoreferry_router/attempts.py
+++ b/packages/router/src/sycamoreferry_router/attempts.py
@@ -14,7 +14,7 @@
     profiles,
     retries,
 )
-from sycamoreferry_platform import http_forward
+from sycamoreferry_ports import http_forward
 from sycamoreferry_router import (
     crash_guard,
     messages,
--- a/packages/router/src/sycamoreferry_router/coordination_loop.py
+++ b/packages/router/src/sycamoreferry_router/coordination_loop.py
@@ -19,7 +19,7 @@
 )
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
-from sycamoreferry_platform import http_orders, wire
+from sycamoreferry_ports import http_orders, wire
 from sycamoreferry_router import (
     load_reports,
     logs,
--- a/packages/router/src/sycamoreferry_router/crash_guard.py
+++ b/packages/router/src/sycamoreferry_router/crash_guard.py
@@ -15,7 +15,7 @@
     records,
     result_codes,
 )
-from sycamoreferry_platform import http_forward, http_probe, record_ids, wire
+from sycamoreferry_ports import http_forward, http_probe, record_ids, wire
 from sycamoreferry_router import logs, messages, settings, view
 
 PUBLISH_PAUSE_MS = 1000
--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -15,7 +15,7 @@
     outcomes,
     result_codes,
 )
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_router import admission_ring, messages
 
 MOST_HOPS = 4
--- a/packages/router/src/sycamoreferry_router/filters/answer.py
+++ b/packages/router/src/sycamoreferry_router/filters/answer.py
@@ -8,7 +8,7 @@
 import multidict
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers, hop_headers
+from sycamoreferry_ports import headers, hop_headers
 
 DEFAULT_RETRY_AFTER_MS = 1000
 _BODILESS = frozenset(
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -5,7 +5,7 @@
 import multidict
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes, retries
-from sycamoreferry_platform import headers, hop_headers, http_forward
+from sycamoreferry_ports import headers, hop_headers, http_forward
 from sycamoreferry_router import crash_guard, messages, traces
 
 
--- a/packages/router/src/sycamoreferry_router/filters/identify.py
+++ b/packages/router/src/sycamoreferry_router/filters/identify.py
@@ -11,7 +11,7 @@
     profiles,
     result_codes,
 )
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_router import messages, settings, view
 
 _Code = result_codes.ResultCode
--- a/packages/router/src/sycamoreferry_router/filters/select.py
+++ b/packages/router/src/sycamoreferry_router/filters/select.py
@@ -4,7 +4,7 @@
 import typing
 
 from sycamoreferry_core import balancing, clock, ids, outcomes
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_router import messages, target_book
 
 NO_SHARD = ids.ShardId(-1)
--- a/packages/router/src/sycamoreferry_router/filters/verify.py
+++ b/packages/router/src/sycamoreferry_router/filters/verify.py
@@ -4,7 +4,7 @@
 import http
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers, http_forward
+from sycamoreferry_ports import headers, http_forward
 from sycamoreferry_router import messages
 
 _Code = result_codes.ResultCode
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -15,7 +15,7 @@
     state,
 )
 from sycamoreferry_peer import client as peer_client
-from sycamoreferry_platform import (
+from sycamoreferry_ports import (
     boot_clock,
     http_forward,
     http_instance_list,
--- a/packages/router/src/sycamoreferry_router/log_following.py
+++ b/packages/router/src/sycamoreferry_router/log_following.py
@@ -7,7 +7,7 @@
 
 from sycamoreferry_core import clock, ids, snapshots
 from sycamoreferry_peer import client as peer_client
-from sycamoreferry_platform import http_log
+from sycamoreferry_ports import http_log
 from sycamoreferry_router import relay, settings, snapshot_loop, tail, view
 
 
--- a/packages/router/src/sycamoreferry_router/membership_loop.py
+++ b/packages/router/src/sycamoreferry_router/membership_loop.py
@@ -6,7 +6,7 @@
 from sycamoreferry_core import clock, ids, membership, records, state
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
-from sycamoreferry_platform import record_ids
+from sycamoreferry_ports import record_ids
 from sycamoreferry_router import coordination_loop, logs, tail, view
 
 ROUND_MS = 1000
--- a/packages/router/src/sycamoreferry_router/messages.py
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -4,7 +4,7 @@
 import typing
 
 from sycamoreferry_core import clock, ids, outcomes
-from sycamoreferry_platform import http_forward, wire
+from sycamoreferry_ports import http_forward, wire
 from sycamoreferry_router import settings
 
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
--- a/packages/router/src/sycamoreferry_router/partition_io.py
+++ b/packages/router/src/sycamoreferry_router/partition_io.py
@@ -14,7 +14,7 @@
 from sycamoreferry_peer import admission_client
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import admission_pb2
-from sycamoreferry_platform import log_port
+from sycamoreferry_ports import log_port
 from sycamoreferry_router import view
 
 Work = typing.Coroutine[
--- a/packages/router/src/sycamoreferry_router/partition_loop.py
+++ b/packages/router/src/sycamoreferry_router/partition_loop.py
@@ -15,7 +15,7 @@
     ids,
     state,
 )
-from sycamoreferry_platform import log_port
+from sycamoreferry_ports import log_port
 from sycamoreferry_router import logs, partition_io
 
 TICK_MS = 25
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -6,7 +6,7 @@
 import typing
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import http_forward
+from sycamoreferry_ports import http_forward
 from sycamoreferry_router import (
     attempts,
     crash_guard,
--- a/packages/router/src/sycamoreferry_router/rooms.py
+++ b/packages/router/src/sycamoreferry_router/rooms.py
@@ -14,7 +14,7 @@
     profiles,
     result_codes,
 )
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_router import messages, target_book, view
 from sycamoreferry_router.filters import select
 
--- a/packages/router/src/sycamoreferry_router/tail.py
+++ b/packages/router/src/sycamoreferry_router/tail.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from sycamoreferry_core import clock, fold, ids, records, result_codes
-from sycamoreferry_platform import log_port, log_state
+from sycamoreferry_ports import log_port, log_state
 from sycamoreferry_router import logs, relay, view
 
 RETRY_MS = 200
--- a/packages/router/src/sycamoreferry_router/target_book.py
+++ b/packages/router/src/sycamoreferry_router/target_book.py
@@ -12,7 +12,7 @@
     outliers,
     result_codes,
 )
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 
 _Code = result_codes.ResultCode
 
--- a/packages/router/src/sycamoreferry_router/view.py
+++ b/packages/router/src/sycamoreferry_router/view.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sycamoreferry_core import ids, profiles, state
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 
 LIVE = 'live'
 LEAVING = 'leaving'
--- a/packages/router/tests/test_answer.py
+++ b/packages/router/tests/test_answer.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import headers, hop_headers, http_forward, wire
+from sycamoreferry_ports import headers, hop_headers, http_forward, wire
 from sycamoreferry_router import messages
 from sycamoreferry_router.filters import answer, verify
 from sycamoreferry_standins import request_path
--- a/packages/router/tests/test_attempts.py
+++ b/packages/router/tests/test_attempts.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from sycamoreferry_core import ids, outcomes, profiles, result_codes, state
-from sycamoreferry_platform import boot_clock, headers, http_forward, wire
+from sycamoreferry_ports import boot_clock, headers, http_forward, wire
 from sycamoreferry_router import messages, view
 from sycamoreferry_standins import request_path
 
--- a/packages/router/tests/test_crash_guard.py
+++ b/packages/router/tests/test_crash_guard.py
@@ -8,7 +8,7 @@
     records,
     result_codes,
 )
-from sycamoreferry_platform import http_forward, http_probe, wire
+from sycamoreferry_ports import http_forward, http_probe, wire
 from sycamoreferry_router import crash_guard, messages, settings, view
 
 SERVICE = settings.Service(name='plain')
--- a/packages/router/tests/test_http_server.py
+++ b/packages/router/tests/test_http_server.py
@@ -7,7 +7,7 @@
 import yarl
 
 from sycamoreferry_core import outcomes
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_router import messages
 from sycamoreferry_standins import request_path, scripted_server
 
--- a/packages/router/tests/test_rooms.py
+++ b/packages/router/tests/test_rooms.py
@@ -6,7 +6,7 @@
 import multidict
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
-from sycamoreferry_platform import boot_clock, headers, http_forward, wire
+from sycamoreferry_ports import boot_clock, headers, http_forward, wire
 from sycamoreferry_router import messages, pipeline, rooms, view
 from sycamoreferry_router.filters import resolve, select
 from sycamoreferry_standins import request_path
--- a/packages/router/tests/test_tail.py
+++ b/packages/router/tests/test_tail.py
@@ -7,7 +7,7 @@
 from sycamoreferry_core import fold, ids, records, snapshots, state
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_peer.generated import peer_pb2
-from sycamoreferry_platform import log_port
+from sycamoreferry_ports import log_port
 from sycamoreferry_router import recent_records, relay, tail, view
 
 WAIT_MS = 10
--- a/packages/router/tests/test_view.py
+++ b/packages/router/tests/test_view.py
@@ -1,7 +1,7 @@
 import pytest
 
 from sycamoreferry_core import ids, state
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_router import view
 
 SERVICE = ids.ServiceName('keyed')
--- a/packages/standins/src/sycamoreferry_standins/backend_server.py
+++ b/packages/standins/src/sycamoreferry_standins/backend_server.py
@@ -11,7 +11,7 @@
 from sanic import response
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_platform import headers, wire
+from sycamoreferry_ports import headers, wire
 from sycamoreferry_standins import grant_book, web
 
 _UNAVAILABLE = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
--- a/packages/standins/src/sycamoreferry_standins/bench/group.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/group.py
@@ -17,7 +17,7 @@
     records,
     state,
 )
-from sycamoreferry_platform import http_orders
+from sycamoreferry_ports import http_orders
 from sycamoreferry_standins import grant_book
 
 TICK_MS = 50
--- a/packages/standins/src/sycamoreferry_standins/bench/profiles.py
+++ b/packages/standins/src/sycamoreferry_standins/bench/profiles.py
@@ -7,7 +7,7 @@
 from sycamoreferry_core import clock, ids, profiles
 from sycamoreferry_ctl import publishing
 from sycamoreferry_peer import client
-from sycamoreferry_platform import boot_clock, http_log
+from sycamoreferry_ports import boot_clock, http_log
 from sycamoreferry_standins import cluster, web, workloads
 from sycamoreferry_standins.bench import report
 
--- a/packages/standins/src/sycamoreferry_standins/cli.py
+++ b/packages/standins/src/sycamoreferry_standins/cli.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from sycamoreferry_core import ids
-from sycamoreferry_platform import boot_clock, wire
+from sycamoreferry_ports import boot_clock, wire
 from sycamoreferry_standins import (
     backend_server,
     instance_list,
--- a/packages/standins/src/sycamoreferry_standins/cluster.py
+++ b/packages/standins/src/sycamoreferry_standins/cluster.py
@@ -11,7 +11,7 @@
 import yaml
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import (
     cli,
     control,
--- a/packages/standins/src/sycamoreferry_standins/control.py
+++ b/packages/standins/src/sycamoreferry_standins/control.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import (
     backend_server,
     instance_list,
--- a/packages/standins/src/sycamoreferry_standins/demo.py
+++ b/packages/standins/src/sycamoreferry_standins/demo.py
@@ -12,7 +12,7 @@
 from rich import console, table
 
 from sycamoreferry_core import clock
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import (
     answers,
     cluster,
--- a/packages/standins/src/sycamoreferry_standins/grant_book.py
+++ b/packages/standins/src/sycamoreferry_standins/grant_book.py
@@ -4,7 +4,7 @@
 import typing
 
 from sycamoreferry_core import clock, digests, ids
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import closing_shards
 
 _NO_ORDER = ids.OrderNumber(0)
--- a/packages/standins/src/sycamoreferry_standins/instance_list.py
+++ b/packages/standins/src/sycamoreferry_standins/instance_list.py
@@ -7,7 +7,7 @@
 from sanic import response
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import web
 
 
--- a/packages/standins/src/sycamoreferry_standins/log_service.py
+++ b/packages/standins/src/sycamoreferry_standins/log_service.py
@@ -9,7 +9,7 @@
 from sanic import response
 
 from sycamoreferry_core import clock
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import web
 
 _UNAVAILABLE = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
--- a/packages/standins/src/sycamoreferry_standins/outages.py
+++ b/packages/standins/src/sycamoreferry_standins/outages.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from sycamoreferry_core import clock, fold, ids, state
-from sycamoreferry_platform import boot_clock, headers, http_log, log_port
+from sycamoreferry_ports import boot_clock, headers, http_log, log_port
 from sycamoreferry_standins import backend_server, cluster
 
 STREAM = 'ferry'
--- a/packages/standins/src/sycamoreferry_standins/request_path.py
+++ b/packages/standins/src/sycamoreferry_standins/request_path.py
@@ -6,7 +6,7 @@
 import typing
 
 from sycamoreferry_core import ids, records, result_codes
-from sycamoreferry_platform import boot_clock, http_forward, http_probe, wire
+from sycamoreferry_ports import boot_clock, http_forward, http_probe, wire
 from sycamoreferry_router import (
     crash_guard,
     http_server,
--- a/packages/standins/src/sycamoreferry_standins/scripted_server.py
+++ b/packages/standins/src/sycamoreferry_standins/scripted_server.py
@@ -6,7 +6,7 @@
 import typing
 
 from sycamoreferry_core import ids
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import web
 
 _END_OF_HEAD = b'\r\n\r\n'
--- a/packages/standins/src/sycamoreferry_standins/trial/system.py
+++ b/packages/standins/src/sycamoreferry_standins/trial/system.py
@@ -13,7 +13,7 @@
     records,
     state,
 )
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import grant_book
 from sycamoreferry_standins.trial import member, network
 
--- a/packages/standins/tests/test_admission_processes.py
+++ b/packages/standins/tests/test_admission_processes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import (
     backend_server,
     cluster,
--- a/packages/standins/tests/test_grant_book.py
+++ b/packages/standins/tests/test_grant_book.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_platform import wire
+from sycamoreferry_ports import wire
 from sycamoreferry_standins import grant_book
 
 SHARD = ids.ShardId(3)
--- a/packages/standins/tests/test_observing.py
+++ b/packages/standins/tests/test_observing.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sycamoreferry_core import ids
-from sycamoreferry_platform import headers, wire
+from sycamoreferry_ports import headers, wire
 from sycamoreferry_standins import backend_server, cluster, workloads
 
 SMALL = workloads.Workload(
--- a/packages/standins/tests/test_path.py
+++ b/packages/standins/tests/test_path.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sycamoreferry_core import ids
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import backend_server, cluster, workloads
 
 SMALL = workloads.Workload(
--- a/packages/standins/tests/test_quarantine_processes.py
+++ b/packages/standins/tests/test_quarantine_processes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sycamoreferry_core import ids
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import backend_server, cluster, workloads
 
 PLAIN = workloads.Workload(
--- a/packages/standins/tests/test_recovery.py
+++ b/packages/standins/tests/test_recovery.py
@@ -5,7 +5,7 @@
 
 from sycamoreferry_core import coordination, ids
 from sycamoreferry_peer import client
-from sycamoreferry_platform import headers
+from sycamoreferry_ports import headers
 from sycamoreferry_standins import cluster, log_service, web, workloads
 
 SMALL = workloads.Workload(
--- a/packages/standins/tests/test_replacement.py
+++ b/packages/standins/tests/test_replacement.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sycamoreferry_core import clock, ids, profiles, result_codes, state
-from sycamoreferry_platform import (
+from sycamoreferry_ports import (
     boot_clock,
     headers,
     http_log,
--- a/packages/standins/tests/test_truthful_answers.py
+++ b/packages/standins/tests/test_truthful_answers.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from sycamoreferry_core import ids, result_codes
-from sycamoreferry_platform import headers, wire
+from sycamoreferry_ports import headers, wire
 from sycamoreferry_standins import backend_server, cluster, workloads
 
 SMALL = workloads.Workload(
--- a/scripts/replay_traces.py
+++ b/scripts/replay_traces.py
@@ -9,7 +9,7 @@
 from sycamoreferry_core import ids, profiles
 from sycamoreferry_ctl import output, publishing, replaying
 from sycamoreferry_ctl.commands import replay
-from sycamoreferry_platform import http_log
+from sycamoreferry_ports import http_log
 from sycamoreferry_standins import cluster, trace, workloads
 
 STREAM = 'ferry'
