--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Know the backend servers and the instances that are alive."""
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/fleet/deployment.py
@@ -0,0 +1,46 @@
+"""Hold what an instance is told about its deployment."""
+
+import dataclasses
+
+from sycamoreferry_core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Name a socket by IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Write the address as host and port."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the deployment's bounds; times are in milliseconds."""
+
+    drain_ms: int
+    grace_ms: int
+    repeat_ratio: float
+    repeat_window_ms: int
+    repeat_extra: int
+    longest_hold_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Hold the identity, addresses and bounds of an instance."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+    host: str
+    request_address: Address
+    readiness_address: Address
+    peer_port: int
+    metrics_port: int
+    store_address: Address
+    heartbeat_ms: int
+    max_descriptors: int
+    bounds: Bounds
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -0,0 +1,116 @@
+"""Hold what the platform's store answers, and a mirror of its records."""
+
+import dataclasses
+import enum
+import typing
+
+from sycamoreferry_core import ids
+
+TopicName = typing.NewType('TopicName', str)
+RecordKey = typing.NewType('RecordKey', str)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """Hold the newest content under a key; None means it was deleted."""
+
+    key: RecordKey
+    offset: ids.Offset
+    content: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Hold records and the offset at which to read on."""
+
+    records: tuple[StoredRecord, ...]
+    end: ids.Offset
+    has_more: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """Tell that the records to read are no longer kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Appended:
+    """Tell at which offset a record lies."""
+
+    offset: ids.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Tell that another record was appended first."""
+
+
+@enum.unique
+class StoreTrouble(enum.Enum):
+    """Tell why a call to the store has no result."""
+
+    UNREACHABLE = 'unreachable'
+    UNANSWERED = 'unanswered'
+    REJECTED = 'rejected'
+    MALFORMED = 'malformed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreFailure:
+    """Tell that a call has no result; it may still be carried out later."""
+
+    trouble: StoreTrouble
+    detail: str
+
+
+class TopicMirror:
+    """Keep the newest record of each key of a topic."""
+
+    def __init__(self) -> None:
+        self._records: dict[RecordKey, StoredRecord] = {}
+        self._end = ids.FIRST_OFFSET
+        self._is_complete = False
+
+    @property
+    def end(self) -> ids.Offset:
+        """Return the offset at which to read on."""
+        return self._end
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the topic was read as a whole."""
+        return self._is_complete
+
+    @property
+    def records(self) -> typing.Mapping[RecordKey, StoredRecord]:
+        """Return the records by key."""
+        return self._records
+
+    def apply(self, page: RecordPage) -> list[StoredRecord]:
+        """Take newer records; return those that changed something."""
+        changed = []
+        for record in page.records:
+            known = self._records.get(record.key)
+            if known is not None and known.offset >= record.offset:
+                continue
+            self._records[record.key] = record
+            changed.append(record)
+        self._end = max(self._end, page.end)
+        return changed
+
+    def replace(
+        self,
+        records: typing.Sequence[StoredRecord],
+        end: ids.Offset,
+    ) -> list[StoredRecord]:
+        """Take a listing as a whole; keys that it lacks are deleted."""
+        listed = {record.key for record in records}
+        deleted = [
+            StoredRecord(key, ids.Offset(end - 1), None)
+            for key, known in self._records.items()
+            if key not in listed
+            and known.content is not None
+            and known.offset < end
+        ]
+        self._is_complete = True
+        return self.apply(RecordPage((*records, *deleted), end))
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/keyspace/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which backend server owns which range of keys."""
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/keyspace/owners.py
@@ -0,0 +1,106 @@
+"""Hold which backend server owns each range of keys."""
+
+import bisect
+import dataclasses
+import typing
+
+from sycamoreferry_core import ids
+from sycamoreferry_core.fleet import servers
+
+Key = typing.NewType('Key', int)
+
+FIRST_KEY = Key(0)
+LAST_KEY = Key(65_535)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class KeyRange:
+    """Name the keys from first to last, both inclusive."""
+
+    first: Key
+    last: Key
+
+    @property
+    def size(self) -> int:
+        """Return how many keys the range has."""
+        return self.last - self.first + 1
+
+    def overlaps(self, other: 'KeyRange') -> bool:
+        """Tell whether a key is in both ranges."""
+        return self.first <= other.last and other.first <= self.last
+
+
+ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ownership:
+    """Assign a range to one incarnation of a server under a fence."""
+
+    keys: KeyRange
+    owner: servers.ServerLife
+    fence: ids.Fence
+    handover: str = ''
+
+
+class OwnerTable:
+    """Look up the owner of a key of one service."""
+
+    def __init__(self, rows: typing.Iterable[Ownership] = ()) -> None:
+        self._rows = tuple(sorted(rows, key=lambda row: row.keys.first))
+        self._firsts = [row.keys.first for row in self._rows]
+
+    @property
+    def rows(self) -> tuple[Ownership, ...]:
+        """Return the rows in the order of their keys."""
+        return self._rows
+
+    def owner_of(self, key: Key) -> Ownership | None:
+        """Return the row that holds a key."""
+        index = bisect.bisect_right(self._firsts, key) - 1
+        if index < 0 or self._rows[index].keys.last < key:
+            return None
+        return self._rows[index]
+
+    def replace(self, changed: Ownership) -> 'OwnerTable':
+        """Return the table after one row takes its keys from others."""
+        kept: list[Ownership] = []
+        for row in self._rows:
+            kept.extend(_without(row, changed.keys))
+        kept.append(changed)
+        return OwnerTable(kept)
+
+    def unowned(self) -> list[KeyRange]:
+        """Return the ranges that no row holds."""
+        gaps = []
+        following: int = FIRST_KEY
+        for row in self._rows:
+            if row.keys.first > following:
+                gaps.append(KeyRange(Key(following), Key(row.keys.first - 1)))
+            following = row.keys.last + 1
+        if following <= LAST_KEY:
+            gaps.append(KeyRange(Key(following), LAST_KEY))
+        return gaps
+
+
+def _without(row: Ownership, keys: KeyRange) -> list[Ownership]:
+    if not row.keys.overlaps(keys):
+        return [row]
+    parts = []
+    if row.keys.first < keys.first:
+        before = KeyRange(row.keys.first, Key(keys.first - 1))
+        parts.append(dataclasses.replace(row, keys=before))
+    if row.keys.last > keys.last:
+        after = KeyRange(Key(keys.last + 1), row.keys.last)
+        parts.append(dataclasses.replace(row, keys=after))
+    return parts
+
+
+def split_evenly(count: int) -> list[KeyRange]:
+    """Divide all keys into a count of ranges of nearly equal size."""
+    total = LAST_KEY + 1
+    edges = [total * index // count for index in range(count + 1)]
+    return [
+        KeyRange(Key(first), Key(following - 1))
+        for first, following in zip(edges, edges[1:], strict=False)
+    ]
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/keyspace/placement.py
@@ -0,0 +1,216 @@
+"""Move ranges of keys from busy backend servers to idle ones.
+
+Load pattern: within a second a few hundred neighbouring keys draw a third of
+all requests, several times what one server's slots can run. The excess is cut
+off at the edges of the server's ranges, down to single keys, and moved to the
+servers with most room; small differences are left alone.
+"""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.keyspace import owners
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementPolicy:
+    """Bound when and how much is moved."""
+
+    # Below this share of its slots a server has room for bursts.
+    relaxed_utilisation: float = 0.5
+    # Counts over a few seconds differ by about this much by chance.
+    tolerated_excess: float = 0.25
+    # Moves smaller than this many slots do not repay their interruption.
+    least_gain_slots: float = 0.08
+    moves_at_once: int = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """Hold how many slots of standard speed a server offers."""
+
+    life: servers.ServerLife
+    slots: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Give a range of keys to another server."""
+
+    keys: owners.KeyRange
+    source: servers.ServerLife
+    destination: servers.ServerLife
+
+
+class _Plan:
+    """Track the load of each server while moves are chosen."""
+
+    def __init__(
+        self,
+        rows: typing.Sequence[owners.Ownership],
+        work: typing.Mapping[owners.Key, float],
+        capacities: typing.Sequence[Capacity],
+    ) -> None:
+        self.capacity = {cap.life: max(cap.slots, 0.1) for cap in capacities}
+        self.load = dict.fromkeys(self.capacity, float(0))
+        self.held: dict[servers.ServerLife, list[owners.KeyRange]] = {}
+        self.keys = sorted(work)
+        self.work = work
+        for row in rows:
+            if row.owner in self.load:
+                self.held.setdefault(row.owner, []).append(row.keys)
+                self.load[row.owner] += self.weigh(row.keys)
+
+    def utilisation(self, life: servers.ServerLife) -> float:
+        """Return the share of a server's slots that are busy."""
+        return self.load[life] / self.capacity[life]
+
+    def busy_keys(self, keys: owners.KeyRange) -> list[owners.Key]:
+        """Return the keys of a range that bring work, in order."""
+        return [key for key in self.keys if keys.first <= key <= keys.last]
+
+    def weigh(self, keys: owners.KeyRange) -> float:
+        """Return the work that a range brings."""
+        return sum(self.work[key] for key in self.busy_keys(keys))
+
+
+def plan_moves(
+    rows: typing.Sequence[owners.Ownership],
+    work: typing.Mapping[owners.Key, float],
+    capacities: typing.Sequence[Capacity],
+    policy: PlacementPolicy = PlacementPolicy(),
+) -> list[Move]:
+    """Return the moves that even out the load, busiest server first.
+
+    The work of a key is given in slots of standard speed that it keeps busy.
+    """
+    if len(capacities) < 2:
+        return []
+    plan = _Plan(rows, work, capacities)
+    mean = sum(plan.load.values()) / sum(plan.capacity.values())
+    moves: list[Move] = []
+    exhausted: set[servers.ServerLife] = set()
+    while len(moves) < policy.moves_at_once:
+        candidates = [life for life in plan.load if life not in exhausted]
+        if not candidates:
+            break
+        busiest = max(candidates, key=plan.utilisation)
+        highest = plan.utilisation(busiest)
+        if highest < max(
+            policy.relaxed_utilisation,
+            mean + policy.tolerated_excess,
+        ):
+            break
+        move = _relieve(plan, busiest, mean, policy)
+        if move is None:
+            exhausted.add(busiest)
+        else:
+            moves.append(move)
+    return moves
+
+
+def _relieve(
+    plan: _Plan,
+    busiest: servers.ServerLife,
+    mean: float,
+    policy: PlacementPolicy,
+) -> Move | None:
+    idlest = min(plan.load, key=plan.utilisation)
+    room = mean * plan.capacity[idlest] - plan.load[idlest]
+    excess = plan.load[busiest] - mean * plan.capacity[busiest]
+    wanted = min(room, excess)
+    if idlest == busiest or wanted < policy.least_gain_slots:
+        return None
+    best: tuple[float, owners.KeyRange, owners.KeyRange] | None = None
+    for held in plan.held.get(busiest, ()):
+        for weight, piece in _edges(plan, held, wanted):
+            if best is None or weight > best[0]:
+                best = (weight, piece, held)
+    if best is None or best[0] < policy.least_gain_slots:
+        return None
+    weight, piece, held = best
+    plan.load[busiest] -= weight
+    plan.load[idlest] += weight
+    _transfer(plan, busiest, idlest, held, piece)
+    return Move(piece, busiest, idlest)
+
+
+def _edges(
+    plan: _Plan,
+    held: owners.KeyRange,
+    wanted: float,
+) -> list[tuple[float, owners.KeyRange]]:
+    """Return the heaviest start and end of a range within the wanted work."""
+    busy = plan.busy_keys(held)
+    limit = wanted * 1.15
+    found = []
+    weight = float(0)
+    for key in busy:
+        if weight + plan.work[key] > limit:
+            break
+        weight += plan.work[key]
+        found = [(weight, owners.KeyRange(held.first, key))]
+    pieces = list(found)
+    weight = float(0)
+    for key in reversed(busy):
+        if weight + plan.work[key] > limit:
+            break
+        weight += plan.work[key]
+        found = [(weight, owners.KeyRange(key, held.last))]
+    pieces.extend(found)
+    return pieces
+
+
+def _transfer(
+    plan: _Plan,
+    source: servers.ServerLife,
+    destination: servers.ServerLife,
+    held: owners.KeyRange,
+    piece: owners.KeyRange,
+) -> None:
+    kept = plan.held[source]
+    kept.remove(held)
+    if held.first < piece.first:
+        before = owners.Key(piece.first - 1)
+        kept.append(owners.KeyRange(held.first, before))
+    if held.last > piece.last:
+        after = owners.Key(piece.last + 1)
+        kept.append(owners.KeyRange(after, held.last))
+    plan.held.setdefault(destination, []).append(piece)
+
+
+def spread(
+    gaps: typing.Sequence[owners.KeyRange],
+    rows: typing.Sequence[owners.Ownership],
+    work: typing.Mapping[owners.Key, float],
+    capacities: typing.Sequence[Capacity],
+) -> list[tuple[owners.KeyRange, servers.ServerLife]]:
+    """Give each range without an owner to the server with most room.
+
+    Ranges are taken by the work that they bring, heaviest first. Keys without
+    known work count by their number, so that a first start is even.
+    """
+    if not capacities:
+        return []
+    plan = _Plan(rows, work, capacities)
+    counts = dict.fromkeys(plan.capacity, float(0))
+    for row in rows:
+        if row.owner in counts:
+            counts[row.owner] += row.keys.size
+    quota = (owners.LAST_KEY + 1) / sum(plan.capacity.values())
+    total = sum(work.values()) or 1.0
+    chosen = []
+    for gap in sorted(gaps, key=plan.weigh, reverse=True):
+        weight = plan.weigh(gap)
+        best = min(
+            plan.load,
+            key=lambda life: (
+                plan.utilisation(life) / total * len(capacities)
+                + counts[life] / (quota * plan.capacity[life])
+            ),
+        )
+        plan.load[best] += weight
+        counts[best] += gap.size
+        chosen.append((gap, best))
+    return chosen
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how requests are routed, held, limited and repeated."""
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/traffic/choice.py
@@ -0,0 +1,94 @@
+"""Choose the backend server for a request among equals.
+
+Load pattern: servers of one service differ in speed, are cold after a start
+and are shared by instances that choose at the same time. The choice takes the
+server with the shortest expected wait, the nearer one of two that are alike,
+with some noise so that instances do not all take the same one.
+"""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import server_load
+
+# One request may wait at the server for every three slots, so that a slot
+# is not idle while the news of its release travels.
+_SLOTS_PER_WAITING = 3
+# Both ways between data centres of one region.
+_DISTANCE_MS = 12.0
+# A cold server is about half as fast.
+_COLD_FACTOR = 2.0
+_NOISE_SHARE = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choosing:
+    """Hold what a choice looks at besides the servers."""
+
+    data_centre: ids.DataCentre
+    excluded: frozenset[ids.ServerId]
+    now: clock.Millis
+
+
+def capacity(server: servers.BackendServer) -> int:
+    """Return how many requests a server may be sent at once."""
+    return server.slots + max(1, server.slots // _SLOTS_PER_WAITING)
+
+
+def has_room(
+    server: servers.BackendServer,
+    loads: server_load.ServerLoads,
+    now: clock.Millis,
+) -> bool:
+    """Tell whether a server can take one more request."""
+    server_id = server.life.server
+    return loads.total_in_flight(server_id, now) < capacity(server)
+
+
+def choose_server(
+    candidates: typing.Iterable[servers.BackendServer],
+    loads: server_load.ServerLoads,
+    choosing: Choosing,
+    noise: typing.Callable[[], float],
+) -> servers.BackendServer | None:
+    """Return the server with the least expected time, if one has room."""
+    best: servers.BackendServer | None = None
+    best_cost = float('inf')
+    fallback: servers.BackendServer | None = None
+    for server in candidates:
+        server_id = server.life.server
+        if server_id in choosing.excluded or not server.is_ready:
+            continue
+        if not has_room(server, loads, choosing.now):
+            continue
+        if loads.is_suspended(server_id, choosing.now):
+            fallback = fallback or server
+            continue
+        cost = expected_ms(server, loads, choosing)
+        cost *= 1 + _NOISE_SHARE * noise()
+        if cost < best_cost:
+            best, best_cost = server, cost
+    return best or fallback
+
+
+def expected_ms(
+    server: servers.BackendServer,
+    loads: server_load.ServerLoads,
+    choosing: Choosing,
+) -> float:
+    """Return the expected duration of one more request in milliseconds."""
+    busy = loads.total_in_flight(server.life.server, choosing.now)
+    duration = loads.duration_ms(server)
+    if server.warmup_ms > 0:
+        duration = max(
+            duration,
+            loads.service_ms(server.service) * _COLD_FACTOR,
+        )
+    ahead = max(0, busy + 1 - server.slots) / server.slots
+    crowding = busy / server.slots / 4
+    cost = duration * (1 + ahead + crowding)
+    if server.data_centre != choosing.data_centre:
+        cost += _DISTANCE_MS
+    return cost
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -0,0 +1,192 @@
+"""Estimate the load of backend servers over all instances.
+
+Load pattern: nine instances choose at once among servers of two slots. Each
+reports its own requests in flight to the others a few times a second; the sum,
+and what the server said with its last answer, bound what is sent.
+"""
+
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+
+# Weight of one answer in the mean duration of a server.
+_DURATION_WEIGHT = 0.1
+_DEFAULT_DURATION_MS = 100.0
+# A server's own word is older than this at the next request but one.
+_REPORT_FRESH_MS = 120
+# A peer that is silent for longer no longer has its requests in flight.
+_PEER_FRESH_MS = 1_500
+# Consecutive failures that suspend a server, and for how long.
+_FAILURES_TO_SUSPEND = 3
+_SUSPENSION_MS = 1_500
+
+
+@dataclasses.dataclass(slots=True)
+class ServerReport:
+    """Hold what an instance reports about one server."""
+
+    in_flight: int
+    waiting: int
+    duration_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Tracked:
+    in_flight: int = 0
+    waiting: int = 0
+    duration_ms: float = 0
+    samples: int = 0
+    others: int = 0
+    others_at: clock.Millis = clock.LONG_AGO
+    failures: int = 0
+    suspended_until: clock.Millis = clock.LONG_AGO
+
+
+@dataclasses.dataclass(slots=True)
+class _PeerReport:
+    at: clock.Millis
+    rows: typing.Mapping[ids.ServerId, ServerReport]
+
+
+class ServerLoads:
+    """Track requests in flight, durations and failures by server."""
+
+    def __init__(self) -> None:
+        self._tracked: dict[ids.ServerId, _Tracked] = {}
+        self._peers: dict[ids.InstanceId, _PeerReport] = {}
+        self._service_ms: dict[ids.ServiceName, float] = {}
+
+    def _of(self, server: ids.ServerId) -> _Tracked:
+        found = self._tracked.get(server)
+        if found is None:
+            found = _Tracked()
+            self._tracked[server] = found
+        return found
+
+    def start(self, server: ids.ServerId) -> None:
+        """Count a request that is sent."""
+        self._of(server).in_flight += 1
+
+    def finish(self, server: ids.ServerId) -> None:
+        """Count a request that ended."""
+        tracked = self._of(server)
+        tracked.in_flight = max(0, tracked.in_flight - 1)
+
+    def learn_duration(
+        self,
+        server: servers.BackendServer,
+        duration_ms: float,
+    ) -> None:
+        """Learn from an answer that did not wait at the server."""
+        tracked = self._of(server.life.server)
+        tracked.samples += 1
+        weight = max(_DURATION_WEIGHT, 1 / tracked.samples)
+        tracked.duration_ms += weight * (duration_ms - tracked.duration_ms)
+        mean = self._service_ms.get(server.service, duration_ms)
+        mean += _DURATION_WEIGHT / 2 * (duration_ms - mean)
+        self._service_ms[server.service] = mean
+
+    def learn_load(
+        self,
+        server: ids.ServerId,
+        running: int,
+        waiting: int,
+        now: clock.Millis,
+    ) -> None:
+        """Learn the requests of others from what a server says."""
+        tracked = self._of(server)
+        tracked.others = max(0, running + waiting - tracked.in_flight)
+        tracked.others_at = now
+
+    def learn_failure(self, server: ids.ServerId, now: clock.Millis) -> bool:
+        """Count a failure; tell whether the server is newly suspended."""
+        tracked = self._of(server)
+        tracked.failures += 1
+        if tracked.failures < _FAILURES_TO_SUSPEND:
+            return False
+        tracked.failures = 0
+        tracked.suspended_until = clock.later(now, _SUSPENSION_MS)
+        return True
+
+    def learn_success(self, server: ids.ServerId) -> None:
+        """End a row of failures."""
+        self._of(server).failures = 0
+
+    def is_suspended(self, server: ids.ServerId, now: clock.Millis) -> bool:
+        """Tell whether a server failed too often lately."""
+        tracked = self._tracked.get(server)
+        return tracked is not None and tracked.suspended_until > now
+
+    def set_waiting(self, server: ids.ServerId, count: int) -> None:
+        """Record how many requests of this instance wait for a server."""
+        self._of(server).waiting = count
+
+    def total_in_flight(self, server: ids.ServerId, now: clock.Millis) -> int:
+        """Return the requests at a server, over all instances."""
+        tracked = self._of(server)
+        others = sum(
+            report.rows[server].in_flight
+            for report in self._peers.values()
+            if now - report.at < _PEER_FRESH_MS and server in report.rows
+        )
+        if now - tracked.others_at < _REPORT_FRESH_MS:
+            others = max(others, tracked.others)
+        return tracked.in_flight + others
+
+    def total_waiting(self, server: ids.ServerId, now: clock.Millis) -> int:
+        """Return the requests that wait for a server at all instances."""
+        others = sum(
+            report.rows[server].waiting
+            for report in self._peers.values()
+            if now - report.at < _PEER_FRESH_MS and server in report.rows
+        )
+        return self._of(server).waiting + others
+
+    def service_ms(self, service: ids.ServiceName) -> float:
+        """Return the mean duration of a service's requests in ms."""
+        return self._service_ms.get(service, _DEFAULT_DURATION_MS)
+
+    def duration_ms(self, server: servers.BackendServer) -> float:
+        """Return the mean duration at a server over all instances, in ms."""
+        server_id = server.life.server
+        known = [
+            report.rows[server_id].duration_ms
+            for report in self._peers.values()
+            if server_id in report.rows
+            and report.rows[server_id].duration_ms > 0
+        ]
+        own = self._of(server_id)
+        if own.samples:
+            known.append(own.duration_ms)
+        if not known:
+            return self.service_ms(server.service)
+        return sum(known) / len(known)
+
+    def take_peer_report(
+        self,
+        peer: ids.InstanceId,
+        rows: typing.Mapping[ids.ServerId, ServerReport],
+        now: clock.Millis,
+    ) -> None:
+        """Replace what a peer reported before."""
+        self._peers[peer] = _PeerReport(now, rows)
+
+    def own_report(self) -> dict[ids.ServerId, ServerReport]:
+        """Return what this instance reports to its peers."""
+        return {
+            server: ServerReport(
+                tracked.in_flight,
+                tracked.waiting,
+                round(tracked.duration_ms, 1),
+            )
+            for server, tracked in self._tracked.items()
+            if tracked.in_flight or tracked.waiting or tracked.samples
+        }
+
+    def keep_only(self, known: typing.Container[ids.ServerId]) -> None:
+        """Forget servers that are gone and have no request in flight."""
+        for server, tracked in list(self._tracked.items()):
+            if server not in known and not tracked.in_flight:
+                self._tracked.pop(server)
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Run an entry instance between callers and backend servers."""
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/__main__.py
@@ -0,0 +1,38 @@
+"""Start an entry instance from the platform's settings file."""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+import uvloop
+
+from sycamoreferry_adapter import settings_file
+from sycamoreferry_gateway import event_log, instance, steady_clock
+
+BAD_SETTINGS_STATUS = 2
+_METRICS_PORT_VARIABLE = 'SYCAMOREFERRY_METRICS_PORT'
+_DEFAULT_METRICS_PORT = '9464'
+
+
+def main() -> int:
+    """Run until SIGTERM; return 2 where the settings are wrong."""
+    path = os.environ.get(settings_file.PATH_VARIABLE)
+    if path is None:
+        sys.stderr.write(f'{settings_file.PATH_VARIABLE} is not set\n')
+        return BAD_SETTINGS_STATUS
+    port = os.environ.get(_METRICS_PORT_VARIABLE, _DEFAULT_METRICS_PORT)
+    try:
+        text = pathlib.Path(path).read_text('utf-8')
+        chosen = settings_file.read_settings(text, int(port))
+    except (OSError, ValueError) as error:
+        sys.stderr.write(f'{path}: {error}\n')
+        return BAD_SETTINGS_STATUS
+    log = event_log.EventLog(steady_clock.SteadyClock())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(instance.Instance(chosen, log).run())
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment.py
@@ -0,0 +1,102 @@
+"""Encode the ownership of keys as one record of the store."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from sycamoreferry_core import ids
+from sycamoreferry_core.fleet import servers, store_records
+from sycamoreferry_core.keyspace import owners
+
+ASSIGNMENT_KEY = store_records.RecordKey('assignment')
+
+
+class _Row(msgspec.Struct, array_like=True):
+    first: int
+    last: int
+    server: str
+    born: int
+    fence: int
+    handover: str
+
+
+class _Record(msgspec.Struct, array_like=True):
+    term: int
+    coordinator: str
+    # Tells the writes of one coordinator apart when an answer was lost.
+    write: str
+    services: dict[str, list[_Row]]
+
+
+_decoder = msgspec.msgpack.Decoder(_Record)
+_Tables = typing.Mapping[ids.ServiceName, owners.OwnerTable]
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """Hold who coordinates and who owns which keys."""
+
+    term: ids.Term
+    coordinator: ids.InstanceId | None
+    write: str
+    tables: _Tables
+
+    def table(self, service: ids.ServiceName) -> owners.OwnerTable:
+        """Return the table of a service."""
+        return self.tables.get(service, _EMPTY)
+
+
+_EMPTY = owners.OwnerTable()
+NO_ASSIGNMENT = Assignment(ids.NO_TERM, None, '', {})
+
+
+def encode_assignment(assignment: Assignment) -> bytes:
+    """Encode an assignment."""
+    services = {
+        str(service): [_encode_row(row) for row in table.rows]
+        for service, table in assignment.tables.items()
+    }
+    return msgspec.msgpack.encode(
+        _Record(
+            assignment.term,
+            assignment.coordinator or '',
+            assignment.write,
+            services,
+        ),
+    )
+
+
+def decode_assignment(content: bytes) -> Assignment:
+    """Decode an assignment; raise MsgspecError if it is malformed."""
+    record = _decoder.decode(content)
+    tables = {
+        ids.ServiceName(service): owners.OwnerTable(map(_decode_row, rows))
+        for service, rows in record.services.items()
+    }
+    return Assignment(
+        ids.Term(record.term),
+        ids.InstanceId(record.coordinator),
+        record.write,
+        tables,
+    )
+
+
+def _encode_row(row: owners.Ownership) -> _Row:
+    return _Row(
+        row.keys.first,
+        row.keys.last,
+        row.owner.server,
+        row.owner.born,
+        row.fence,
+        row.handover,
+    )
+
+
+def _decode_row(row: _Row) -> owners.Ownership:
+    keys = owners.KeyRange(owners.Key(row.first), owners.Key(row.last))
+    life = servers.ServerLife(
+        ids.ServerId(row.server),
+        servers.Born(row.born),
+    )
+    return owners.Ownership(keys, life, ids.Fence(row.fence), row.handover)
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -0,0 +1,257 @@
+"""Find a backend server with room for each request, or reject it."""
+
+import asyncio
+import dataclasses
+import random
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import choice, server_load, waiting
+from sycamoreferry_gateway import view
+
+# How often waiting requests look for room that nobody told of.
+_TICK_MS = 20
+# A key without an owner is expected to have one after a move.
+_MOVE_MS = 500
+_MOST_WAITING = 600
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """Tell why a request found no server, and when to come back."""
+
+    reason: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Ticket:
+    request: waiting.WaitingRequest
+    result: asyncio.Future[servers.BackendServer | Rejected]
+
+
+class Dispatcher:
+    """Hold waiting requests and hand out room at servers."""
+
+    def __init__(
+        self,
+        folded: view.View,
+        loads: server_load.ServerLoads,
+    ) -> None:
+        self._view = folded
+        self._loads = loads
+        self._tickets: dict[ids.ServiceName, list[_Ticket]] = {}
+        self._is_due = False
+        self._random = random.Random()
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(rows) for rows in self._tickets.values())
+
+    async def acquire(
+        self,
+        request: waiting.WaitingRequest,
+    ) -> servers.BackendServer | Rejected:
+        """Wait for a server with room; its load counts the request."""
+        tickets = self._tickets.get(request.service)
+        if not tickets:
+            server = self._place(request)
+            if server is not None:
+                return server
+        rejected = self._reject_hopeless(request)
+        if rejected is not None:
+            return rejected
+        ticket = _Ticket(request, asyncio.get_running_loop().create_future())
+        self._tickets.setdefault(request.service, []).append(ticket)
+        if tickets:
+            self.pump()
+        try:
+            return await ticket.result
+        except asyncio.CancelledError:
+            self._withdraw(ticket)
+            raise
+
+    def release(self, server: ids.ServerId) -> None:
+        """Give back the room of a request that ended."""
+        self._loads.finish(server)
+        self.wake()
+
+    def wake(self) -> None:
+        """Look for room soon, once for several changes."""
+        if self._is_due or not self._tickets:
+            return
+        self._is_due = True
+        asyncio.get_running_loop().call_soon(self._run_due)
+
+    async def tick_forever(self) -> None:
+        """Look for room and end waits that are over."""
+        while True:
+            await asyncio.sleep(clock.seconds(_TICK_MS))
+            if self._tickets:
+                self.pump()
+
+    def pump(self) -> None:
+        """Send waiting requests in turn while there is room."""
+        now = self._view.clock.now()
+        for service, tickets in list(self._tickets.items()):
+            self._pump_service(service, tickets, now)
+        self._report_waiting()
+
+    def _run_due(self) -> None:
+        self._is_due = False
+        self.pump()
+
+    def _pump_service(
+        self,
+        service: ids.ServiceName,
+        tickets: list[_Ticket],
+        now: clock.Millis,
+    ) -> None:
+        duration = self._loads.service_ms(service)
+        tickets.sort(
+            key=lambda ticket: waiting.turn(ticket.request, duration, now),
+        )
+        left = []
+        is_full = False
+        for ticket in tickets:
+            if ticket.result.done():
+                continue
+            keyed = ticket.request.key is not None
+            server = None
+            if keyed or not is_full:
+                server = self._place(ticket.request)
+            if server is not None:
+                ticket.result.set_result(server)
+            elif now >= waiting.latest_start(ticket.request, duration):
+                ticket.result.set_result(self._rejection(ticket.request))
+            else:
+                is_full = is_full or not keyed
+                left.append(ticket)
+        if left:
+            self._tickets[service] = left
+        else:
+            self._tickets.pop(service, None)
+
+    def _withdraw(self, ticket: _Ticket) -> None:
+        tickets = self._tickets.get(ticket.request.service, [])
+        if ticket in tickets:
+            tickets.remove(ticket)
+            if not tickets:
+                self._tickets.pop(ticket.request.service, None)
+        elif ticket.result.done() and not ticket.result.cancelled():
+            granted = ticket.result.result()
+            if isinstance(granted, servers.BackendServer):
+                self.release(granted.life.server)
+
+    def _place(
+        self,
+        request: waiting.WaitingRequest,
+    ) -> servers.BackendServer | None:
+        now = self._view.clock.now()
+        if request.key is None:
+            server = self._choose(request, now)
+        else:
+            server = self._owner(request, now)
+        if server is not None:
+            self._loads.start(server.life.server)
+        return server
+
+    def _choose(
+        self,
+        request: waiting.WaitingRequest,
+        now: clock.Millis,
+    ) -> servers.BackendServer | None:
+        choosing = choice.Choosing(
+            self._view.deployment.data_centre,
+            request.excluded,
+            now,
+        )
+        return choice.choose_server(
+            self._view.servers_of(request.service),
+            self._loads,
+            choosing,
+            self._random.random,
+        )
+
+    def _owner(
+        self,
+        request: waiting.WaitingRequest,
+        now: clock.Millis,
+    ) -> servers.BackendServer | None:
+        server = self._owner_server(request)
+        if server is None or not choice.has_room(server, self._loads, now):
+            return None
+        return server
+
+    def _owner_server(
+        self,
+        request: waiting.WaitingRequest,
+    ) -> servers.BackendServer | None:
+        if request.key is None:
+            return None
+        row = self._view.owner_of(request.service, request.key)
+        if row is None or not self._view.fleet.is_ready(row.owner):
+            return None
+        return self._view.fleet.get(row.owner.server)
+
+    def _reject_hopeless(
+        self,
+        request: waiting.WaitingRequest,
+    ) -> Rejected | None:
+        if self.waiting_count >= _MOST_WAITING:
+            return self._rejection(request)
+        backlog = self._backlog(request)
+        now = self._view.clock.now()
+        if waiting.can_be_served(request, backlog, now):
+            return None
+        return self._rejection(request)
+
+    def _backlog(self, request: waiting.WaitingRequest) -> waiting.Backlog:
+        now = self._view.clock.now()
+        if request.key is not None:
+            server = self._owner_server(request)
+            if server is None:
+                return waiting.Backlog(1, 1, _MOVE_MS)
+            server_id = server.life.server
+            ahead = self._loads.total_waiting(server_id, now)
+            ahead += max(
+                0,
+                self._loads.total_in_flight(server_id, now) - server.slots,
+            )
+            duration = self._loads.duration_ms(server)
+            return waiting.Backlog(ahead, server.slots, duration)
+        ready = [
+            server
+            for server in self._view.servers_of(request.service)
+            if server.is_ready
+        ]
+        own = len(self._tickets.get(request.service, ()))
+        ahead = own * self._view.peers.count(now)
+        slots = sum(server.slots for server in ready)
+        duration = self._loads.service_ms(request.service)
+        return waiting.Backlog(ahead, slots, duration)
+
+    def _rejection(self, request: waiting.WaitingRequest) -> Rejected:
+        now = self._view.clock.now()
+        backlog = self._backlog(request)
+        retry_after = waiting.return_after_ms(
+            request.ends_at - now,
+            backlog,
+            self._random.random(),
+        )
+        reason = 'no room'
+        if request.key is not None and self._owner_server(request) is None:
+            reason = 'key has no owner'
+        return Rejected(reason, retry_after)
+
+    def _report_waiting(self) -> None:
+        counts: dict[ids.ServerId, int] = {}
+        for tickets in self._tickets.values():
+            for ticket in tickets:
+                server = self._owner_server(ticket.request)
+                if server is not None:
+                    server_id = server.life.server
+                    counts[server_id] = counts.get(server_id, 0) + 1
+        for server_id in self._view.fleet.servers:
+            self._loads.set_waiting(server_id, counts.get(server_id, 0))
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/event_log.py
@@ -0,0 +1,107 @@
+"""Write structured log lines without blocking and within a bounded rate."""
+
+import collections
+import os
+import typing
+
+import logbook
+import msgspec
+
+from sycamoreferry_core import clock
+
+# Lines that wait for a reader that is slow.
+_MOST_PENDING = 2_000
+# Lines a second that a busy instance may write, and how many at once.
+_LINES_PER_SECOND = 150
+_BURST_LINES = 600
+_STDOUT = 1
+
+_encoder = msgspec.json.Encoder()
+
+
+class _LineHandler(logbook.Handler):  # type: ignore[misc]
+    """Encode records as lines and write what the reader takes."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__(level=logbook.INFO)
+        self._descriptor = descriptor
+        self._pending: collections.deque[bytes] = collections.deque()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a record and write as much as fits."""
+        line = {
+            'at': record.time.isoformat(timespec='milliseconds'),
+            'level': record.level_name.lower(),
+            'part': record.channel,
+            'event': record.message,
+            **record.extra,
+        }
+        if len(self._pending) >= _MOST_PENDING:
+            self.dropped += 1
+            return
+        self._pending.append(_encoder.encode(line) + b'\n')
+        self.flush()
+
+    def flush(self) -> None:
+        """Write pending lines until the reader stops taking them."""
+        while self._pending:
+            line = self._pending[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.dropped += len(self._pending)
+                self._pending.clear()
+                return
+            if written < len(line):
+                self._pending[0] = line[written:]
+                return
+            self._pending.popleft()
+
+
+class EventLog:
+    """Log events by part; drop what exceeds the rate and tell how much."""
+
+    def __init__(self, source: clock.Clock, descriptor: int = _STDOUT) -> None:
+        self._clock = source
+        self._handler = _LineHandler(descriptor)
+        self._handler.push_application()
+        self._loggers: dict[str, logbook.Logger] = {}
+        self._tokens = float(_BURST_LINES)
+        self._filled_at = source.now()
+        self._dropped = 0
+
+    def write(self, part: str, event: str, **fields: typing.Any) -> None:
+        """Write a line that is always wanted, such as a change of belief."""
+        logger = self._loggers.get(part)
+        if logger is None:
+            logger = logbook.Logger(part)
+            self._loggers[part] = logger
+        logger.info(event, extra=fields)
+
+    def sample(self, part: str, event: str, **fields: typing.Any) -> None:
+        """Write a line about a request unless too many are written."""
+        self._refill()
+        if self._tokens < 1:
+            self._dropped += 1
+            return
+        self._tokens -= 1
+        self.write(part, event, **fields)
+
+    def tell_dropped(self) -> None:
+        """Write how many lines were dropped since the last time."""
+        self._handler.flush()
+        dropped = self._dropped + self._handler.dropped
+        if dropped:
+            self._dropped = 0
+            self._handler.dropped = 0
+            self.write('log', 'lines dropped', count=dropped)
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        earned = clock.seconds(now - self._filled_at) * _LINES_PER_SECOND
+        self._tokens = min(float(_BURST_LINES), self._tokens + earned)
+        self._filled_at = now
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -0,0 +1,354 @@
+"""Exchange requests and whole answers over kept connections."""
+
+import asyncio
+import dataclasses
+import enum
+import socket
+import struct
+import typing
+
+import httptools
+
+from sycamoreferry_core import clock, http_messages
+from sycamoreferry_core.fleet import deployment
+
+# A round trip between data centres takes some 10 ms; a lost packet is sent
+# again after 200 ms or more.
+CONNECT_TIMEOUT_MS = 450
+# Kept connections are closed by the other side when idle; the margin is for
+# a close that is under way.
+_REUSE_MS = 4_000
+_KEEP_ALIVE_MARGIN_MS = 1_000
+_LONGEST_ANSWER_BYTES = 64 * 1024 * 1024
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+_NO_BODY_STATUSES = frozenset((204, 304))
+
+
+@enum.unique
+class ExchangeFailure(enum.Enum):
+    """Tell why an exchange has no answer."""
+
+    CONNECT = 'connect'
+    RESET = 'reset'
+    CLOSED = 'closed'
+    TIMEOUT = 'timeout'
+    MALFORMED = 'malformed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """Hold why there is no answer and whether anything was sent."""
+
+    failure: ExchangeFailure
+    was_sent: bool
+    is_reused: bool = False
+
+
+Exchanged = http_messages.HttpReply | Failed
+AcceptsReply = typing.Callable[[http_messages.HttpReply], bool]
+
+
+def _accept_any(_reply: http_messages.HttpReply) -> bool:
+    return True
+
+
+class Connection(asyncio.Protocol):
+    """Carry one exchange at a time."""
+
+    def __init__(self, source: clock.Clock) -> None:
+        self._clock = source
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._waiter: asyncio.Future[Exchanged] | None = None
+        self._accepts: AcceptsReply = _accept_any
+        self._headers: list[tuple[str, str]] = []
+        self._body = bytearray()
+        self._headers_done = False
+        self._is_framed = False
+        self._is_reusable = True
+        self._served = 0
+        self._expires_at = clock.LONG_AGO
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection can carry another exchange."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and self._is_reusable
+        )
+
+    def is_fresh(self, now: clock.Millis) -> bool:
+        """Tell whether the other side surely keeps the connection open."""
+        return self.is_open and now < self._expires_at
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    async def exchange(
+        self,
+        payload: bytes,
+        accepts: AcceptsReply,
+    ) -> Exchanged:
+        """Send a request and return its whole answer."""
+        if not self.is_open or self._transport is None:
+            return self._failed(ExchangeFailure.CLOSED, was_sent=False)
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._accepts = accepts
+        self._start_reply()
+        self._transport.write(payload)
+        try:
+            outcome = await self._waiter
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        self._served += 1
+        return outcome
+
+    def abort(self) -> None:
+        """Reset the connection, so that bytes under way are lost."""
+        self._is_reusable = False
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        raw = transport.get_extra_info('socket')
+        if raw is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse an answer; bytes that nobody asked for end the connection."""
+        if self._waiter is None or self._waiter.done():
+            self._is_reusable = False
+            self.close()
+            return
+        try:
+            self._feed(data)
+        except httptools.HttpParserError:
+            self._finish(self._failed(ExchangeFailure.MALFORMED))
+            self.close()
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length."""
+        self._is_reusable = False
+        unframed = self._headers_done and not self._is_framed
+        if unframed and self._waiter is not None and not self._waiter.done():
+            self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange that is under way."""
+        self._is_reusable = False
+        failure = ExchangeFailure.CLOSED
+        if exc is not None:
+            failure = ExchangeFailure.RESET
+        self._finish(self._failed(failure))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._is_reusable = False
+        if self._transport is not None:
+            self._transport.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append(
+            (name.decode('latin-1').lower(), value.decode('latin-1')),
+        )
+
+    def on_headers_complete(self) -> None:
+        """Note how the body is framed."""
+        self._headers_done = True
+        names = dict(self._headers)
+        self._is_framed = (
+            'content-length' in names
+            or 'chunked' in names.get('transfer-encoding', '').lower()
+            or self._status in _NO_BODY_STATUSES
+        )
+        if names.get('connection', '').lower() == 'close':
+            self._is_reusable = False
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.extend(body)
+        if len(self._body) > _LONGEST_ANSWER_BYTES:
+            raise httptools.HttpParserError('answer is too long')
+
+    def on_message_complete(self) -> None:
+        """Hand over a whole answer, or pass over one that is not ours."""
+        if 100 <= self._status < 200:
+            self._start_body()
+            return
+        self._complete()
+
+    @property
+    def _status(self) -> int:
+        return self._parser.get_status_code() if self._parser else 0
+
+    def _feed(self, data: bytes) -> None:
+        if self._parser is None:
+            self._start_reply()
+        assert self._parser is not None
+        self._parser.feed_data(data)
+
+    def _start_reply(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._start_body()
+
+    def _start_body(self) -> None:
+        self._headers = []
+        self._body = bytearray()
+        self._headers_done = False
+        self._is_framed = False
+
+    def _complete(self) -> None:
+        reply = http_messages.HttpReply(
+            self._status,
+            tuple(self._headers),
+            bytes(self._body),
+        )
+        self._start_body()
+        if self._waiter is None or self._waiter.done():
+            # A second answer to one request belongs to nobody.
+            self.close()
+            return
+        if not self._accepts(reply):
+            self._is_reusable = False
+            return
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size():
+            self._is_reusable = False
+        self._note_lifetime(reply)
+        self._finish(reply)
+        if not self._is_reusable:
+            self.close()
+
+    def _note_lifetime(self, reply: http_messages.HttpReply) -> None:
+        keep_ms = _REUSE_MS
+        stated = reply.header('keep-alive')
+        if stated is not None and 'timeout=' in stated:
+            digits = stated.partition('timeout=')[2].partition(',')[0].strip()
+            if digits.isdigit():
+                limit = int(digits) * clock.MILLIS_PER_SECOND
+                keep_ms = min(keep_ms, limit - _KEEP_ALIVE_MARGIN_MS)
+        self._expires_at = clock.later(self._clock.now(), keep_ms)
+
+    def _finish(self, outcome: Exchanged) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(outcome)
+
+    def _failed(
+        self,
+        failure: ExchangeFailure,
+        *,
+        was_sent: bool = True,
+    ) -> Failed:
+        return Failed(failure, was_sent, self._served > 0)
+
+
+class ConnectionPool:
+    """Keep idle connections by address."""
+
+    def __init__(self, source: clock.Clock) -> None:
+        self._clock = source
+        self._idle: dict[deployment.Address, list[Connection]] = {}
+        self.opened = 0
+
+    async def exchange(
+        self,
+        address: deployment.Address,
+        payload: bytes,
+        timeout_ms: float,
+        accepts: AcceptsReply = _accept_any,
+    ) -> Exchanged:
+        """Send a request to an address within a time in milliseconds."""
+        connection = self._take(address)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_ms / clock.MILLIS_PER_SECOND
+        if connection is None:
+            opened = await self._open(address, timeout_ms)
+            if isinstance(opened, Failed):
+                return opened
+            connection = opened
+        try:
+            async with asyncio.timeout_at(ends_at):
+                outcome = await connection.exchange(payload, accepts)
+        except TimeoutError:
+            return Failed(ExchangeFailure.TIMEOUT, was_sent=True)
+        if connection.is_open:
+            self._idle.setdefault(address, []).append(connection)
+        return outcome
+
+    def drop_idle(self) -> None:
+        """Close idle connections that are too old to be used."""
+        now = self._clock.now()
+        for address, connections in list(self._idle.items()):
+            kept = [one for one in connections if one.is_fresh(now)]
+            for old in connections:
+                if old not in kept:
+                    old.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                self._idle.pop(address)
+
+    def drop_address(self, address: deployment.Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def _take(self, address: deployment.Address) -> Connection | None:
+        connections = self._idle.get(address)
+        now = self._clock.now()
+        while connections:
+            connection = connections.pop()
+            if connection.is_fresh(now):
+                return connection
+            connection.close()
+        return None
+
+    async def _open(
+        self,
+        address: deployment.Address,
+        timeout_ms: float,
+    ) -> Connection | Failed:
+        loop = asyncio.get_running_loop()
+        limit_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+        try:
+            async with asyncio.timeout(limit_ms / clock.MILLIS_PER_SECOND):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self._clock),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError):
+            return Failed(ExchangeFailure.CONNECT, was_sent=False)
+        self.opened += 1
+        return connection
+
+
+def encode_request(
+    method: str,
+    target: str,
+    headers: http_messages.Headers,
+    body: bytes,
+) -> bytes:
+    """Write a request with a length where it has a body."""
+    lines = [f'{method} {target} HTTP/1.1']
+    lines.extend(f'{name}: {content}' for name, content in headers)
+    if body or method not in _BODYLESS_METHODS:
+        lines.append(f'Content-Length: {len(body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1') + body
+
+
+_BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+
+
+def encode_call(call: http_messages.HttpCall, host: str) -> bytes:
+    """Write a call of the platform."""
+    headers = (('Host', host), *call.headers)
+    return encode_request(call.method, call.target, headers, call.body)
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -0,0 +1,300 @@
+"""Take requests from callers and write answers."""
+
+import asyncio
+import dataclasses
+import http
+import typing
+
+import httptools
+
+from sycamoreferry_core import clock, http_messages
+from sycamoreferry_core.traffic import routes
+
+_BACKLOG = 1024
+_SWEEP_MS = 500
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    ),
+)
+_BODYLESS_STATUSES = frozenset((204, 304))
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """Hold a whole request; header names are as the caller wrote them."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    caller: str
+    keep_alive: bool
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, named in lower case."""
+        for known, content in self.headers:
+            if known.lower() == name:
+                return content
+        return None
+
+    def end_to_end_headers(self) -> list[tuple[str, str]]:
+        """Return the headers that do not concern one connection."""
+        named = {
+            part.strip().lower()
+            for name, content in self.headers
+            if name.lower() == 'connection'
+            for part in content.split(',')
+        }
+        return [
+            row
+            for row in self.headers
+            if row[0].lower() not in _HOP_HEADERS
+            and row[0].lower() not in named
+        ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """Hold an answer to a caller."""
+
+    status: int
+    headers: http_messages.Headers
+    body: bytes
+
+
+Handler = typing.Callable[
+    [CallerRequest],
+    typing.Coroutine[typing.Any, typing.Any, CallerAnswer],
+]
+
+
+def answer_from_server(reply: http_messages.HttpReply) -> CallerAnswer:
+    """Pass a backend server's answer on."""
+    headers = tuple(row for row in reply.headers if row[0] not in _HOP_HEADERS)
+    return CallerAnswer(reply.status, headers, reply.body)
+
+
+class CallerConnection(asyncio.Protocol):
+    """Serve one request after the other of a connection."""
+
+    def __init__(self, server: 'HttpServer') -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._caller = ''
+        self._target = b''
+        self._headers: list[tuple[str, str]] = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._reading_since: clock.Millis | None = None
+        self._idle_since = server.clock.now()
+        self._queue: list[CallerRequest] = []
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is read or served."""
+        return self._task is None and self._reading_since is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info('peername')
+        self._caller = peer[0] if peer else ''
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the work of a caller that has left."""
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's stream as its leaving."""
+        if self._task is not None:
+            self._task.cancel()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(http.HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(http.HTTPStatus.BAD_REQUEST)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._target = b''
+        self._headers = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._reading_since = self._server.clock.now()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.decode('latin-1'), value.decode('latin-1')))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+        for name, content in self._headers:
+            if name.lower() == 'expect' and content == '100-continue':
+                self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.extend(body)
+        limits = self._server.limits
+        if limits is not None and len(self._body) > limits.body_bytes:
+            self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        self._reading_since = None
+        request = CallerRequest(
+            self._parser.get_method().decode('ascii'),
+            self._target.decode('latin-1'),
+            self._headers,
+            bytes(self._body),
+            self._caller,
+            self._parser.should_keep_alive(),
+        )
+        self._queue.append(request)
+        self._serve_next()
+
+    def sweep(self, now: clock.Millis, limits: routes.CallerLimits) -> None:
+        """Close what is idle or reads a request for too long."""
+        if self._task is not None:
+            return
+        if self._reading_since is not None:
+            if now - self._reading_since > limits.header_timeout_ms:
+                self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+        elif now - self._idle_since > limits.idle_timeout_ms:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        limits = self._server.limits
+        if limits is not None and self._header_bytes > limits.header_bytes:
+            self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _serve_next(self) -> None:
+        if self._task is not None or not self._queue:
+            return
+        request = self._queue.pop(0)
+        self._task = asyncio.get_running_loop().create_task(
+            self._serve(request),
+        )
+
+    async def _serve(self, request: CallerRequest) -> None:
+        try:
+            answer = await self._server.handler(request)
+        finally:
+            self._task = None
+            self._idle_since = self._server.clock.now()
+        closes = not request.keep_alive or self._server.is_leaving
+        self._write(_encode_answer(answer, request.method, closes=closes))
+        if closes:
+            self.close()
+        else:
+            self._serve_next()
+
+    def _refuse(self, status: http.HTTPStatus) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._task is None:
+            answer = CallerAnswer(int(status), (), b'')
+            self._write(_encode_answer(answer, 'GET', closes=True))
+        self.close()
+
+    def _write(self, payload: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(payload)
+
+
+class HttpServer:
+    """Listen for callers."""
+
+    def __init__(self, handler: Handler, source: clock.Clock) -> None:
+        self.handler = handler
+        self.clock = source
+        self.connections: set[CallerConnection] = set()
+        self.limits: routes.CallerLimits | None = None
+        self.is_leaving = False
+        self._listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: CallerConnection(self),
+            host,
+            port,
+            backlog=_BACKLOG,
+        )
+
+    async def sweep_forever(self) -> None:
+        """Close connections that are idle for too long."""
+        while True:
+            await asyncio.sleep(clock.seconds(_SWEEP_MS))
+            if self.limits is not None:
+                now = self.clock.now()
+                for connection in list(self.connections):
+                    connection.sweep(now, self.limits)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether no request is read or served."""
+        return all(connection.is_idle for connection in self.connections)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def close_connections(self) -> None:
+        """Close what is left."""
+        for connection in list(self.connections):
+            connection.close()
+
+
+def _encode_answer(answer: CallerAnswer, method: str, *, closes: bool) -> bytes:
+    phrase = _PHRASES.get(answer.status, 'Unknown')
+    lines = [f'HTTP/1.1 {answer.status} {phrase}']
+    lines.extend(f'{name}: {content}' for name, content in answer.headers)
+    if answer.status not in _BODYLESS_STATUSES:
+        lines.append(f'Content-Length: {len(answer.body)}')
+    if closes:
+        lines.append('Connection: close')
+    lines.append('\r\n')
+    head = '\r\n'.join(lines).encode('latin-1')
+    return head if method == 'HEAD' else head + answer.body
+
+
+_PHRASES = {int(status): status.phrase for status in http.HTTPStatus}
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/instance_records.py
@@ -0,0 +1,22 @@
+"""Encode where an instance takes datagrams of its peers."""
+
+import msgspec
+
+
+class _Record(msgspec.Struct, array_like=True):
+    host: str
+    port: int
+
+
+_decoder = msgspec.msgpack.Decoder(_Record)
+
+
+def encode_address(host: str, port: int) -> bytes:
+    """Encode an address."""
+    return msgspec.msgpack.encode(_Record(host, port))
+
+
+def decode_address(content: bytes) -> tuple[str, int]:
+    """Decode an address; raise MsgspecError if it is malformed."""
+    record = _decoder.decode(content)
+    return record.host, record.port
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -0,0 +1,178 @@
+"""Call the platform's store and know whether it answers."""
+
+import typing
+
+from sycamoreferry_adapter import store_calls
+from sycamoreferry_core import clock, http_messages, ids
+from sycamoreferry_core.fleet import deployment, store_records
+from sycamoreferry_gateway import event_log, http_client
+
+# The store answers in a few ms, and in some 250 ms when it is slow.
+CALL_TIMEOUT_MS = 1_200
+# A silence or refusal this long is an outage.
+_OUTAGE_MS = 1_000
+
+_Reply = http_messages.HttpReply | store_records.StoreFailure
+
+
+class StoreClient:
+    """Send calls over kept connections; note outages."""
+
+    def __init__(
+        self,
+        address: deployment.Address,
+        source: clock.Clock,
+        log: event_log.EventLog,
+    ) -> None:
+        self._address = address
+        self._clock = source
+        self._log = log
+        self._pool = http_client.ConnectionPool(source)
+        self._answered_at = source.now()
+        self._outage_ended_at = clock.LONG_AGO
+        self._is_down = False
+        self._was_reached = False
+        self.calls = 0
+
+    @property
+    def last_outage(self) -> clock.Millis:
+        """Return when the store was last away from this instance."""
+        if self._is_down:
+            return self._clock.now()
+        return self._outage_ended_at
+
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the store does not answer this instance."""
+        return self._is_down
+
+    def silent_ms(self) -> int:
+        """Return how long ago the store last answered."""
+        return self._clock.now() - self._answered_at
+
+    async def newest(
+        self,
+        topic: store_records.TopicName,
+    ) -> store_records.RecordPage | store_records.StoreFailure:
+        """Return the newest record of each key of a topic."""
+        records: list[store_records.StoredRecord] = []
+        end: ids.Offset | None = None
+        after = ''
+        while True:
+            reply = await self._call(store_calls.newest(topic, after))
+            if isinstance(reply, store_records.StoreFailure):
+                return reply
+            page = store_calls.read_newest(reply)
+            if isinstance(page, store_records.StoreFailure):
+                return self._failed(page)
+            records.extend(page.records)
+            # Pages are no snapshot: what changed since the first is read on.
+            end = page.end if end is None else end
+            if not page.has_more or not page.records:
+                return store_records.RecordPage(tuple(records), end)
+            after = page.records[-1].key
+
+    async def read(
+        self,
+        topic: store_records.TopicName,
+        start: ids.Offset,
+        wait_ms: int = 0,
+    ) -> (
+        store_records.RecordPage
+        | store_records.HistoryGone
+        | store_records.StoreFailure
+    ):
+        """Return records from an offset on."""
+        call = store_calls.read(topic, start, wait_ms)
+        reply = await self._call(call, CALL_TIMEOUT_MS + wait_ms)
+        if isinstance(reply, store_records.StoreFailure):
+            return reply
+        page = store_calls.read_records(reply, start)
+        if isinstance(page, store_records.StoreFailure):
+            return self._failed(page)
+        return page
+
+    async def append(
+        self,
+        topic: store_records.TopicName,
+        key: store_records.RecordKey,
+        content: bytes,
+        at: ids.Offset | None = None,
+    ) -> (
+        store_records.Appended
+        | store_records.Superseded
+        | store_records.StoreFailure
+    ):
+        """Append a record; without an answer it may still be appended."""
+        call = store_calls.append(topic, key, content, at)
+        reply = await self._call(call)
+        if isinstance(reply, store_records.StoreFailure):
+            return reply
+        appended = store_calls.read_appended(reply)
+        if isinstance(appended, store_records.StoreFailure):
+            return self._failed(appended)
+        return appended
+
+    def drop_idle(self) -> None:
+        """Close connections that are too old to be used."""
+        self._pool.drop_idle()
+
+    async def _call(
+        self,
+        call: http_messages.HttpCall,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> _Reply:
+        self.calls += 1
+        payload = http_client.encode_call(call, str(self._address))
+        outcome = await self._pool.exchange(
+            self._address,
+            payload,
+            timeout_ms,
+        )
+        if isinstance(outcome, http_client.Failed):
+            return self._failed(_failure_of(outcome))
+        if outcome.status in _UNAVAILABLE_STATUSES:
+            return self._failed(
+                store_records.StoreFailure(
+                    store_records.StoreTrouble.REJECTED,
+                    f'status {outcome.status}',
+                ),
+            )
+        self._reached()
+        return outcome
+
+    def _reached(self) -> None:
+        now = self._clock.now()
+        if self._is_down:
+            self._is_down = False
+            self._outage_ended_at = now
+            self._log.write('store', 'store is reachable again')
+        if not self._was_reached:
+            self._was_reached = True
+            self._log.write('store', 'store was reached first')
+        self._answered_at = now
+
+    def _failed(
+        self,
+        failure: store_records.StoreFailure,
+    ) -> store_records.StoreFailure:
+        if not self._is_down and self.silent_ms() > _OUTAGE_MS:
+            self._is_down = True
+            self._log.write(
+                'store',
+                'store is unreachable',
+                trouble=failure.trouble.value,
+                detail=failure.detail,
+                silent_ms=self.silent_ms(),
+            )
+        return failure
+
+
+_UNAVAILABLE_STATUSES: typing.Final = frozenset((429, 503))
+
+
+def _failure_of(failed: http_client.Failed) -> store_records.StoreFailure:
+    trouble = store_records.StoreTrouble.UNANSWERED
+    if not failed.was_sent:
+        trouble = store_records.StoreTrouble.UNREACHABLE
+    return store_records.StoreFailure(trouble, failed.failure.value)
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -0,0 +1,133 @@
+"""Follow the topics of the store."""
+
+import asyncio
+
+from sycamoreferry_adapter import store_calls
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import store_records
+from sycamoreferry_gateway import (
+    event_log,
+    instance_records,
+    store_client,
+    view,
+)
+
+OWNERS_TOPIC = store_calls.OWNERS_TOPIC
+
+# Heartbeats come without pause, so they are read at a pace of their own.
+_SERVERS_PACE_MS = 650
+# A connection that goes silent is noticed after this and the call's timeout.
+_CONFIG_WAIT_MS = 5_000
+_INSTANCES_WAIT_MS = 15_000
+_RETRY_MS = 250
+_RETRY_DOWN_MS = 500
+
+
+class StoreSync:
+    """Keep a view up to date from the store."""
+
+    def __init__(
+        self,
+        client: store_client.StoreClient,
+        folded: view.View,
+        log: event_log.EventLog,
+    ) -> None:
+        self._client = client
+        self._view = folded
+        self._log = log
+        self._config_wake = asyncio.Event()
+
+    async def register(self) -> None:
+        """Write where this instance is reached until it is acknowledged."""
+        chosen = self._view.deployment
+        key = store_records.RecordKey(chosen.instance)
+        content = instance_records.encode_address(
+            chosen.host,
+            chosen.peer_port,
+        )
+        while True:
+            mirror = self._view.mirrors[store_calls.INSTANCES_TOPIC]
+            known = mirror.records.get(key)
+            if known is not None and known.content == content:
+                return
+            if mirror.is_complete:
+                appended = await self._client.append(
+                    store_calls.INSTANCES_TOPIC,
+                    key,
+                    content,
+                )
+                if isinstance(appended, store_records.Appended):
+                    return
+            await asyncio.sleep(clock.seconds(_RETRY_MS))
+
+    async def follow_servers(self) -> None:
+        """Read the entries of backend servers at a steady pace."""
+        while True:
+            if not await self._step(store_calls.SERVERS_TOPIC, 0):
+                # Other kept connections may have gone silent as well.
+                self._config_wake.set()
+            self._view.last_outage_was(self._client.last_outage)
+            self._view.collect_servers()
+            self._client.drop_idle()
+            await asyncio.sleep(clock.seconds(_SERVERS_PACE_MS))
+
+    async def follow_config(self) -> None:
+        """Wait for configurations."""
+        while True:
+            step = asyncio.ensure_future(
+                self._step(store_calls.CONFIG_TOPIC, _CONFIG_WAIT_MS),
+            )
+            wake = asyncio.ensure_future(self._config_wake.wait())
+            await asyncio.wait(
+                (step, wake),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for pending in (step, wake):
+                pending.cancel()
+            if self._config_wake.is_set():
+                self._config_wake.clear()
+                await self._step(store_calls.CONFIG_TOPIC, 0)
+
+    async def follow_instances(self) -> None:
+        """Wait for instances that start."""
+        while True:
+            await self._step(store_calls.INSTANCES_TOPIC, _INSTANCES_WAIT_MS)
+
+    async def load_owners(self) -> None:
+        """Read the assignment once; later ones come from peers."""
+        mirror = self._view.mirrors[store_calls.OWNERS_TOPIC]
+        while not mirror.is_complete:
+            await self._step(store_calls.OWNERS_TOPIC, 0)
+
+    def peer_read_further(
+        self,
+        topic: store_records.TopicName,
+        end: ids.Offset,
+    ) -> None:
+        """Read the configuration now if a peer has a newer one."""
+        if topic != store_calls.CONFIG_TOPIC:
+            return
+        if end > self._view.mirrors[topic].end:
+            self._config_wake.set()
+
+    async def _step(
+        self,
+        topic: store_records.TopicName,
+        wait_ms: int,
+    ) -> bool:
+        mirror = self._view.mirrors[topic]
+        if mirror.is_complete:
+            page = await self._client.read(topic, mirror.end, wait_ms)
+            if isinstance(page, store_records.RecordPage):
+                self._view.apply(topic, page)
+                return True
+        else:
+            page = store_records.HistoryGone()
+        if isinstance(page, store_records.HistoryGone):
+            listing = await self._client.newest(topic)
+            if isinstance(listing, store_records.RecordPage):
+                self._view.replace(topic, listing)
+                return True
+        pause = _RETRY_DOWN_MS if self._client.is_down else _RETRY_MS
+        await asyncio.sleep(clock.seconds(pause))
+        return False
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/telemetry.py
@@ -0,0 +1,81 @@
+"""Count what an instance does and serve it to a scraper."""
+
+import collections
+import typing
+
+from sycamoreferry_core import ids, result_codes
+
+# Upper bounds of the latency buckets in milliseconds.
+_BUCKETS_MS = (5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200)
+
+if typing.TYPE_CHECKING:
+    from sycamoreferry_gateway import request_path
+
+
+class Telemetry:
+    """Hold plain counts; the metrics library renders them when asked."""
+
+    def __init__(self) -> None:
+        self._ended: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._buckets: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._sums: collections.Counter[str] = collections.Counter()
+
+    def count(
+        self,
+        journey: 'request_path.Journey | None',
+        code: result_codes.ResultCode | None,
+        elapsed_ms: int,
+    ) -> None:
+        """Count a request that ended."""
+        service = journey.service if journey else ids.ServiceName('')
+        kind = journey.route.kind.value if journey else ''
+        label = str(int(code)) if code else 'caller left'
+        self._ended[service, kind, label] += 1
+        self._sums[service] += elapsed_ms
+        for bound in _BUCKETS_MS:
+            if elapsed_ms <= bound:
+                self._buckets[service, str(bound)] += 1
+        self._buckets[service, '+Inf'] += 1
+
+    def render(self, gauges: typing.Mapping[str, float]) -> bytes:
+        """Return the exposition in the text format."""
+        # Loaded at the first scrape: most instances are never scraped, and
+        # memory is dear.
+        from aioprometheus import collectors, renderer
+
+        registry = collectors.Registry()
+        ended = collectors.Counter(
+            'ferry_gateway_requests_total',
+            'Requests by service, route kind and result code.',
+            registry=registry,
+        )
+        for (service, kind, code), count in self._ended.items():
+            labels = {'service': service, 'kind': kind, 'code': code}
+            ended.set(labels, count)
+        buckets = collectors.Counter(
+            'ferry_gateway_duration_ms_bucket',
+            'Requests that ended within a time, by service.',
+            registry=registry,
+        )
+        for (service, bound), count in self._buckets.items():
+            buckets.set({'service': service, 'le': bound}, count)
+        sums = collectors.Counter(
+            'ferry_gateway_duration_ms_sum',
+            'Milliseconds of all requests, by service.',
+            registry=registry,
+        )
+        for service, total in self._sums.items():
+            sums.set({'service': service}, total)
+        for name, reading in gauges.items():
+            gauge = collectors.Gauge(
+                f'ferry_gateway_{name}',
+                name.replace('_', ' '),
+                registry=registry,
+            )
+            gauge.set({}, reading)
+        rendered, _headers = renderer.render(registry, ['text/plain'])
+        return rendered
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -0,0 +1,298 @@
+"""Hold what an instance knows, folded from the records of the store."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from sycamoreferry_adapter import operator_config, server_entries, store_calls
+from sycamoreferry_adapter import units as platform_units
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import (
+    deployment,
+    instances,
+    servers,
+    store_records,
+)
+from sycamoreferry_core.keyspace import owners
+from sycamoreferry_core.traffic import crashes, routes
+from sycamoreferry_gateway import assignment, event_log, instance_records
+
+_MOVING_MS = 3_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Moving:
+    service: ids.ServiceName
+    keys: owners.KeyRange
+    until: clock.Millis
+
+
+class View:
+    """Fold records into configuration, servers, owners and instances."""
+
+    def __init__(
+        self,
+        chosen: deployment.Deployment,
+        source: clock.Clock,
+        log: event_log.EventLog,
+    ) -> None:
+        self.deployment = chosen
+        self.clock = source
+        self.log = log
+        self.mirrors = {topic: store_records.TopicMirror() for topic in _TOPICS}
+        self.fleet = servers.ServerFleet()
+        self.peers = instances.Peers(chosen.instance)
+        self.crashes = crashes.CrashHistory()
+        self.config: routes.RoutingConfig | None = None
+        self.routes: routes.RouteTable | None = None
+        self.assignment = assignment.NO_ASSIGNMENT
+        self.coordinator_since = source.now()
+        self.peer_addresses: dict[ids.InstanceId, tuple[str, int]] = {}
+        self._by_service: dict[
+            ids.ServiceName,
+            dict[ids.ServerId, servers.BackendServer],
+        ] = {}
+        self._moving: list[_Moving] = []
+        self.changed: typing.Callable[[], None] = _ignore
+
+    def ends(self) -> dict[str, int]:
+        """Return up to where each topic was read."""
+        return {topic: mirror.end for topic, mirror in self.mirrors.items()}
+
+    def servers_of(
+        self,
+        service: ids.ServiceName,
+    ) -> typing.Collection[servers.BackendServer]:
+        """Return the known servers of a service."""
+        return self._by_service.get(service, {}).values()
+
+    def apply(
+        self,
+        topic: store_records.TopicName,
+        page: store_records.RecordPage,
+    ) -> None:
+        """Take records that were read."""
+        self._fold(topic, self.mirrors[topic].apply(page))
+
+    def replace(
+        self,
+        topic: store_records.TopicName,
+        page: store_records.RecordPage,
+    ) -> None:
+        """Take a listing of a whole topic."""
+        mirror = self.mirrors[topic]
+        self._fold(topic, mirror.replace(page.records, page.end))
+
+    def collect_servers(self) -> None:
+        """Remove servers whose entries are gone."""
+        for gone in self.fleet.collect(self.clock.now()):
+            self._forget_server(gone)
+            self.log.write(
+                'servers',
+                'server is gone',
+                server=gone.life.server,
+                service=gone.service,
+            )
+            self._end_life(gone.life)
+            self.changed()
+
+    def last_outage_was(self, moment: clock.Millis) -> None:
+        """Note when the store was last away from this instance."""
+        self._last_outage = moment
+
+    _last_outage = clock.LONG_AGO
+
+    def mark_moving(
+        self,
+        service: ids.ServiceName,
+        keys: owners.KeyRange,
+        *,
+        is_over: bool,
+    ) -> None:
+        """Note that the owner of keys is about to change."""
+        self._moving = [
+            row
+            for row in self._moving
+            if row.until > self.clock.now()
+            and not (row.service == service and row.keys == keys)
+        ]
+        if not is_over:
+            until = clock.later(self.clock.now(), _MOVING_MS)
+            self._moving.append(_Moving(service, keys, until))
+        self.changed()
+
+    def owner_of(
+        self,
+        service: ids.ServiceName,
+        key: owners.Key,
+    ) -> owners.Ownership | None:
+        """Return the owner of a key unless it is about to change."""
+        now = self.clock.now()
+        for row in self._moving:
+            if (
+                row.service == service
+                and row.keys.first <= key <= row.keys.last
+                and row.until > now
+            ):
+                return None
+        return self.assignment.table(service).owner_of(key)
+
+    def _fold(
+        self,
+        topic: store_records.TopicName,
+        changed: list[store_records.StoredRecord],
+    ) -> None:
+        for record in changed:
+            _FOLDS[topic](self, record)
+        if changed:
+            self.changed()
+
+    def _fold_config(self, record: store_records.StoredRecord) -> None:
+        if record.key != store_calls.CONFIG_KEY or record.content is None:
+            return
+        try:
+            config = operator_config.decode_config(record.content)
+        except platform_units.FormatError as error:
+            self.log.write(
+                'config',
+                'configuration is malformed',
+                offset=record.offset,
+                reason=str(error),
+            )
+            return
+        if self.config is not None and config.version <= self.config.version:
+            self.log.write(
+                'config',
+                'older configuration ignored',
+                version=config.version,
+                in_force=self.config.version,
+            )
+            return
+        self.config = config
+        self.routes = routes.RouteTable(config)
+        self.log.write(
+            'config',
+            'configuration in force',
+            version=config.version,
+            offset=record.offset,
+            routes=len(config.routes),
+        )
+
+    def _fold_server(self, record: store_records.StoredRecord) -> None:
+        server_id = ids.ServerId(record.key)
+        if record.content is None:
+            now = self.clock.now()
+            self.fleet.expire(server_id, now, self._last_outage)
+            return
+        try:
+            entry = server_entries.decode_entry(server_id, record.content)
+        except platform_units.FormatError as error:
+            self.log.sample(
+                'servers',
+                'entry is damaged',
+                server=record.key,
+                offset=record.offset,
+                reason=str(error),
+            )
+            return
+        known = self.fleet.get(server_id)
+        if not self.fleet.apply(entry):
+            return
+        if known is not None and known.life != entry.life:
+            self._end_life(known.life)
+        if known is not None and known.service != entry.service:
+            self._forget_server(known)
+        self._by_service.setdefault(entry.service, {})[server_id] = entry
+        if (
+            known is None
+            or known.state is not entry.state
+            or known.life != entry.life
+        ):
+            self.log.write(
+                'servers',
+                'server changed',
+                server=record.key,
+                service=entry.service,
+                state=entry.state.value,
+                born=entry.life.born,
+                data_centre=entry.data_centre,
+                offset=record.offset,
+            )
+
+    def _forget_server(self, gone: servers.BackendServer) -> None:
+        self._by_service.get(gone.service, {}).pop(gone.life.server, None)
+
+    def _end_life(self, life: servers.ServerLife) -> None:
+        for crash in self.crashes.server_ended(life, self.clock.now()):
+            self.log.write(
+                'crashes',
+                'request ended its server',
+                signature=crash.signature,
+                server=life.server,
+                born=life.born,
+            )
+
+    def _fold_owners(self, record: store_records.StoredRecord) -> None:
+        if record.key != assignment.ASSIGNMENT_KEY or record.content is None:
+            return
+        try:
+            decoded = assignment.decode_assignment(record.content)
+        except msgspec.MsgspecError as error:
+            self.log.write(
+                'owners',
+                'assignment is malformed',
+                offset=record.offset,
+                reason=str(error),
+            )
+            return
+        if decoded.term > self.assignment.term:
+            self.coordinator_since = self.clock.now()
+            self.log.write(
+                'owners',
+                'coordinator changed',
+                coordinator=decoded.coordinator,
+                term=decoded.term,
+                offset=record.offset,
+            )
+        self.assignment = decoded
+
+    def _fold_instance(self, record: store_records.StoredRecord) -> None:
+        instance = ids.InstanceId(record.key)
+        if instance == self.deployment.instance:
+            return
+        if record.content is None:
+            self.peer_addresses.pop(instance, None)
+            return
+        try:
+            address = instance_records.decode_address(record.content)
+        except msgspec.MsgspecError as error:
+            self.log.write(
+                'peers',
+                'instance record is malformed',
+                instance=instance,
+                reason=str(error),
+            )
+            return
+        self.peer_addresses[instance] = address
+
+
+def _ignore() -> None:
+    """Do nothing until someone listens for changes."""
+
+
+_TOPICS = (
+    store_calls.CONFIG_TOPIC,
+    store_calls.SERVERS_TOPIC,
+    store_calls.OWNERS_TOPIC,
+    store_calls.INSTANCES_TOPIC,
+)
+_FOLDS: dict[
+    store_records.TopicName,
+    typing.Callable[[View, store_records.StoredRecord], None],
+] = {
+    store_calls.CONFIG_TOPIC: View._fold_config,
+    store_calls.SERVERS_TOPIC: View._fold_server,
+    store_calls.OWNERS_TOPIC: View._fold_owners,
+    store_calls.INSTANCES_TOPIC: View._fold_instance,
+}
