Take no requests in the second half of the grace time

An instance now stops listening and closes idle connections 2.5 s after SIGTERM and finishes what it has. Ruled out: cancelled tasks, since in_flight was counted when it was cut.

--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -278,6 +278,12 @@
         if self._listener is not None:
             self._listener.close()
 
+    def close_idle(self) -> None:
+        """Close connections on which no request is read or served."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
     def close_connections(self) -> None:
         """Close what is left."""
         for connection in list(self.connections):
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -9,6 +9,7 @@
 from sycamoreferry_core.fleet import (
     deployment,
     instances,
+    leaving,
     servers,
     store_records,
 )
@@ -36,9 +37,6 @@
 _HEARTBEAT_MS = 50
 _HEARTBEAT_MS_PER_PEER = 4
 _HOUSEKEEPING_MS = 500
-# The platform's balancer takes two seconds to notice that an instance leaves.
-_LEAVING_MS = 2_500
-_LEAVING_MARGIN_MS = 700
 _WANTED_PACE_MS = 250
 # A cut-off instance asks its peers for what the store would tell it.
 _STORE_SILENT_MS = 1_500
@@ -214,15 +212,20 @@
         self._server.is_leaving = True
         await self._coordinator.resign()
         self._send_heartbeat()
-        started = self._clock.now()
-        limit = self._deployment.bounds.grace_ms - _LEAVING_MARGIN_MS
-        while self._clock.now() - started < limit:
+        asked_at = self._clock.now()
+        phase = leaving.LeavePhase.ACCEPTING
+        while phase is not leaving.LeavePhase.DONE:
+            if phase is leaving.LeavePhase.FINISHING:
+                self._server.stop_listening()
+                self._server.close_idle()
             self._send_heartbeat()
             await asyncio.sleep(clock.seconds(_HEARTBEAT_MS))
-            waited = self._clock.now() - started
-            if waited > _LEAVING_MS and not self._path.in_flight:
-                if self._server.is_quiet:
-                    break
+            phase = leaving.leave_phase(
+                asked_at,
+                self._clock.now(),
+                grace_ms=self._deployment.bounds.grace_ms,
+                is_quiet=self._server.is_quiet and not self._path.in_flight,
+            )
         self._server.stop_listening()
         self._server.close_connections()
         self._log.write(
