Claim sooner after all instances restarted

An instance claims its own earlier term at once; the others wait 350 ms and their rank if the coordinator was never heard. A 421 no longer counts as a failure of the server. Tests: test_instances.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -12,7 +12,8 @@
 # An instance that hears nobody may itself be cut off, so it claims last.
 _ALONE_EXTRA_MS = 2_500
 # Without word of a coordinator at the start, one is looked for this long.
-_START_GRACE_MS = 700
+_START_GRACE_MS = 350
+_START_RANK_STEP_MS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +76,8 @@
     """Hold what an instance knows of the coordinator."""
 
     coordinator: ids.InstanceId | None
+    # The term is this instance's own, from before it started again.
+    is_own_earlier_term: bool
     # When this instance began to follow the coordinator or to look for one.
     since: clock.Millis
 
@@ -85,12 +88,16 @@
     now: clock.Millis,
 ) -> bool:
     """Tell whether this instance should claim to coordinate."""
-    wait = _rank_wait(peers, now)
-    if view.coordinator is None:
-        return now - view.since > _START_GRACE_MS + wait
-    status = peers.status(view.coordinator)
+    if view.is_own_earlier_term:
+        return True
+    wait = _rank_wait(peers, now, _RANK_STEP_MS)
+    status = None
+    if view.coordinator is not None:
+        status = peers.status(view.coordinator)
     if status is None:
-        return now - view.since > SILENCE_MS + wait
+        # Never heard since this instance began to listen.
+        wait = _rank_wait(peers, now, _START_RANK_STEP_MS)
+        return now - view.since > _START_GRACE_MS + wait
     if status.is_leaving:
         return now - status.heard_at > 0 and wait < now - view.since
     silent_ms = now - max(status.heard_at, view.since)
@@ -103,8 +110,8 @@
     return has_lost_store and now - view.since > SILENCE_MS + wait
 
 
-def _rank_wait(peers: Peers, now: clock.Millis) -> int:
-    wait = peers.rank(now) * _RANK_STEP_MS
+def _rank_wait(peers: Peers, now: clock.Millis, step_ms: int) -> int:
+    wait = peers.rank(now) * step_ms
     if not peers.alive(now):
         wait += _ALONE_EXTRA_MS
     return wait
--- /dev/null
+++ b/packages/core/tests/fleet/test_instances.py
@@ -0,0 +1,127 @@
+"""Replay losses of the coordinator and check who claims when."""
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import instances
+
+OWN = ids.InstanceId('b')
+LEADER = ids.InstanceId('a')
+OTHER = ids.InstanceId('c')
+START = clock.Millis(10_000)
+
+
+def _status(
+    name: ids.InstanceId,
+    heard_at: int,
+    *,
+    is_leaving: bool = False,
+    store_age_ms: int = 0,
+    has_authority: bool = True,
+) -> instances.PeerStatus:
+    return instances.PeerStatus(
+        name,
+        1,
+        clock.Millis(heard_at),
+        is_leaving,
+        store_age_ms,
+        has_authority,
+    )
+
+
+def _view(*, is_own: bool = False) -> instances.CoordinatorView:
+    return instances.CoordinatorView(OWN if is_own else LEADER, is_own, START)
+
+
+def _claims_at(
+    view: instances.CoordinatorView,
+    peers: instances.Peers,
+    others_heard: tuple[ids.InstanceId, ...] = (OTHER,),
+) -> int | None:
+    """Return how long after the start this instance claims."""
+    for elapsed in range(0, 10_000, 10):
+        now = clock.Millis(START + elapsed)
+        for name in others_heard:
+            peers.hear(_status(name, now, has_authority=False))
+        if instances.should_claim(view, peers, now):
+            return elapsed
+    return None
+
+
+def test_coordinator_that_is_heard_is_not_replaced() -> None:
+    peers = instances.Peers(OWN)
+    claimed = _claims_at(_view(), peers, (LEADER, OTHER))
+    assert claimed is None
+
+
+def test_silent_coordinator_is_replaced_within_two_seconds() -> None:
+    peers = instances.Peers(OWN)
+    peers.hear(_status(LEADER, START))
+    claimed = _claims_at(_view(), peers)
+    assert claimed is not None
+    assert instances.SILENCE_MS <= claimed <= 2_000
+
+
+def test_coordinator_lost_with_all_others_is_replaced_soon() -> None:
+    # After a loss of power nobody has heard the coordinator since the start.
+    claimed = _claims_at(_view(), instances.Peers(OWN))
+    assert claimed is not None
+    assert claimed <= 600
+
+
+def test_instance_claims_its_own_earlier_term_at_once() -> None:
+    assert _claims_at(_view(is_own=True), instances.Peers(OWN)) == 0
+
+
+def test_leaving_coordinator_is_replaced_at_once() -> None:
+    peers = instances.Peers(OWN)
+    peers.hear(_status(LEADER, START, is_leaving=True))
+    claimed = _claims_at(_view(), peers)
+    assert claimed is not None
+    assert claimed <= 300
+
+
+def test_coordinator_without_store_is_replaced() -> None:
+    peers = instances.Peers(OWN)
+    for elapsed in range(0, 4_000, 50):
+        now = clock.Millis(START + elapsed)
+        peers.hear(
+            _status(
+                LEADER,
+                now,
+                store_age_ms=elapsed,
+                has_authority=elapsed < 1_500,
+            ),
+        )
+        peers.hear(_status(OTHER, now, has_authority=False))
+        if instances.should_claim(_view(), peers, now):
+            assert elapsed <= 2_500
+            return
+    raise AssertionError('nobody claimed')
+
+
+def test_instance_that_hears_nobody_waits_longer() -> None:
+    peers = instances.Peers(OWN)
+    peers.hear(_status(LEADER, START))
+    alone = _claims_at(_view(), peers, ())
+    assert alone is not None
+    assert alone > 2_500
+
+
+def test_ranks_spread_the_claims() -> None:
+    peers = instances.Peers(OWN)
+    peers.hear(_status(LEADER, START))
+    second = _claims_at(_view(), peers, (ids.InstanceId('aa'), OTHER))
+    first = _claims_at(_view(), instances.Peers(OWN), (OTHER,))
+    assert first is not None
+    assert second is not None
+    assert second > first
+
+
+def test_older_incarnation_is_ignored() -> None:
+    peers = instances.Peers(OWN)
+    newer = _status(LEADER, START)
+    newer.incarnation = 2
+    peers.hear(newer)
+    peers.hear(_status(LEADER, START + 10, is_leaving=True))
+    status = peers.status(LEADER)
+    assert status is not None
+    assert not status.is_leaving
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -184,14 +184,12 @@
             self._stop_term()
         if self.is_leaving or not self._keyed_services():
             return
+        own = self._view.deployment.instance
         seen = instances.CoordinatorView(
             self._view.assignment.coordinator,
+            self._view.assignment.coordinator == own,
             self._view.coordinator_since,
         )
-        own = self._view.deployment.instance
-        if seen.coordinator == own:
-            # A term of an earlier incarnation of this instance.
-            seen = instances.CoordinatorView(None, seen.since)
         if not instances.should_claim(
             seen,
             self._view.peers,
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -322,7 +322,8 @@
                 now,
             )
         if request_headers.says_not_run(outcome):
-            self._learn_failure(server, now, 'rejected')
+            if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+                self._learn_failure(server, now, 'rejected')
             detail = f'rejected with {outcome.status}'
             return Try(TryResult.NOT_RUN, server, detail, outcome)
         if not _is_whole(outcome):
