Favour fast servers while there is room; move a hot key to the fastest

Besides, with durations of a long tail a slow server is late for 12% of its requests even when idle. Capacities now favour fast servers by how idle all are, speeds are learnt only from requests that did not wait, and a key that its server can't run moves to one that runs clearly more.

--- a/packages/core/src/sycamoreferry_core/keyspace/placement.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/placement.py
@@ -24,6 +24,8 @@
     # Moves smaller than this many slots do not repay their interruption.
     least_gain_slots: float = 0.08
     moves_at_once: int = 12
+    # A key that no server can run alone moves only to a clearly better one.
+    rehoming_share: float = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,11 +107,42 @@
         move = _relieve(plan, busiest, mean, policy)
         if move is None:
             exhausted.add(busiest)
-        else:
+            move = _rehome_hot_key(plan, busiest, policy)
+        if move is not None:
             moves.append(move)
     return moves
 
 
+def _rehome_hot_key(
+    plan: _Plan,
+    busiest: servers.ServerLife,
+    policy: PlacementPolicy,
+) -> Move | None:
+    """Move a key that a server can't run to one that runs more."""
+    highest = plan.utilisation(busiest)
+    heaviest = [
+        (plan.work[key], key, held)
+        for held in plan.held.get(busiest, ())
+        for key in plan.busy_keys(held)
+    ]
+    if highest < 1 or not heaviest:
+        return None
+    weight, key, held = max(heaviest)
+
+    def after_move(life: servers.ServerLife) -> float:
+        return (plan.load[life] + weight) / plan.capacity[life]
+
+    others = [life for life in plan.load if life != busiest]
+    best = min(others, key=after_move)
+    if after_move(best) > highest * policy.rehoming_share:
+        return None
+    piece = owners.KeyRange(key, key)
+    plan.load[busiest] -= weight
+    plan.load[best] += weight
+    _transfer(plan, busiest, best, held, piece)
+    return Move(piece, busiest, best)
+
+
 def _relieve(
     plan: _Plan,
     busiest: servers.ServerLife,
--- a/packages/core/tests/keyspace/test_placement.py
+++ b/packages/core/tests/keyspace/test_placement.py
@@ -49,12 +49,19 @@
 
 
 def _busiest(table: owners.OwnerTable, work: Work) -> float:
+    return max(_load(table, work).values()) / SLOTS
+
+
+def _load(
+    table: owners.OwnerTable,
+    work: Work,
+) -> dict[servers.ServerLife, float]:
     load = dict.fromkeys(LIVES, 0.0)
     for key, weight in work.items():
         row = table.owner_of(key)
         assert row is not None
         load[row.owner] += weight
-    return max(load.values()) / SLOTS
+    return load
 
 
 def _apply(
@@ -108,6 +115,33 @@
     assert _busiest(table, work) <= 1.0
 
 
+def test_hot_key_moves_from_a_slow_server_to_a_fast_one() -> None:
+    # A key that brings 3.8 slots of work lies at a server of speed 0.6.
+    slow_first = [
+        placement.Capacity(life, SLOTS * (0.6, 1.0, 1.4)[number % 3])
+        for number, life in enumerate(LIVES)
+    ]
+    fastest = max(capacity.slots for capacity in slow_first)
+    hot = owners.Key(10)
+    work = {hot: 3.8}
+    for key in range(100, owners.LAST_KEY, 500):
+        work[owners.Key(key)] = 0.04
+    table = _even_table()
+    for _ in range(4):
+        moves = placement.plan_moves(table.rows, work, slow_first)
+        table = _apply(table, moves)
+    row = table.owner_of(hot)
+    assert row is not None
+    slots = {capacity.life: capacity.slots for capacity in slow_first}
+    assert slots[row.owner] == fastest
+    others = {key: weight for key, weight in work.items() if key != hot}
+    owned = _load(table, others)[row.owner]
+    assert owned < 0.5
+    # It stays there.
+    again = placement.plan_moves(table.rows, work, slow_first)
+    assert all(move.keys.first != hot for move in again)
+
+
 def test_first_start_is_even() -> None:
     chosen = placement.spread(
         owners.split_evenly(SERVERS),
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -8,7 +8,13 @@
 from sycamoreferry_adapter import key_orders, store_calls
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import instances, servers, store_records
-from sycamoreferry_core.keyspace import demand, leases, owners, placement
+from sycamoreferry_core.keyspace import (
+    capacities,
+    demand,
+    leases,
+    owners,
+    placement,
+)
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     assignment,
@@ -376,14 +382,17 @@
         service: ids.ServiceName,
     ) -> list[placement.Capacity]:
         mean = self._loads.service_ms(service)
-        return [
-            placement.Capacity(
+        known = [
+            capacities.ServerSpeed(
                 server.life,
-                server.slots * mean / max(1, self._loads.duration_ms(server)),
+                server.slots,
+                mean / max(1, self._loads.duration_ms(server)),
             )
             for server in self._view.servers_of(service)
             if self._is_usable(server.life)
         ]
+        demanded = sum(self._work(service).values())
+        return capacities.weigh_capacities(known, demanded)
 
     def _work(self, service: ids.ServiceName) -> dict[owners.Key, float]:
         known = self._demand.get(service)
@@ -401,15 +410,15 @@
             for gap in table.unowned()
             if not self._is_held_back(service, gap)
         ]
-        capacities = self._capacities(service)
-        if not gaps or not capacities:
+        offered = self._capacities(service)
+        if not gaps or not offered:
             return
-        pieces = _pieces(gaps, len(capacities))
+        pieces = _pieces(gaps, len(offered))
         chosen = placement.spread(
             pieces,
             table.rows,
             self._work(service),
-            capacities,
+            offered,
         )
         rows = [
             owners.Ownership(keys, life, ids.NO_FENCE) for keys, life in chosen
@@ -468,12 +477,12 @@
             handover = await self._free(service, row)
             if handover is None:
                 return
-            capacities = self._capacities(service)
+            offered = self._capacities(service)
             chosen = placement.spread(
                 [row.keys],
                 self._view.assignment.table(service).rows,
                 self._work(service),
-                capacities,
+                offered,
             )
             if not chosen:
                 return
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -248,10 +248,17 @@
         server: servers.BackendServer,
     ) -> Try:
         started = self._view.clock.now()
+        in_flight = self._loads.total_in_flight(server.life.server, started)
+        begins_at_once = in_flight <= server.slots
         try:
-            return await self._send(journey, server, started)
+            made = await self._send(journey, server, started)
         finally:
             self._queue.release(server.life.server)
+        # Time spent waiting at the server says nothing of its speed.
+        if made.result is TryResult.ANSWERED and begins_at_once:
+            elapsed = self._view.clock.now() - started
+            self._loads.learn_duration(server, elapsed)
+        return made
 
     async def _send(
         self,
@@ -278,7 +285,7 @@
             self._try_timeout(journey, server, remaining),
             lambda reply: _is_own(reply, journey.request_id),
         )
-        return self._judge(journey, server, outcome, started)
+        return self._judge(journey, server, outcome)
 
     def _try_timeout(
         self,
@@ -305,7 +312,6 @@
         journey: Journey,
         server: servers.BackendServer,
         outcome: http_client.Exchanged,
-        started: clock.Millis,
     ) -> Try:
         now = self._view.clock.now()
         if isinstance(outcome, http_client.Failed):
@@ -334,8 +340,6 @@
             detail = f'status {outcome.status}'
             return Try(TryResult.SERVER_ERROR, server, detail, outcome)
         self._loads.learn_success(server_id)
-        if load is None or not load.waiting:
-            self._loads.learn_duration(server, now - started)
         return Try(TryResult.ANSWERED, server, 'answered', outcome)
 
     def _judge_failure(
