Read the servers' entries once for all instances

The coordinator reads them twice a second and hands on what changed; an instance that misses one sees so in the next heartbeat and asks. Others read each 2.5 s, and twice a second again when the coordinator is silent or cut off for 1.1 s.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -68,7 +68,9 @@
         return sum(1 for instance in able if instance < self._own)
 
 
-_STORE_FRESH_MS = 2_000
+# Followers call the store every few seconds, the coordinator twice a second.
+_STORE_FRESH_MS = 5_000
+_COORDINATOR_FRESH_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,7 +107,7 @@
         return True
     has_lost_store = (
         not status.has_authority
-        and status.store_age_ms > _STORE_FRESH_MS / 2 + wait
+        and status.store_age_ms > _COORDINATOR_FRESH_MS + wait
     )
     return has_lost_store and now - view.since > SILENCE_MS + wait
 
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -42,8 +42,13 @@
 _DURATIONS_EVERY = 20
 _HOUSEKEEPING_MS = 500
 _WANTED_PACE_MS = 250
+# The coordinator's reading is trusted while it is this recent.
+_RELIEVED_MS = 1_100
 # A cut-off instance asks its peers for what the store would tell it.
-_STORE_SILENT_MS = 1_500
+_STORE_SILENT_MS = 4_000
+
+# What the coordinator hands on, so that others need not read it.
+_SHARED_TOPICS = frozenset((store_sync.OWNERS_TOPIC, store_sync.SERVERS_TOPIC))
 
 _Address = tuple[str, int]
 
@@ -68,7 +73,13 @@
             self._clock,
             log,
         )
-        self._sync = store_sync.StoreSync(self._store, self._view, log)
+        self._sync = store_sync.StoreSync(
+            self._store,
+            self._view,
+            log,
+            self._is_relieved,
+            self._hand_on_servers,
+        )
         self._queue = dispatcher.Dispatcher(self._view, self._loads)
         self._measures = telemetry.Telemetry()
         self._path = request_path.RequestPath(
@@ -323,6 +334,39 @@
         if address is not None:
             self._link.send(peer_messages.Demand(rows), address)
 
+    def _is_relieved(self) -> bool:
+        """Tell whether the coordinator reads the servers' entries for all."""
+        name = self._view.assignment.coordinator
+        status = self._view.peers.status(name) if name is not None else None
+        if status is None:
+            return False
+        silent_ms = self._clock.now() - status.heard_at
+        return (
+            status.has_authority
+            and not status.is_leaving
+            and silent_ms + status.store_age_ms < _RELIEVED_MS
+        )
+
+    def _hand_on_servers(
+        self,
+        records: list[store_records.StoredRecord],
+    ) -> None:
+        """Tell peers of changed entries while this instance coordinates."""
+        if not records or not self._coordinator.has_authority:
+            return
+        rows = [
+            peer_messages.RecordRow(record.key, record.offset, record.content)
+            for record in records
+        ]
+        # Peers read on from where they were, so nothing is passed over.
+        self._announce(
+            peer_messages.Records(
+                store_sync.SERVERS_TOPIC,
+                ids.FIRST_OFFSET,
+                rows,
+            ),
+        )
+
     def _announce(self, message: peer_messages.PeerMessage) -> None:
         self._link.send_all(message, self._view.peer_addresses.values())
 
@@ -407,10 +451,11 @@
         is_cut_off = self._store.silent_ms() > _STORE_SILENT_MS
         for topic, end in zip(self._view.mirrors, beat.ends, strict=False):
             mirror = self._view.mirrors.get(topic)
-            if mirror is None or end <= mirror.end:
+            known = self._view.ends()[topic]
+            if mirror is None or end <= max(known, mirror.end):
                 continue
             self._sync.peer_read_further(topic, ids.Offset(end))
-            wants = topic == store_sync.OWNERS_TOPIC or is_cut_off
+            wants = topic in _SHARED_TOPICS or is_cut_off
             last = self._wanted_at.get(topic, clock.LONG_AGO)
             if wants and now - last > _WANTED_PACE_MS:
                 self._wanted_at[topic] = now
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -31,6 +31,7 @@
         self._answered_at = source.now()
         self._outage_ended_at = clock.LONG_AGO
         self._is_down = False
+        self._failures = 0
         self._was_reached = False
         self.calls = 0
 
@@ -143,6 +144,7 @@
 
     def _reached(self) -> None:
         now = self._clock.now()
+        self._failures = 0
         if self._is_down:
             self._is_down = False
             self._outage_ended_at = now
@@ -156,7 +158,9 @@
         self,
         failure: store_records.StoreFailure,
     ) -> store_records.StoreFailure:
-        if not self._is_down and self.silent_ms() > _OUTAGE_MS:
+        self._failures += 1
+        is_silent = self.silent_ms() > _OUTAGE_MS
+        if not self._is_down and is_silent and self._failures > 1:
             self._is_down = True
             self._log.write(
                 'store',
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -1,6 +1,7 @@
 """Follow the topics of the store."""
 
 import asyncio
+import typing
 
 from sycamoreferry_adapter import store_calls
 from sycamoreferry_core import clock, ids
@@ -13,9 +14,14 @@
 )
 
 OWNERS_TOPIC = store_calls.OWNERS_TOPIC
+SERVERS_TOPIC = store_calls.SERVERS_TOPIC
 
 # Heartbeats come without pause, so they are read at a pace of their own.
-_SERVERS_PACE_MS = 650
+_SERVERS_PACE_MS = 500
+# While the coordinator reads them and hands on what changed, others look
+# only to notice that the store is away or that they missed something.
+_RELIEVED_PACE_MS = 2_500
+_CHECK_MS = 100
 # A connection that goes silent is noticed after this and the call's timeout.
 _CONFIG_WAIT_MS = 5_000
 _INSTANCES_WAIT_MS = 15_000
@@ -23,6 +29,9 @@
 _RETRY_DOWN_MS = 500
 
 
+_HandOn = typing.Callable[[list[store_records.StoredRecord]], None]
+
+
 class StoreSync:
     """Keep a view up to date from the store."""
 
@@ -31,7 +40,11 @@
         client: store_client.StoreClient,
         folded: view.View,
         log: event_log.EventLog,
+        is_relieved: typing.Callable[[], bool],
+        hand_on: _HandOn,
     ) -> None:
+        self._is_relieved = is_relieved
+        self._hand_on = hand_on
         self._client = client
         self._view = folded
         self._log = log
@@ -63,13 +76,27 @@
     async def follow_servers(self) -> None:
         """Read the entries of backend servers at a steady pace."""
         while True:
-            if not await self._step(store_calls.SERVERS_TOPIC, 0):
+            was_read = await self._step(store_calls.SERVERS_TOPIC, 0)
+            if not was_read:
                 # Other kept connections may have gone silent as well.
                 self._config_wake.set()
             self._view.last_outage_was(self._client.last_outage)
             self._view.collect_servers()
             self._client.drop_idle()
-            await asyncio.sleep(clock.seconds(_SERVERS_PACE_MS))
+            self._hand_on(self._view.take_server_news())
+            await self._pause_reading(
+                longest_ms=(_RELIEVED_PACE_MS if was_read else _SERVERS_PACE_MS)
+            )
+
+    async def _pause_reading(self, longest_ms: int) -> None:
+        """Wait for the next reading; it comes sooner if no peer reads."""
+        waited = 0
+        while waited < longest_ms:
+            await asyncio.sleep(clock.seconds(_CHECK_MS))
+            waited += _CHECK_MS
+            self._view.collect_servers()
+            if waited >= _SERVERS_PACE_MS and not self._is_relieved():
+                return
 
     async def follow_config(self) -> None:
         """Wait for configurations."""
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -54,11 +54,22 @@
             dict[ids.ServerId, servers.BackendServer],
         ] = {}
         self._moving: list[_Moving] = []
+        self._news: list[store_records.StoredRecord] = []
+        # The last record that changed more than a heartbeat's number.
+        self.servers_changed_at = ids.NO_OFFSET
         self.changed: typing.Callable[[], None] = _ignore
 
     def ends(self) -> dict[store_records.TopicName, ids.Offset]:
-        """Return up to where each topic was read."""
-        return {topic: mirror.end for topic, mirror in self.mirrors.items()}
+        """Return up to where each topic has news for others."""
+        ends = {topic: mirror.end for topic, mirror in self.mirrors.items()}
+        following = ids.Offset(self.servers_changed_at + 1)
+        ends[store_calls.SERVERS_TOPIC] = following
+        return ends
+
+    def take_server_news(self) -> list[store_records.StoredRecord]:
+        """Return the entries with news since the last call."""
+        taken, self._news = self._news, []
+        return taken
 
     def servers_of(
         self,
@@ -184,6 +195,7 @@
         if record.content is None:
             now = self.clock.now()
             self.fleet.expire(server_id, now, self._last_outage)
+            self._note_news(record)
             return
         try:
             entry = server_entries.decode_entry(server_id, record.content)
@@ -199,6 +211,8 @@
         known = self.fleet.get(server_id)
         if not self.fleet.apply(entry):
             return
+        if known is None or _differs(known, entry):
+            self._note_news(record)
         if known is not None and known.life != entry.life:
             self._end_life(known.life)
         if known is not None and known.service != entry.service:
@@ -220,6 +234,10 @@
                 offset=record.offset,
             )
 
+    def _note_news(self, record: store_records.StoredRecord) -> None:
+        self._news.append(record)
+        self.servers_changed_at = max(self.servers_changed_at, record.offset)
+
     def _forget_server(self, gone: servers.BackendServer) -> None:
         self._by_service.get(gone.service, {}).pop(gone.life.server, None)
 
@@ -277,6 +295,19 @@
         self.peer_addresses[instance] = address
 
 
+def _differs(
+    known: servers.BackendServer,
+    entry: servers.BackendServer,
+) -> bool:
+    """Tell whether an entry changes what others decide by."""
+    warms_up = (known.warmup_ms > 0, entry.warmup_ms > 0)
+    return warms_up[0] != warms_up[1] or entry != dataclasses.replace(
+        known,
+        sequence=entry.sequence,
+        warmup_ms=entry.warmup_ms,
+    )
+
+
 def _ignore() -> None:
     """Do nothing until someone listens for changes."""
 
