--- a/packages/gateway/src/sycamoreferry_gateway/peer_link.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_link.py
@@ -48,6 +48,11 @@
         """Take the transport."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def send(self, message: peer_messages.PeerMessage, to: _Address) -> None:
         """Send a message to one instance."""
         self.send_all(message, (to,))
--- /dev/null
+++ b/packages/gateway/tests/conftest.py
@@ -0,0 +1,407 @@
+"""Offer small stand-ins for the platform's store and backend servers."""
+
+import asyncio
+import base64
+import dataclasses
+import itertools
+import json
+import os
+import socket
+import struct
+import typing
+from urllib import parse
+
+import pytest
+
+from sycamoreferry_core import ids
+from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import (
+    event_log,
+    http_server,
+    instance,
+    steady_clock,
+)
+
+Headers = tuple[tuple[str, str], ...]
+LAST_KEY = 65_535
+
+
+def _answer(
+    status: int,
+    body: object = None,
+    headers: Headers = (),
+) -> http_server.CallerAnswer:
+    content = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return http_server.CallerAnswer(status, headers, content)
+
+
+class Serving:
+    """Serve HTTP on a free port of loopback."""
+
+    def __init__(self) -> None:
+        self.clock = steady_clock.SteadyClock()
+        self._server = http_server.HttpServer(self.handle, self.clock)
+        self.port = 0
+
+    async def start(self) -> None:
+        await self._server.listen('127.0.0.1', self.port)
+        listener = self._server._listener
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        self._server.stop_listening()
+        self._server.close_connections()
+
+    async def handle(
+        self,
+        request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        raise NotImplementedError
+
+
+class StoreStandIn(Serving):
+    """Keep keyed topics; lose answers and refuse calls on request."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.is_down = False
+        self.lose_answers = 0
+        self.appends = 0
+        self._news = asyncio.Event()
+
+    def put(self, topic: str, key: str, content: bytes) -> int:
+        rows = self.topics.setdefault(topic, [])
+        rows.append((key, content))
+        self._news.set()
+        self._news = asyncio.Event()
+        return len(rows) - 1
+
+    async def handle(
+        self,
+        request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        if self.is_down:
+            return _answer(503)
+        query = dict(parse.parse_qsl(request.target.partition('?')[2]))
+        topic = self.topics.setdefault(query['Topic'], [])
+        if request.path == '/log-newest':
+            return self._newest(topic)
+        if request.path == '/log-read':
+            return await self._read(query)
+        self.appends += 1
+        return await self._append(query, request.body)
+
+    def _newest(
+        self,
+        topic: list[tuple[str, bytes]],
+    ) -> http_server.CallerAnswer:
+        newest = {key: offset for offset, (key, _) in enumerate(topic)}
+        items = [
+            {
+                'Key': key,
+                'Offset': offset,
+                'Value': base64.b64encode(topic[offset][1]).decode(),
+            }
+            for key, offset in newest.items()
+            if topic[offset][1]
+        ]
+        return _answer(
+            200,
+            {'items': items, 'HasMore': False, 'EndOffset': len(topic)},
+        )
+
+    async def _read(
+        self,
+        query: dict[str, str],
+    ) -> http_server.CallerAnswer:
+        topic = self.topics[query['Topic']]
+        start = int(query['From'])
+        wait_ms = int(query.get('WaitMs', 0))
+        if start >= len(topic) and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    while start >= len(topic):
+                        await self._news.wait()
+            except TimeoutError:
+                pass
+        body = struct.pack('>QQ', len(topic), 0)
+        for key, content in topic[start:]:
+            record = bytes([len(key)]) + key.encode() + content
+            body += struct.pack('>I', len(record)) + record
+        return _answer(200, body)
+
+    async def _append(
+        self,
+        query: dict[str, str],
+        body: bytes,
+    ) -> http_server.CallerAnswer:
+        topic = self.topics[query['Topic']]
+        if 'At' in query and int(query['At']) != len(topic):
+            return _answer(412, {'EndOffset': len(topic)})
+        length = body[4]
+        key = body[5 : 5 + length].decode()
+        offset = self.put(query['Topic'], key, body[5 + length :])
+        if self.lose_answers:
+            self.lose_answers -= 1
+            await asyncio.sleep(30)
+        return _answer(200, {'Offset': offset, 'EndOffset': offset + 1})
+
+
+@dataclasses.dataclass
+class Held:
+    """Hold a grant that a server took."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+class ServerStandIn(Serving):
+    """Hold keys under fences and run requests on them."""
+
+    def __init__(self, name: str, store: StoreStandIn) -> None:
+        super().__init__()
+        self.name = name
+        self.born = 1
+        self.ran: list[tuple[str, int]] = []
+        self.granted: list[Held] = []
+        self.highest: dict[int, int] = {}
+        self.is_keyed = True
+        self.drops = 0
+        self.sequence = 0
+        self.loses_grants = 0
+        self._store = store
+
+    def register(self, state: str = 'ready') -> None:
+        self.sequence += 1
+        entry = {
+            'Service': 'keys',
+            'Address': f'127.0.0.1:{self.port}',
+            'Zone': 'here',
+            'Version': 'v1',
+            'Slots': 2,
+            'State': state,
+            'WarmupLeft': '0ms',
+            'Seq': self.sequence,
+            'born': self.born,
+        }
+        self._store.put('keyed.servers', self.name, json.dumps(entry).encode())
+
+    def start_again(self) -> None:
+        self.born += 1
+        self.granted.clear()
+        self.highest.clear()
+        self.register()
+
+    def holds(self, key: int) -> bool:
+        now = self.clock.now()
+        return any(
+            row.first <= key <= row.last and row.until > now
+            for row in self.granted
+        )
+
+    async def handle(
+        self,
+        request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        if request.path == '/grant':
+            return await self._grant(json.loads(request.body))
+        if request.path == '/release':
+            return self._release(json.loads(request.body))
+        return self._run(request)
+
+    async def _grant(
+        self,
+        order: dict[str, typing.Any],
+    ) -> http_server.CallerAnswer:
+        first, last = order['From'], order['To']
+        fence = order['fence']
+        for row in self.granted:
+            if row.first <= last and first <= row.last and row.fence > fence:
+                return _answer(409)
+        self._release({'From': first, 'To': last})
+        hold_ms = int(order['Hold'].removesuffix('ms'))
+        until = self.clock.now() + hold_ms
+        self.granted.append(Held(first, last, fence, until))
+        if self.loses_grants:
+            self.loses_grants -= 1
+            await asyncio.sleep(30)
+        return _answer(200)
+
+    def _release(self, order: dict[str, int]) -> http_server.CallerAnswer:
+        kept = []
+        for row in self.granted:
+            if row.first < order['From']:
+                last = min(row.last, order['From'] - 1)
+                kept.append(dataclasses.replace(row, last=last))
+            if row.last > order['To']:
+                first = max(row.first, order['To'] + 1)
+                kept.append(dataclasses.replace(row, first=first))
+        self.granted = kept
+        return _answer(200, headers=(('Handover', f'from-{self.name}'),))
+
+    def _run(
+        self,
+        request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        request_id = request.header('request-id') or ''
+        key = int(request.header('shard-key') or -1)
+        if request.header('expect-instance') != self.name:
+            return _answer(421)
+        if self.is_keyed and not self.holds(key):
+            return _answer(421, headers=(('Not-Executed', '1'),))
+        self.ran.append((request_id, key))
+        if self.drops:
+            self.drops -= 1
+            self.stop()
+        return _answer(
+            200,
+            self.name.encode(),
+            (('Request-Id', request_id), ('Response-Seal', 'seal')),
+        )
+
+
+def configuration(version: int, kind: str = 'safe') -> bytes:
+    """Return an operator's configuration with one route."""
+    path = {
+        'Name': 'r',
+        'PathPrefix': '/k/',
+        'Kind': kind,
+        'Timeout': '1500ms',
+        'Slo': '500ms',
+        'Priority': 1,
+        'Service': 'keys',
+        'MaxAttempts': 2,
+    }
+    return json.dumps(
+        {
+            'Version': f'r{version}',
+            'Services': [{'Name': 'keys', 'MaxConns': 100, 'Sharded': True}],
+            'Limits': {
+                'MaxHeaderBytes': 16_384,
+                'MaxBodyBytes': 1_000_000,
+                'HeaderTimeout': '3000ms',
+                'IdleTimeout': '15s',
+            },
+            'VirtualHosts': [{'Host': 'h', 'Paths': [path]}],
+        },
+    ).encode()
+
+
+# Below the ephemeral range; each worker of a test run has its own part.
+_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+_PORTS = itertools.count(21_000 + 1_000 * _WORKER)
+
+
+def _free_port() -> int:
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError('no port is free')
+
+
+class World:
+    """Run a store, servers and instances on one loop."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.servers: list[ServerStandIn] = []
+        self.instances: list[instance.Instance] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, servers: int, instances: int) -> None:
+        await self.store.start()
+        self.store.put('keyed.op', 'config', configuration(1))
+        for number in range(servers):
+            server = ServerStandIn(f's{number}', self.store)
+            await server.start()
+            server.register()
+            self.servers.append(server)
+        for number in range(instances):
+            self.add_instance(f'i{number}')
+
+    def add_instance(self, name: str) -> instance.Instance:
+        log = event_log.EventLog(
+            steady_clock.SteadyClock(),
+            os.open(os.devnull, os.O_WRONLY),
+        )
+        made = instance.Instance(self._deployment(name), log)
+        self.instances.append(made)
+        self._tasks.append(asyncio.create_task(made.run()))
+        return made
+
+    async def kill(self, number: int) -> None:
+        self._tasks[number].cancel()
+        self.instances[number]._link.close()
+        await asyncio.gather(self._tasks[number], return_exceptions=True)
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for made in self.instances:
+            made._link.close()
+        for server in self.servers:
+            server.stop()
+        self.store.stop()
+
+    async def until(
+        self,
+        condition: typing.Callable[[], bool],
+        limit_s: float = 10,
+    ) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    def owners(self, key: int) -> list[str]:
+        return [row.name for row in self.servers if row.holds(key)]
+
+    def is_covered(self) -> bool:
+        return all(
+            len(self.owners(key)) == 1 for key in range(0, LAST_KEY + 1, 999)
+        )
+
+    def _deployment(self, name: str) -> deployment.Deployment:
+        ports = [_free_port() for _ in range(4)]
+        return deployment.Deployment(
+            instance=ids.InstanceId(name),
+            data_centre=ids.DataCentre('here'),
+            host='127.0.0.1',
+            request_address=deployment.Address('127.0.0.1', ports[0]),
+            readiness_address=deployment.Address('127.0.0.1', ports[1]),
+            peer_port=ports[2],
+            metrics_port=ports[3],
+            store_address=deployment.Address('127.0.0.1', self.store.port),
+            heartbeat_ms=870,
+            max_descriptors=1_000,
+            bounds=deployment.Bounds(
+                drain_ms=2_000,
+                grace_ms=6_000,
+                repeat_ratio=0.2,
+                repeat_window_ms=10_000,
+                repeat_extra=60,
+                longest_hold_ms=10_000,
+            ),
+        )
+
+
+@pytest.fixture
+async def world() -> typing.AsyncIterator[World]:
+    """Yield a world that is not started yet, and stop what it started."""
+    made = World()
+    yield made
+    await made.stop()
+
+
+@pytest.fixture
+def new_configuration() -> typing.Callable[..., bytes]:
+    """Return the maker of configurations."""
+    return configuration
--- /dev/null
+++ b/packages/gateway/tests/test_http_client.py
@@ -0,0 +1,190 @@
+"""Check what is taken as a whole answer over real sockets."""
+
+import asyncio
+import socket
+import struct
+import typing
+
+import pytest
+
+from sycamoreferry_core import http_messages
+from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import http_client, steady_clock
+
+REQUEST = http_client.encode_request('GET', '/a', (('Host', 'b'),), b'')
+WHOLE = b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok'
+OTHER = b'HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 2\r\n\r\nno'
+TIMEOUT_MS = 300
+RESET = struct.pack('ii', 1, 0)
+
+Script = list[bytes | str]
+
+
+class Scripted:
+    """Answer each request with the next script; count connections."""
+
+    def __init__(self, scripts: list[Script]) -> None:
+        self._scripts = scripts
+        self.connections = 0
+        self.requests = 0
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        while await reader.read(10_000):
+            script = self._scripts[min(self.requests, len(self._scripts) - 1)]
+            self.requests += 1
+            for step in script:
+                if step == 'reset':
+                    await asyncio.sleep(0.05)
+                    raw = writer.get_extra_info('socket')
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    writer.transport.abort()
+                    return
+                if step == 'close':
+                    writer.close()
+                    return
+                if isinstance(step, bytes):
+                    writer.write(step)
+                    await writer.drain()
+
+
+@pytest.fixture
+async def run_scripts() -> typing.AsyncIterator[typing.Any]:
+    servers = []
+
+    async def start(
+        *scripts: Script,
+    ) -> tuple[Scripted, deployment.Address, http_client.ConnectionPool]:
+        scripted = Scripted(list(scripts))
+        server = await asyncio.start_server(scripted.serve, '127.0.0.1', 0)
+        servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+        return scripted, deployment.Address('127.0.0.1', port), pool
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def _is_own(reply: http_messages.HttpReply) -> bool:
+    return reply.header('request-id') == '1'
+
+
+async def _exchange(
+    pool: http_client.ConnectionPool,
+    address: deployment.Address,
+) -> http_client.Exchanged:
+    return await pool.exchange(address, REQUEST, TIMEOUT_MS, _is_own)
+
+
+@pytest.mark.parametrize(
+    ('script', 'expected'),
+    [
+        ([WHOLE], b'ok'),
+        ([WHOLE[:30], WHOLE[30:]], b'ok'),
+        # An answer to an earlier request is passed over.
+        ([OTHER + WHOLE], b'ok'),
+        # Without a length, an answer ends with its connection.
+        ([b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nall', 'close'], b'all'),
+        (
+            [
+                b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+            ],
+            b'ok',
+        ),
+    ],
+)
+async def test_whole_answer(
+    run_scripts: typing.Any,
+    script: Script,
+    expected: bytes,
+) -> None:
+    _, address, pool = await run_scripts(script)
+    outcome = await _exchange(pool, address)
+    assert isinstance(outcome, http_messages.HttpReply)
+    assert outcome.body == expected
+
+
+@pytest.mark.parametrize(
+    ('script', 'failure'),
+    [
+        (['reset'], http_client.ExchangeFailure.RESET),
+        (['close'], http_client.ExchangeFailure.CLOSED),
+        ([WHOLE[:-1], 'close'], http_client.ExchangeFailure.CLOSED),
+        ([WHOLE[:-1]], http_client.ExchangeFailure.TIMEOUT),
+        ([OTHER], http_client.ExchangeFailure.TIMEOUT),
+        ([b'no answer at all\r\n\r\n'], http_client.ExchangeFailure.MALFORMED),
+        (
+            [b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nall', 'reset'],
+            http_client.ExchangeFailure.RESET,
+        ),
+    ],
+)
+async def test_answer_that_is_not_whole(
+    run_scripts: typing.Any,
+    script: Script,
+    failure: http_client.ExchangeFailure,
+) -> None:
+    _, address, pool = await run_scripts(script)
+    outcome = await _exchange(pool, address)
+    assert isinstance(outcome, http_client.Failed)
+    assert outcome.was_sent
+    assert outcome.failure is failure
+
+
+async def test_connection_is_kept_for_the_next_request(
+    run_scripts: typing.Any,
+) -> None:
+    scripted, address, pool = await run_scripts([WHOLE])
+    await _exchange(pool, address)
+    await _exchange(pool, address)
+    assert scripted.connections == 1
+    assert scripted.requests == 2
+
+
+async def test_connection_with_a_second_answer_is_not_kept(
+    run_scripts: typing.Any,
+) -> None:
+    scripted, address, pool = await run_scripts([WHOLE + OTHER], [WHOLE])
+    first = await _exchange(pool, address)
+    second = await _exchange(pool, address)
+    assert isinstance(first, http_messages.HttpReply)
+    assert isinstance(second, http_messages.HttpReply)
+    assert scripted.connections == 2
+
+
+async def test_server_that_closes_gets_a_new_connection(
+    run_scripts: typing.Any,
+) -> None:
+    closing = WHOLE.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+    scripted, address, pool = await run_scripts([closing])
+    await _exchange(pool, address)
+    await _exchange(pool, address)
+    assert scripted.connections == 2
+
+
+async def test_refused_connection_was_never_sent() -> None:
+    pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+    outcome = await _exchange(pool, deployment.Address('127.0.0.1', 1))
+    assert isinstance(outcome, http_client.Failed)
+    assert not outcome.was_sent
+
+
+async def test_cancelled_request_resets_its_connection(
+    run_scripts: typing.Any,
+) -> None:
+    scripted, address, pool = await run_scripts([], [WHOLE])
+    task = asyncio.ensure_future(_exchange(pool, address))
+    await asyncio.sleep(0.05)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    outcome = await _exchange(pool, address)
+    assert isinstance(outcome, http_messages.HttpReply)
+    assert scripted.connections == 2
--- /dev/null
+++ b/packages/gateway/tests/test_http_server.py
@@ -0,0 +1,179 @@
+"""Check what callers meet over real sockets."""
+
+import asyncio
+import typing
+
+import pytest
+
+from sycamoreferry_core import clock
+from sycamoreferry_core.traffic import routes
+from sycamoreferry_gateway import http_server
+
+LIMITS = routes.CallerLimits(
+    header_bytes=400,
+    body_bytes=50,
+    header_timeout_ms=100,
+    idle_timeout_ms=200,
+)
+GET = b'GET /a/b?c=d HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\n\r\n'
+
+
+class Running:
+    """Hold a server and what its handler saw."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.seen: list[http_server.CallerRequest] = []
+        self.cancelled = 0
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.server = http_server.HttpServer(self._handle, self.clock)
+        self.server.limits = LIMITS
+        self.port = 0
+
+    async def start(self) -> None:
+        await self.server.listen('127.0.0.1', 0)
+        listener = self.server._listener
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    async def _handle(
+        self,
+        request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        self.seen.append(request)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return http_server.CallerAnswer(200, (('X', 'y'),), b'whole')
+
+
+@pytest.fixture
+async def running() -> typing.AsyncIterator[Running]:
+    made = Running()
+    await made.start()
+    yield made
+    made.server.stop_listening()
+    made.server.close_connections()
+
+
+async def _answer(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(2):
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = int(head.partition(b'Content-Length: ')[2].split(b'\r')[0])
+        return head + await reader.readexactly(length)
+
+
+async def test_request_reaches_the_handler_unchanged(running: Running) -> None:
+    reader, writer = await running.connect()
+    writer.write(
+        b'POST /a/%20b?c=d HTTP/1.1\r\nHost: x\r\nA: 1\r\nA: 2\r\n'
+        b'Connection: keep-alive, B\r\nB: 3\r\nContent-Length: 3\r\n\r\nabc',
+    )
+    answer = await _answer(reader)
+    assert answer.endswith(b'whole')
+    seen = running.seen[0]
+    assert (seen.method, seen.target) == ('POST', '/a/%20b?c=d')
+    assert seen.body == b'abc'
+    names = [name for name, _ in seen.end_to_end_headers()]
+    assert names == ['Host', 'A', 'A']
+    writer.close()
+
+
+async def test_chunked_body_is_joined(running: Running) -> None:
+    reader, writer = await running.connect()
+    writer.write(
+        b'POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n',
+    )
+    await _answer(reader)
+    assert running.seen[0].body == b'abc'
+    writer.close()
+
+
+async def test_kept_connection_serves_requests_in_turn(
+    running: Running,
+) -> None:
+    reader, writer = await running.connect()
+    writer.write(GET + GET)
+    await _answer(reader)
+    await _answer(reader)
+    assert len(running.seen) == 2
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nH: ' + b'a' * 500 + b'\r\n\r\n', b' 431 '),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n' + b'a' * 60,
+            b' 413 ',
+        ),
+        (b'no request\r\n\r\n', b' 400 '),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            b' 400 ',
+        ),
+    ],
+)
+async def test_request_that_is_refused(
+    running: Running,
+    sent: bytes,
+    status: bytes,
+) -> None:
+    reader, writer = await running.connect()
+    writer.write(sent)
+    answer = await _answer(reader)
+    assert status in answer
+    assert b'Connection: close' in answer
+    assert not running.seen
+    writer.close()
+
+
+async def test_caller_that_leaves_ends_its_request(running: Running) -> None:
+    running.gate.clear()
+    _, writer = await running.connect()
+    writer.write(GET)
+    await asyncio.sleep(0.05)
+    writer.close()
+    await asyncio.sleep(0.05)
+    assert running.cancelled == 1
+    assert running.server.is_quiet
+
+
+async def test_leaving_instance_closes_after_its_answer(
+    running: Running,
+) -> None:
+    reader, writer = await running.connect()
+    running.server.is_leaving = True
+    writer.write(GET)
+    answer = await _answer(reader)
+    assert b'Connection: close' in answer
+    assert not await reader.read(1)
+    writer.close()
+
+
+async def test_idle_and_slow_callers_are_closed(running: Running) -> None:
+    idle_reader, idle_writer = await running.connect()
+    slow_reader, slow_writer = await running.connect()
+    slow_writer.write(b'GET / HTTP/1.1\r\nHos')
+    await asyncio.sleep(0.05)
+    now = running.clock.advance(150)
+    for connection in list(running.server.connections):
+        connection.sweep(now, LIMITS)
+    assert b' 408 ' in await _answer(slow_reader)
+    now = running.clock.advance(100)
+    for connection in list(running.server.connections):
+        connection.sweep(now, LIMITS)
+    assert not await idle_reader.read(1)
+    idle_writer.close()
+    slow_writer.close()
--- /dev/null
+++ b/packages/gateway/tests/test_path.py
@@ -0,0 +1,199 @@
+"""Serve requests through instances, a store and servers on loopback."""
+
+import asyncio
+import typing
+
+from sycamoreferry_gateway import http_client, steady_clock
+
+KEY = 4_000
+LONG_RELEASE_S = 10
+
+
+async def _call(
+    world: typing.Any,
+    number: int = 0,
+    key: int = KEY,
+    path: str = '/k/a',
+    request_id: str = '1',
+) -> tuple[int, bytes]:
+    made = world.instances[number]
+    payload = http_client.encode_request(
+        'GET',
+        path,
+        (
+            ('Host', 'h'),
+            ('Request-Id', request_id),
+            ('Deadline-Ms', '2000'),
+            ('Shard-Key', str(key)),
+        ),
+        b'',
+    )
+    pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+    address = made._deployment.request_address
+    reply = await pool.exchange(address, payload, 3_000)
+    assert not isinstance(reply, http_client.Failed)
+    return reply.status, reply.body
+
+
+async def _started(
+    world: typing.Any,
+    servers: int = 3,
+    instances: int = 2,
+) -> None:
+    await world.start(servers, instances)
+    await world.until(world.is_covered)
+    await world.until(lambda: all(one.is_ready for one in world.instances))
+
+
+async def test_request_runs_at_the_owner_of_its_key(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    await world.until(lambda: _knows_owners(world))
+    for number in (0, 1):
+        status, body = await _call(world, number, request_id=f'r{number}')
+        assert status == 200
+        assert [body.decode()] == world.owners(KEY)
+
+
+def _knows_owners(world: typing.Any) -> bool:
+    return all(
+        one._view.owner_of('keys', KEY) is not None for one in world.instances
+    )
+
+
+async def test_unknown_route_and_missing_configuration(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    status, _ = await _call(world, path='/other')
+    assert status == 404
+    world.instances[0]._view.config = None
+    status, body = await _call(world)
+    assert status == 503
+    assert b'3011' in body
+
+
+async def test_configuration_is_in_force_soon_and_never_older(
+    world: typing.Any,
+    new_configuration: typing.Any,
+) -> None:
+    await _started(world)
+    world.store.put('keyed.op', 'config', new_configuration(5))
+    await world.until(
+        lambda: all(one._view.config.version == 5 for one in world.instances),
+        limit_s=1,
+    )
+    world.store.put('keyed.op', 'config', new_configuration(4))
+    world.store.put('keyed.op', 'config', b'{"Version": 7}')
+    await asyncio.sleep(0.3)
+    assert world.instances[0]._view.config.version == 5
+
+
+async def test_damaged_entries_leave_the_other_servers_in_use(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    for content in (b'\xff', b'{}', b'{"Service": 3}', b'[]'):
+        world.store.put('keyed.servers', 'foreign', content)
+    world.store.put('keyed.servers', 's0', b'damaged')
+    await asyncio.sleep(1)
+    assert len(world.instances[0]._view.fleet.servers) == 3
+    assert world.is_covered()
+
+
+async def test_keys_of_a_leaving_server_move_within_the_drain_time(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    leaving = world.servers[0]
+    leaving.register('draining')
+    await world.until(lambda: not leaving.granted, limit_s=2)
+    await world.until(world.is_covered, limit_s=2)
+    assert all(
+        row.fence > 0 for server in world.servers for row in server.granted
+    )
+
+
+async def test_server_that_started_again_gets_keys_under_a_higher_fence(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    restarted = world.servers[0]
+    before = max(row.fence for row in restarted.granted)
+    restarted.start_again()
+    await world.until(world.is_covered, limit_s=5)
+    fences = [
+        row.fence
+        for server in world.servers
+        for row in server.granted
+        if row.first == 0
+    ]
+    assert min(fences) > before
+
+
+async def test_keys_are_held_while_the_store_is_away(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    world.store.is_down = True
+    for _ in range(60):
+        await asyncio.sleep(0.1)
+        assert world.is_covered()
+    world.store.is_down = False
+    await asyncio.sleep(3)
+    assert world.is_covered()
+
+
+async def test_next_coordinator_keeps_the_owners(world: typing.Any) -> None:
+    await _started(world, instances=3)
+    owners = world.owners(KEY)
+    coordinating = [
+        number
+        for number, one in enumerate(world.instances)
+        if one._coordinator.is_coordinating
+    ]
+    assert len(coordinating) == 1
+    await world.kill(coordinating[0])
+    others = [
+        one
+        for number, one in enumerate(world.instances)
+        if number != coordinating[0]
+    ]
+    await world.until(
+        lambda: any(one._coordinator.has_authority for one in others),
+        limit_s=3,
+    )
+    await asyncio.sleep(4)
+    assert world.is_covered()
+    assert world.owners(KEY) == owners
+
+
+async def test_write_with_a_lost_answer_gives_one_owner(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    world.store.lose_answers = 1
+    world.servers[0].register('draining')
+    overlaps = 0
+    for _ in range(80):
+        await asyncio.sleep(0.05)
+        overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
+    assert not overlaps
+    await world.until(world.is_covered, limit_s=5)
+
+
+async def test_grant_with_a_lost_answer_gives_one_owner(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    server = world.servers[0]
+    server.loses_grants = 2
+    await asyncio.sleep(1.5)
+    server.register('draining')
+    overlaps = 0
+    for _ in range(160):
+        await asyncio.sleep(0.05)
+        overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
+    assert not overlaps
+    await world.until(world.is_covered, limit_s=8)
