--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -44,31 +44,39 @@
     suspended_until: clock.Millis = clock.LONG_AGO
 
 
+@dataclasses.dataclass(slots=True)
+class _OfPeers:
+    """Sum up what all peers report about one server."""
+
+    in_flight: int = 0
+    waiting: int = 0
+    durations: float = 0
+    reporting: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class _PeerReport:
     at: clock.Millis
-    rows: typing.Mapping[ids.ServerId, ServerReport]
+    rows: dict[ids.ServerId, ServerReport]
 
 
 class ServerLoads:
-    """Track requests in flight, durations and failures by server."""
+    """Track requests in flight, durations and failures by server.
+
+    Sums over the peers are kept as reports come, since a choice looks at many
+    servers and there may be many peers.
+    """
 
     def __init__(self) -> None:
         self._tracked: dict[ids.ServerId, _Tracked] = {}
         self._peers: dict[ids.InstanceId, _PeerReport] = {}
+        self._sums: dict[ids.ServerId, _OfPeers] = {}
         self._peer_durations: dict[
             ids.InstanceId,
             dict[ids.ServerId, float],
         ] = {}
         self._service_ms: dict[ids.ServiceName, float] = {}
 
-    def _of(self, server: ids.ServerId) -> _Tracked:
-        found = self._tracked.get(server)
-        if found is None:
-            found = _Tracked()
-            self._tracked[server] = found
-        return found
-
     def start(self, server: ids.ServerId) -> None:
         """Count a request that is sent."""
         self._of(server).in_flight += 1
@@ -130,23 +138,14 @@
     def total_in_flight(self, server: ids.ServerId, now: clock.Millis) -> int:
         """Return the requests at a server, over all instances."""
         tracked = self._of(server)
-        others = sum(
-            report.rows[server].in_flight
-            for report in self._peers.values()
-            if now - report.at < _PEER_FRESH_MS and server in report.rows
-        )
+        others = self._sum_of(server).in_flight
         if now - tracked.others_at < _REPORT_FRESH_MS:
             others = max(others, tracked.others)
         return tracked.in_flight + others
 
-    def total_waiting(self, server: ids.ServerId, now: clock.Millis) -> int:
+    def total_waiting(self, server: ids.ServerId) -> int:
         """Return the requests that wait for a server at all instances."""
-        others = sum(
-            report.rows[server].waiting
-            for report in self._peers.values()
-            if now - report.at < _PEER_FRESH_MS and server in report.rows
-        )
-        return self._of(server).waiting + others
+        return self._of(server).waiting + self._sum_of(server).waiting
 
     def service_ms(self, service: ids.ServiceName) -> float:
         """Return the mean duration of a service's requests in ms."""
@@ -155,30 +154,71 @@
     def duration_ms(self, server: servers.BackendServer) -> float:
         """Return the mean duration at a server over all instances, in ms."""
         server_id = server.life.server
-        known = [
-            durations[server_id]
-            for durations in self._peer_durations.values()
-            if server_id in durations
-        ]
+        peers = self._sum_of(server_id)
         own = self._of(server_id)
+        count, total = peers.reporting, peers.durations
         if own.samples:
-            known.append(own.duration_ms)
-        if not known:
-            return self.service_ms(server.service)
-        return sum(known) / len(known)
+            count, total = count + 1, total + own.duration_ms
+        return total / count if count else self.service_ms(server.service)
 
     def take_peer_report(
         self,
         peer: ids.InstanceId,
-        rows: typing.Mapping[ids.ServerId, ServerReport],
+        rows: dict[ids.ServerId, ServerReport],
         now: clock.Millis,
     ) -> None:
         """Replace what a peer reported before; durations are kept."""
+        self._drop_report(peer)
         self._peers[peer] = _PeerReport(now, rows)
-        durations = self._peer_durations.setdefault(peer, {})
         for server, row in rows.items():
+            found = self._sum_of(server)
+            found.in_flight += row.in_flight
+            found.waiting += row.waiting
             if row.duration_ms > 0:
-                durations[server] = row.duration_ms
+                self._take_duration(peer, server, row.duration_ms)
+
+    def drop_silent_peers(self, now: clock.Millis) -> None:
+        """Forget the requests of peers that are silent."""
+        for peer, report in list(self._peers.items()):
+            if now - report.at >= _PEER_FRESH_MS:
+                self._drop_report(peer)
+
+    def _drop_report(self, peer: ids.InstanceId) -> None:
+        report = self._peers.pop(peer, None)
+        if report is None:
+            return
+        for server, row in report.rows.items():
+            found = self._sum_of(server)
+            found.in_flight -= row.in_flight
+            found.waiting -= row.waiting
+
+    def _take_duration(
+        self,
+        peer: ids.InstanceId,
+        server: ids.ServerId,
+        duration_ms: float,
+    ) -> None:
+        known = self._peer_durations.setdefault(peer, {})
+        found = self._sum_of(server)
+        earlier = known.get(server)
+        if earlier is None:
+            found.reporting += 1
+        found.durations += duration_ms - (earlier or 0)
+        known[server] = duration_ms
+
+    def _sum_of(self, server: ids.ServerId) -> _OfPeers:
+        found = self._sums.get(server)
+        if found is None:
+            found = _OfPeers()
+            self._sums[server] = found
+        return found
+
+    def _of(self, server: ids.ServerId) -> _Tracked:
+        found = self._tracked.get(server)
+        if found is None:
+            found = _Tracked()
+            self._tracked[server] = found
+        return found
 
     def own_report(self) -> dict[ids.ServerId, ServerReport]:
         """Return what this instance reports to its peers."""
@@ -197,3 +237,13 @@
         for server, tracked in list(self._tracked.items()):
             if server not in known and not tracked.in_flight:
                 self._tracked.pop(server)
+        for server in list(self._sums):
+            if server not in known:
+                self._forget_sums(server)
+
+    def _forget_sums(self, server: ids.ServerId) -> None:
+        self._sums.pop(server)
+        for durations in self._peer_durations.values():
+            durations.pop(server, None)
+        for report in self._peers.values():
+            report.rows.pop(server, None)
--- /dev/null
+++ b/packages/core/tests/traffic/test_repeats_and_crashes.py
@@ -0,0 +1,74 @@
+"""Replay failing services and requests that end their servers."""
+
+import pytest
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import crashes, repeats
+
+SERVICE = ids.ServiceName('v')
+ALLOWANCE = repeats.RepeatAllowance(ratio=0.2, window_ms=10_000, extra=58)
+SIGNATURE = crashes.Signature(7)
+
+
+def _life(number: int) -> servers.ServerLife:
+    return servers.ServerLife(ids.ServerId('s'), servers.Born(number))
+
+
+@pytest.mark.parametrize('instances', [1, 9, 71])
+def test_all_instances_together_stay_within_the_allowance(
+    instances: int,
+) -> None:
+    requests, repeated = 0, 0
+    budgets = [repeats.RepeatBudget(ALLOWANCE) for _ in range(instances)]
+    for moment in range(0, 10_000, 50):
+        now = clock.Millis(moment)
+        for budget in budgets:
+            budget.count_request(SERVICE, now)
+            requests += 1
+            repeated += budget.spend(SERVICE, instances, now)
+    allowed = ALLOWANCE.ratio * requests + ALLOWANCE.extra
+    assert 0 < repeated <= allowed
+
+
+def test_window_slides() -> None:
+    budget = repeats.RepeatBudget(ALLOWANCE)
+    spent = sum(budget.spend(SERVICE, 1, clock.Millis(0)) for _ in range(99))
+    assert spent == 29
+    assert not budget.spend(SERVICE, 1, clock.Millis(9_999))
+    assert budget.spend(SERVICE, 1, clock.Millis(10_001))
+
+
+def test_request_is_blocked_after_three_crashes() -> None:
+    history = crashes.CrashHistory()
+    for number in range(3):
+        now = clock.Millis(number * 5_000)
+        assert not history.is_blocked(SIGNATURE, now)
+        history.suspect(SIGNATURE, _life(number), now)
+        assert history.server_ended(_life(number), clock.Millis(now + 3_000))
+    assert history.is_blocked(SIGNATURE, clock.Millis(15_000))
+
+
+def test_broken_connections_alone_block_nothing() -> None:
+    history = crashes.CrashHistory()
+    for number in range(5):
+        history.suspect(SIGNATURE, _life(number), clock.Millis(number))
+    assert not history.is_blocked(SIGNATURE, clock.Millis(10))
+
+
+def test_end_long_after_the_request_proves_nothing() -> None:
+    history = crashes.CrashHistory()
+    history.suspect(SIGNATURE, _life(1), clock.Millis(0))
+    assert not history.server_ended(_life(1), clock.Millis(60_000))
+
+
+def test_crashes_that_peers_report_count_once() -> None:
+    history = crashes.CrashHistory()
+    now = clock.Millis(0)
+    for _ in range(3):
+        history.record(crashes.Crash(SIGNATURE, _life(1)), now)
+    assert not history.is_blocked(SIGNATURE, now)
+    history.record(crashes.Crash(SIGNATURE, _life(2)), now)
+    history.record(crashes.Crash(SIGNATURE, _life(3)), now)
+    assert history.is_blocked(SIGNATURE, now)
+    assert len(history.recent()) == 3
--- /dev/null
+++ b/packages/core/tests/traffic/test_server_load.py
@@ -0,0 +1,89 @@
+"""Check the load of servers as all instances report it."""
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import server_load
+
+SERVER = ids.ServerId('s')
+PEER = ids.InstanceId('p')
+OTHER = ids.InstanceId('q')
+SERVICE = ids.ServiceName('v')
+BACKEND = servers.BackendServer(
+    servers.ServerLife(SERVER, servers.Born(1)),
+    SERVICE,
+    'host',
+    1,
+    ids.DataCentre('d'),
+    2,
+    servers.ServerState.READY,
+    0,
+    1,
+)
+
+
+def _at(moment: int) -> clock.Millis:
+    return clock.Millis(moment)
+
+
+def _report(
+    in_flight: int,
+    waiting: int = 0,
+    duration_ms: float = 0,
+) -> dict[ids.ServerId, server_load.ServerReport]:
+    return {SERVER: server_load.ServerReport(in_flight, waiting, duration_ms)}
+
+
+def test_reports_are_replaced_not_added() -> None:
+    loads = server_load.ServerLoads()
+    loads.start(SERVER)
+    loads.take_peer_report(PEER, _report(2, 1), _at(0))
+    loads.take_peer_report(PEER, _report(3, 2), _at(10))
+    loads.take_peer_report(OTHER, _report(1), _at(10))
+    assert loads.total_in_flight(SERVER, _at(10)) == 5
+    assert loads.total_waiting(SERVER) == 2
+
+
+def test_silent_peer_has_no_requests_in_flight() -> None:
+    loads = server_load.ServerLoads()
+    loads.take_peer_report(PEER, _report(2), _at(0))
+    loads.drop_silent_peers(_at(1_000))
+    assert loads.total_in_flight(SERVER, _at(1_000)) == 2
+    loads.drop_silent_peers(_at(2_000))
+    assert not loads.total_in_flight(SERVER, _at(2_000))
+
+
+def test_word_of_a_server_counts_for_a_short_time() -> None:
+    loads = server_load.ServerLoads()
+    loads.learn_load(SERVER, running=2, waiting=3, now=_at(0))
+    assert loads.total_in_flight(SERVER, _at(50)) == 5
+    assert not loads.total_in_flight(SERVER, _at(500))
+
+
+def test_durations_of_all_instances_are_averaged() -> None:
+    loads = server_load.ServerLoads()
+    loads.learn_duration(BACKEND, 100)
+    loads.take_peer_report(PEER, _report(0, 0, 200), _at(0))
+    # A heartbeat without durations leaves them as they were.
+    loads.take_peer_report(PEER, {}, _at(10))
+    assert loads.duration_ms(BACKEND) == 150
+    loads.take_peer_report(PEER, _report(0, 0, 300), _at(20))
+    assert loads.duration_ms(BACKEND) == 200
+
+
+def test_server_that_is_gone_is_forgotten() -> None:
+    loads = server_load.ServerLoads()
+    loads.take_peer_report(PEER, _report(2, 0, 200), _at(0))
+    loads.keep_only(())
+    loads.take_peer_report(PEER, _report(1), _at(10))
+    assert loads.total_in_flight(SERVER, _at(10)) == 1
+
+
+def test_failures_in_a_row_suspend_a_server() -> None:
+    loads = server_load.ServerLoads()
+    outcomes = [loads.learn_failure(SERVER, _at(0)) for _ in range(3)]
+    assert outcomes == [False, False, True]
+    assert loads.is_suspended(SERVER, _at(100))
+    assert not loads.is_suspended(SERVER, _at(10_000))
+    loads.learn_failure(SERVER, _at(10_000))
+    loads.learn_success(SERVER)
+    assert not loads.learn_failure(SERVER, _at(10_000))
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -215,7 +215,7 @@
             if server is None:
                 return waiting.Backlog(1, 1, _MOVE_MS)
             server_id = server.life.server
-            ahead = self._loads.total_waiting(server_id, now)
+            ahead = self._loads.total_waiting(server_id)
             ahead += max(
                 0,
                 self._loads.total_in_flight(server_id, now) - server.slots,
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -264,6 +264,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_HOUSEKEEPING_MS))
             self._pool.drop_idle()
+            self._loads.drop_silent_peers(self._clock.now())
             self._loads.keep_only(self._view.fleet.servers)
             self._view.crashes.prune(self._clock.now())
             self._log.tell_dropped()
