Tell peers how long the leases of a term that was given up last

A coordinator that leaves or lost its proof gives the term up for good and says in its heartbeats how long its leases last; its own book is kept for its next term. Tests: the two tests of a lost server in test_path, which failed before.

--- a/packages/core/src/sycamoreferry_core/keyspace/leases.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/leases.py
@@ -128,6 +128,11 @@
         ]
         return max([self._assumed_until, *ends])
 
+    def latest_end(self) -> clock.Millis:
+        """Return when the last of all leases is over."""
+        ends = [row.ends_at for rows in self._leases.values() for row in rows]
+        return max([self._assumed_until, *ends])
+
     def forget(self, life: servers.ServerLife) -> None:
         """Drop the leases of an incarnation that is over."""
         self._leases.pop(life, None)
--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -118,9 +118,10 @@
         tracked.failures += 1
         if tracked.failures < _FAILURES_TO_SUSPEND:
             return False
+        was_suspended = tracked.suspended_until > now
         tracked.failures = 0
         tracked.suspended_until = clock.later(now, _SUSPENSION_MS)
-        return True
+        return not was_suspended
 
     def learn_success(self, server: ids.ServerId) -> None:
         """End a row of failures."""
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -89,6 +89,7 @@
         ] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._term = ids.NO_TERM
+        self._given_up_term = ids.NO_TERM
         self._end = ids.FIRST_OFFSET
         self._proved_at = clock.LONG_AGO
         self._planned_at = clock.LONG_AGO
@@ -132,6 +133,8 @@
                 await self._consider_claim()
             elif self.has_authority:
                 self._coordinate()
+            else:
+                self._give_up('the store did not prove the term in time')
 
     async def prove_forever(self) -> None:
         """Ask the store at a pace whether the term still holds."""
@@ -140,12 +143,16 @@
             if self.is_coordinating and not self._writing.locked():
                 await self._prove()
 
+    def given_up(self) -> tuple[ids.Term, int]:
+        """Return the term given up last and how long its leases last, in ms."""
+        left = self._book.latest_end() - self._clock.now()
+        return self._given_up_term, max(0, left)
+
     async def resign(self) -> None:
         """Stop giving orders; another instance takes the term."""
         self.is_leaving = True
-        for task in self._tasks:
-            task.cancel()
-        self._term = ids.NO_TERM
+        if self.is_coordinating:
+            self._give_up('this instance leaves')
 
     async def _prove(self) -> None:
         asked_at = self._clock.now()
@@ -178,6 +185,18 @@
             self._stop_term()
         return True
 
+    def _give_up(self, reason: str) -> None:
+        """Give no order of this term any more, so that its leases are known."""
+        self._given_up_term = self._term
+        self._log.write(
+            'coordinator',
+            'gave up the term',
+            term=self._term,
+            reason=reason,
+            leases_ms=self.given_up()[1],
+        )
+        self._stop_term()
+
     def _stop_term(self) -> None:
         self._term = ids.NO_TERM
         for task in self._tasks:
@@ -232,13 +251,7 @@
         self._health.clear()
         self._held_back.clear()
         self._destinations.clear()
-        self._book = leases.LeaseBook()
-        self._orders.use_book(self._book)
-        now = self._clock.now()
-        if current.coordinator is not None:
-            longest = self._view.deployment.bounds.longest_hold_ms
-            until = AUTHORITY_MS + leases.longest_hold_ms(longest)
-            self._book.assume_earlier_grants(clock.later(now, until))
+        self._account_for(current)
         self._log.write(
             'coordinator',
             'claimed the term',
@@ -248,6 +261,22 @@
         )
         self._coordinate()
 
+    def _account_for(self, earlier: assignment.Assignment) -> None:
+        """Know until when grants of an earlier term may be held."""
+        if earlier.coordinator is None:
+            return
+        if earlier.term == self._given_up_term:
+            # The book of this instance's own term is exact.
+            return
+        self._book = leases.LeaseBook()
+        self._orders.use_book(self._book)
+        until = self._view.given_up.get(earlier.term)
+        if until is None:
+            longest = self._view.deployment.bounds.longest_hold_ms
+            unknown_ms = AUTHORITY_MS + leases.longest_hold_ms(longest)
+            until = clock.later(self._clock.now(), unknown_ms)
+        self._book.assume_earlier_grants(until)
+
     async def _append(self, wanted: assignment.Assignment) -> bool:
         """Append an assignment at the known end; tell whether it is there."""
         content = assignment.encode_assignment(wanted)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -295,12 +295,15 @@
         for (service, key), count in demanded.items():
             rows.append(peer_messages.DemandRow(service, key, count))
             self._coordinator.count_demand(service, key, count)
+        given_up_term, leases_ms = self._coordinator.given_up()
         beat = peer_messages.Heartbeat(
             instance=self._deployment.instance,
             incarnation=self._incarnation,
             is_leaving=self._server.is_leaving,
             store_age_ms=self._store.silent_ms(),
             has_authority=self._coordinator.has_authority,
+            given_up_term=given_up_term,
+            leases_ms=leases_ms,
             ends=list(self._view.ends().values()),
             loads=loads,
             crashes=[
@@ -413,6 +416,9 @@
                 beat.has_authority,
             ),
         )
+        if beat.given_up_term:
+            term = ids.Term(beat.given_up_term)
+            self._view.given_up[term] = clock.later(now, beat.leases_ms)
         self._loads.take_peer_report(
             instance,
             {
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -36,6 +36,9 @@
     is_leaving: bool
     store_age_ms: int
     has_authority: bool
+    # The term that the sender gave up last, and how long its leases last.
+    given_up_term: int
+    leases_ms: int
     # The offsets up to which each topic was read, in the order of the view.
     ends: list[int]
     loads: list[LoadRow]
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -48,6 +48,8 @@
         self.routes: routes.RouteTable | None = None
         self.assignment = assignment.NO_ASSIGNMENT
         self.coordinator_since = source.now()
+        # When the leases of terms that were given up are over.
+        self.given_up: dict[ids.Term, clock.Millis] = {}
         self.peer_addresses: dict[ids.InstanceId, tuple[str, int]] = {}
         self._by_service: dict[
             ids.ServiceName,
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -197,3 +197,34 @@
         overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
     assert not overlaps
     await world.until(world.is_covered, limit_s=8)
+
+
+async def test_keys_of_a_lost_server_after_a_planned_take_over(
+    world: typing.Any,
+) -> None:
+    await _started(world, instances=3)
+    lost = world.servers.pop()
+    lost.stop()
+    world.store.put('keyed.servers', lost.name, b'')
+    leaving = next(
+        one for one in world.instances if one._coordinator.is_coordinating
+    )
+    # As on SIGTERM.
+    leaving._server.is_leaving = True
+    await leaving._coordinator.resign()
+    # The lease of the lost server is over after 4 s.
+    await world.until(world.is_covered, limit_s=6.5)
+
+
+async def test_keys_of_a_server_lost_while_the_store_was_away(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    world.store.is_down = True
+    await asyncio.sleep(7)
+    lost = world.servers.pop()
+    lost.stop()
+    world.store.put('keyed.servers', lost.name, b'')
+    world.store.is_down = False
+    # The longest hold began within two seconds of the outage.
+    await world.until(world.is_covered, limit_s=8)
