Report load to the coordinator where there are many instances

With more than 16 peers each reports to the coordinator, which sends sums to all; signs of life go round each 1.4 s; a choice weighs 16 servers; calls to the store are spread out.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -33,6 +33,7 @@
 
     def __init__(self, own: ids.InstanceId) -> None:
         self._own = own
+        self.silence_ms = SILENCE_MS
         self._peers: dict[ids.InstanceId, PeerStatus] = {}
 
     def hear(self, status: PeerStatus) -> None:
@@ -51,7 +52,7 @@
         return [
             peer
             for peer in self._peers.values()
-            if now - peer.heard_at < SILENCE_MS
+            if now - peer.heard_at < self.silence_ms
         ]
 
     def count(self, now: clock.Millis) -> int:
--- a/packages/core/src/sycamoreferry_core/traffic/choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/choice.py
@@ -23,6 +23,8 @@
 # A cold server is about half as fast.
 _COLD_FACTOR = 2.0
 _NOISE_SHARE = 0.15
+# So many servers are weighed; more cost time and attract all instances at once.
+MOST_CANDIDATES = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -178,6 +178,37 @@
             if row.duration_ms > 0:
                 self._take_duration(peer, server, row.duration_ms)
 
+    def take_summary(
+        self,
+        coordinator: ids.InstanceId,
+        rows: dict[ids.ServerId, ServerReport],
+        now: clock.Millis,
+    ) -> None:
+        """Take sums over all instances, of which this one is a part."""
+        for server, row in rows.items():
+            own = self._of(server)
+            row.in_flight = max(0, row.in_flight - own.in_flight)
+            row.waiting = max(0, row.waiting - own.waiting)
+        self.take_peer_report(coordinator, rows, now)
+
+    def summary(
+        self,
+        known: typing.Iterable[servers.BackendServer],
+        now: clock.Millis,
+    ) -> dict[ids.ServerId, ServerReport]:
+        """Return the sums over all instances of the servers in use."""
+        summed = {}
+        for server in known:
+            server_id = server.life.server
+            row = ServerReport(
+                self.total_in_flight(server_id, now),
+                self.total_waiting(server_id),
+                round(self.duration_ms(server)),
+            )
+            if row.in_flight or row.waiting:
+                summed[server_id] = row
+        return summed
+
     def drop_silent_peers(self, now: clock.Millis) -> None:
         """Forget the requests of peers that are silent."""
         for peer, report in list(self._peers.items()):
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -168,8 +168,14 @@
             now,
             request.has_large_answer,
         )
+        candidates = self._view.servers_of(request.service)
+        if len(candidates) > choice.MOST_CANDIDATES:
+            candidates = self._random.sample(
+                list(candidates),
+                choice.MOST_CANDIDATES,
+            )
         return choice.choose_server(
-            self._view.servers_of(request.service),
+            candidates,
             self._loads,
             choosing,
             self._random.random,
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -11,6 +11,7 @@
     instances,
     leaving,
     servers,
+    spreading,
     store_records,
 )
 from sycamoreferry_core.keyspace import owners
@@ -32,10 +33,7 @@
     view,
 )
 
-# A heartbeat carries load counts, so it is sent often; each instance more
-# makes it rarer, to bound what an instance receives.
-_HEARTBEAT_MS = 50
-_HEARTBEAT_MS_PER_PEER = 4
+_LEAVING_BEAT_MS = 50
 # Peers take an instance as down after several of these.
 _QUIET_HEARTBEAT_MS = 200
 # Durations change slowly, so not every heartbeat has them.
@@ -79,6 +77,7 @@
             log,
             self._is_relieved,
             self._hand_on_servers,
+            lambda: len(self._view.peer_addresses),
         )
         self._queue = dispatcher.Dispatcher(self._view, self._loads)
         self._measures = telemetry.Telemetry()
@@ -108,6 +107,7 @@
         self._beats = 0
         self._told: tuple[typing.Any, ...] = ()
         self._told_at = clock.LONG_AGO
+        self._summed_at = clock.LONG_AGO
 
     @property
     def is_ready(self) -> bool:
@@ -237,7 +237,7 @@
                 self._server.stop_listening()
                 self._server.close_idle()
             self._send_heartbeat()
-            await asyncio.sleep(clock.seconds(_HEARTBEAT_MS))
+            await asyncio.sleep(clock.seconds(_LEAVING_BEAT_MS))
             phase = leaving.leave_phase(
                 asked_at,
                 self._clock.now(),
@@ -272,15 +272,38 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            count = len(self._view.peer_addresses)
-            pause = max(_HEARTBEAT_MS, _HEARTBEAT_MS_PER_PEER * count)
-            await asyncio.sleep(clock.seconds(pause))
+            plan = self._spread_plan()
+            self._view.peers.silence_ms = plan.silence_ms
+            await asyncio.sleep(clock.seconds(plan.report_ms))
             self._send_heartbeat()
 
+    def _spread_plan(self) -> spreading.SpreadPlan:
+        return spreading.plan_spreading(len(self._view.peer_addresses))
+
     def _send_heartbeat(self) -> None:
+        plan = self._spread_plan()
+        self._report_demand()
+        beat = self._heartbeat(self._load_rows())
+        if plan.is_mesh:
+            if self._is_news(beat):
+                self._announce(beat)
+            return
+        if self._coordinator.has_authority:
+            self._send_summary(plan)
+        elif beat.loads:
+            self._send_to_coordinator(beat)
+        now = self._clock.now()
+        is_hub = self._coordinator.has_authority or self._server.is_leaving
+        pause = plan.summary_ms if is_hub else plan.life_ms
+        if now - self._told_at >= pause:
+            self._told_at = now
+            beat.loads = None
+            self._announce(beat)
+
+    def _load_rows(self) -> list[peer_messages.LoadRow]:
         self._beats += 1
         with_durations = self._beats % _DURATIONS_EVERY == 0
-        loads = [
+        return [
             peer_messages.LoadRow(
                 server,
                 row.in_flight,
@@ -290,13 +313,13 @@
             for server, row in self._loads.own_report().items()
             if with_durations or row.in_flight or row.waiting
         ]
-        demanded = self._path.take_demand()
-        rows = []
-        for (service, key), count in demanded.items():
-            rows.append(peer_messages.DemandRow(service, key, count))
-            self._coordinator.count_demand(service, key, count)
+
+    def _heartbeat(
+        self,
+        loads: list[peer_messages.LoadRow],
+    ) -> peer_messages.Heartbeat:
         given_up_term, leases_ms = self._coordinator.given_up()
-        beat = peer_messages.Heartbeat(
+        return peer_messages.Heartbeat(
             instance=self._deployment.instance,
             incarnation=self._incarnation,
             is_leaving=self._server.is_leaving,
@@ -315,10 +338,34 @@
                 for crash in self._view.crashes.recent()
             ],
         )
+
+    def _report_demand(self) -> None:
+        """Report demand to the coordinator, which places keys by it."""
+        rows = []
+        for (service, key), count in self._path.take_demand().items():
+            rows.append(peer_messages.DemandRow(service, key, count))
+            self._coordinator.count_demand(service, key, count)
         if rows:
-            self._send_demand(rows)
-        if self._is_news(beat):
-            self._announce(beat)
+            self._send_to_coordinator(peer_messages.Demand(rows))
+
+    def _send_summary(self, plan: spreading.SpreadPlan) -> None:
+        now = self._clock.now()
+        if now - self._summed_at < plan.summary_ms:
+            return
+        self._summed_at = now
+        known = self._view.fleet.servers.values()
+        rows = [
+            peer_messages.LoadRow(
+                server,
+                row.in_flight,
+                row.waiting,
+                row.duration_ms,
+            )
+            for server, row in self._loads.summary(known, now).items()
+        ]
+        self._announce(
+            peer_messages.LoadSummary(self._deployment.instance, rows),
+        )
 
     def _is_news(self, beat: peer_messages.Heartbeat) -> bool:
         """Tell whether peers need this heartbeat now."""
@@ -329,14 +376,13 @@
         self._told, self._told_at = state, now
         return True
 
-    def _send_demand(self, rows: list[peer_messages.DemandRow]) -> None:
-        """Report demand to the coordinator, which places keys by it."""
+    def _send_to_coordinator(self, message: peer_messages.PeerMessage) -> None:
         coordinator_id = self._view.assignment.coordinator
         if coordinator_id is None:
             return
         address = self._view.peer_addresses.get(coordinator_id)
         if address is not None:
-            self._link.send(peer_messages.Demand(rows), address)
+            self._link.send(message, address)
 
     def _is_relieved(self) -> bool:
         """Tell whether the coordinator reads the servers' entries for all."""
@@ -387,6 +433,13 @@
             self._send_records(message, sender)
         elif isinstance(message, peer_messages.Demand):
             self._take_demand(message)
+        elif isinstance(message, peer_messages.LoadSummary):
+            self._loads.take_summary(
+                ids.InstanceId(message.coordinator),
+                _reports(message.rows),
+                self._clock.now(),
+            )
+            self._queue.wake()
         else:
             keys = owners.KeyRange(
                 owners.Key(message.first),
@@ -419,18 +472,9 @@
         if beat.given_up_term:
             term = ids.Term(beat.given_up_term)
             self._view.given_up[term] = clock.later(now, beat.leases_ms)
-        self._loads.take_peer_report(
-            instance,
-            {
-                ids.ServerId(row.server): server_load.ServerReport(
-                    row.in_flight,
-                    row.waiting,
-                    row.duration_ms,
-                )
-                for row in beat.loads
-            },
-            now,
-        )
+        if beat.loads is not None:
+            rows = _reports(beat.loads)
+            self._loads.take_peer_report(instance, rows, now)
         for crash in beat.crashes:
             life = servers.ServerLife(
                 ids.ServerId(crash.server),
@@ -499,3 +543,16 @@
         ]
         answer = peer_messages.Records(wanted.topic, mirror.end, rows)
         self._link.send(answer, sender)
+
+
+def _reports(
+    rows: list[peer_messages.LoadRow],
+) -> dict[ids.ServerId, server_load.ServerReport]:
+    return {
+        ids.ServerId(row.server): server_load.ServerReport(
+            row.in_flight,
+            row.waiting,
+            row.duration_ms,
+        )
+        for row in rows
+    }
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -41,7 +41,8 @@
     leases_ms: int
     # The offsets up to which each topic was read, in the order of the view.
     ends: list[int]
-    loads: list[LoadRow]
+    # None where the sender reports its load to the coordinator alone.
+    loads: list[LoadRow] | None
     crashes: list[CrashRow]
 
 
@@ -51,6 +52,13 @@
     rows: list[DemandRow]
 
 
+class LoadSummary(msgspec.Struct, array_like=True, tag='summary'):
+    """Tell the load of servers, summed over all instances."""
+
+    coordinator: str
+    rows: list[LoadRow]
+
+
 class RecordRow(msgspec.Struct, array_like=True):
     """Hand on a record of the store."""
 
@@ -83,11 +91,13 @@
     is_over: bool
 
 
-PeerMessage = Heartbeat | Demand | Records | RecordsWanted | KeysMoving
+PeerMessage = (
+    Heartbeat | Demand | LoadSummary | Records | RecordsWanted | KeysMoving
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(
-    Heartbeat | Demand | Records | RecordsWanted | KeysMoving,
+    Heartbeat | Demand | LoadSummary | Records | RecordsWanted | KeysMoving,
 )
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -5,7 +5,7 @@
 
 from sycamoreferry_adapter import store_calls
 from sycamoreferry_core import clock, ids
-from sycamoreferry_core.fleet import store_records
+from sycamoreferry_core.fleet import spreading, store_records
 from sycamoreferry_gateway import (
     event_log,
     instance_records,
@@ -42,7 +42,9 @@
         log: event_log.EventLog,
         is_relieved: typing.Callable[[], bool],
         hand_on: _HandOn,
+        peer_count: typing.Callable[[], int],
     ) -> None:
+        self._peer_count = peer_count
         self._is_relieved = is_relieved
         self._hand_on = hand_on
         self._client = client
@@ -88,6 +90,9 @@
                 longest_ms=(_RELIEVED_PACE_MS if was_read else _SERVERS_PACE_MS)
             )
 
+    def _pace(self, base_ms: int) -> int:
+        return spreading.pace_ms(base_ms, self._peer_count())
+
     async def _pause_reading(self, longest_ms: int) -> None:
         """Wait for the next reading; it comes sooner if no peer reads."""
         waited = 0
@@ -102,7 +107,10 @@
         """Wait for configurations."""
         while True:
             step = asyncio.ensure_future(
-                self._step(store_calls.CONFIG_TOPIC, _CONFIG_WAIT_MS),
+                self._step(
+                    store_calls.CONFIG_TOPIC,
+                    self._pace(_CONFIG_WAIT_MS),
+                ),
             )
             wake = asyncio.ensure_future(self._config_wake.wait())
             await asyncio.wait(
@@ -118,7 +126,10 @@
     async def follow_instances(self) -> None:
         """Wait for instances that start."""
         while True:
-            await self._step(store_calls.INSTANCES_TOPIC, _INSTANCES_WAIT_MS)
+            await self._step(
+                store_calls.INSTANCES_TOPIC,
+                _INSTANCES_WAIT_MS,
+            )
 
     async def load_owners(self) -> None:
         """Read the assignment once; later ones come from peers."""
