--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/answers.py
@@ -0,0 +1,73 @@
+"""Make the answers of the instance itself and pass on those of servers."""
+
+import dataclasses
+
+import msgspec
+
+from sycamoreferry_adapter import request_headers
+from sycamoreferry_core import clock, http_messages, result_codes
+from sycamoreferry_gateway import http_server
+
+_SUCCESSES = range(200, 300)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """Hold the answer to a caller and why it is the answer."""
+
+    answer: http_server.CallerAnswer
+    code: result_codes.ResultCode
+    reason: str
+
+
+def is_own(reply: http_messages.HttpReply, request_id: str) -> bool:
+    """Tell whether a reply names the request or none."""
+    named = reply.header(request_headers.REQUEST_ID)
+    return named is None or named == request_id
+
+
+def is_whole(reply: http_messages.HttpReply) -> bool:
+    """Tell whether a reply is the server's own whole answer."""
+    if reply.header('content-encoding') is not None:
+        return False
+    if reply.status not in _SUCCESSES:
+        return True
+    return (
+        request_headers.is_sealed(reply)
+        and reply.header(request_headers.REQUEST_ID) is not None
+    )
+
+
+def passed_on(reply: http_messages.HttpReply) -> Ending:
+    """Return a server's answer as the end of a request."""
+    answer = http_server.answer_from_server(reply)
+    return Ending(answer, result_codes.ResultCode.ANSWERED, 'answered')
+
+
+def own_answer(
+    status: int,
+    code: result_codes.ResultCode,
+    reason: str,
+    retry_after_ms: int | None = None,
+) -> http_server.CallerAnswer:
+    """Return an answer of the instance, with a numbered code."""
+    headers = [('Content-Type', 'application/json')]
+    if retry_after_ms is not None:
+        seconds = f'{clock.seconds(retry_after_ms):.3f}'
+        headers.append((request_headers.RETRY_AFTER, seconds))
+    body = msgspec.json.encode({'code': int(code), 'message': reason})
+    return http_server.CallerAnswer(int(status), tuple(headers), body)
+
+
+def refusal(
+    code: result_codes.ResultCode,
+    reason: str,
+    retry_after_ms: int | None = None,
+) -> Ending:
+    """Return the end of a request that was not run."""
+    status = result_codes.MEANINGS[code].status
+    return Ending(
+        own_answer(status, code, reason, retry_after_ms),
+        code,
+        reason,
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -22,6 +22,8 @@
 
     reason: str
     retry_after_ms: int
+    # What the decision looked at.
+    backlog: waiting.Backlog
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -250,7 +252,7 @@
         reason = 'no room'
         if request.key is not None and self._owner_server(request) is None:
             reason = 'key has no owner'
-        return Rejected(reason, retry_after)
+        return Rejected(reason, retry_after, backlog)
 
     def _report_waiting(self) -> None:
         counts: dict[ids.ServerId, int] = {}
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -228,7 +228,7 @@
         """Let callers go elsewhere and finish what is under way."""
         self._log.write('instance', 'stopping', reason='SIGTERM')
         self._server.is_leaving = True
-        await self._coordinator.resign()
+        self._coordinator.resign()
         self._send_heartbeat()
         asked_at = self._clock.now()
         phase = leaving.LeavePhase.ACCEPTING
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/journeys.py
@@ -0,0 +1,57 @@
+"""Hold a request on its way and each time it was sent."""
+
+import dataclasses
+import enum
+
+from sycamoreferry_core import clock, http_messages, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.keyspace import owners
+from sycamoreferry_core.traffic import crashes, routes, waiting
+from sycamoreferry_gateway import http_server
+
+
+@enum.unique
+class TryResult(enum.Enum):
+    """Tell how sending a request to a server ended."""
+
+    ANSWERED = 'answered'
+    SERVER_ERROR = 'server error'
+    NOT_RUN = 'not run'
+    NOT_SENT = 'not sent'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Try:
+    """Hold one sending of a request."""
+
+    result: TryResult
+    server: servers.BackendServer
+    detail: str
+    reply: http_messages.HttpReply | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Journey:
+    """Hold a request on its way."""
+
+    request: http_server.CallerRequest
+    request_id: str
+    arrived: clock.Millis
+    ends_at: clock.Millis
+    route: routes.Route
+    service: ids.ServiceName
+    key: owners.Key | None
+    signature: crashes.Signature
+    tries: list[Try] = dataclasses.field(default_factory=list)
+    waited_ms: int = 0
+    # What was ahead of the request when it was rejected.
+    rejected: waiting.Backlog | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a server may have run the request."""
+        return any(
+            one.result in {TryResult.UNKNOWN, TryResult.SERVER_ERROR}
+            for one in self.tries
+        )
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -0,0 +1,345 @@
+"""Move keys between backend servers, one owner at a time."""
+
+import asyncio
+import dataclasses
+import typing
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.keyspace import capacities, demand, owners, placement
+from sycamoreferry_core.traffic import server_load
+from sycamoreferry_gateway import (
+    background,
+    event_log,
+    grant_keeper,
+    order_sender,
+    peer_messages,
+    term_keeper,
+    view,
+)
+
+_CHECK_MS = 100
+# A voluntary move must not wait for grants without an answer.
+_MOST_EXTRA_WAIT_MS = 50
+
+
+class KeyMover:
+    """Assign free keys, empty servers that leave, and even out the load."""
+
+    def __init__(
+        self,
+        folded: view.View,
+        terms: term_keeper.TermKeeper,
+        grants: grant_keeper.GrantKeeper,
+        orders: order_sender.OrderSender,
+        loads: server_load.ServerLoads,
+        tasks: background.BackgroundTasks,
+        log: event_log.EventLog,
+        announce: term_keeper.Announce,
+    ) -> None:
+        self._view = folded
+        self._clock = folded.clock
+        self._terms = terms
+        self._grants = grants
+        self._orders = orders
+        self._loads = loads
+        self._tasks = tasks
+        self._log = log
+        self._announce = announce
+        self._demand: dict[ids.ServiceName, demand.KeyDemand] = {}
+        self._destinations: dict[
+            tuple[ids.ServiceName, owners.KeyRange],
+            servers.ServerLife,
+        ] = {}
+        self.moves_made = 0
+
+    def start_term(self) -> None:
+        """Forget the moves of an earlier term."""
+        self._destinations.clear()
+
+    def count_demand(
+        self,
+        service: ids.ServiceName,
+        key: owners.Key,
+        count: int,
+    ) -> None:
+        """Count requests for a key, of any instance."""
+        known = self._demand.setdefault(service, demand.KeyDemand())
+        known.add(key, count, self._clock.now())
+
+    def assign_gaps(self, service: ids.ServiceName) -> None:
+        """Give keys that nobody owns to servers with room."""
+        table = self._view.assignment.table(service)
+        gaps = [
+            gap
+            for gap in table.unowned()
+            if not self._grants.is_held_back(service, gap)
+        ]
+        offered = self._capacities(service)
+        if not gaps or not offered:
+            return
+        pieces = _pieces(gaps, len(offered))
+        chosen = placement.spread(
+            pieces,
+            table.rows,
+            self._work(service),
+            offered,
+        )
+        rows = [
+            owners.Ownership(keys, life, ids.NO_FENCE) for keys, life in chosen
+        ]
+        self._grants.hold_back(service, [row.keys for row in rows])
+        self._tasks.start(self._assign(service, rows))
+
+    def relocate_lost(self, service: ids.ServiceName) -> None:
+        """Move the keys of servers that left, ended or can't be reached."""
+        for row in self._view.assignment.table(service).rows:
+            if self._grants.is_held_back(service, row.keys):
+                continue
+            if not self._grants.is_usable(row.owner):
+                self._grants.hold_back(service, [row.keys])
+                self._tasks.start(self._relocate(service, row))
+
+    def balance(self, service: ids.ServiceName) -> None:
+        """Start the moves that even out the load."""
+        now = self._clock.now()
+        table = self._view.assignment.table(service)
+        work = self._work(service)
+        planned = table
+        for (moving, keys), life in self._destinations.items():
+            if moving == service:
+                planned = planned.replace(
+                    owners.Ownership(keys, life, ids.NO_FENCE),
+                )
+        moves = placement.plan_moves(
+            planned.rows,
+            work,
+            self._capacities(service),
+        )
+        for move in moves:
+            row = table.owner_of(move.keys.first)
+            if row is None or row.owner != move.source:
+                continue
+            if self._grants.is_held_back(service, move.keys):
+                continue
+            free_at = self._orders.book.free_after_release(
+                move.source, row.keys
+            )
+            if free_at > now + _MOST_EXTRA_WAIT_MS:
+                continue
+            self._log.write(
+                'coordinator',
+                'moving keys',
+                service=service,
+                first=move.keys.first,
+                last=move.keys.last,
+                source=move.source.server,
+                destination=move.destination.server,
+                slots=round(_weigh(work, move.keys), 2),
+            )
+            self._grants.hold_back(service, [move.keys])
+            self._destinations[service, move.keys] = move.destination
+            self._tasks.start(self._move(service, row, move))
+
+    def _capacities(
+        self,
+        service: ids.ServiceName,
+    ) -> list[placement.Capacity]:
+        mean = self._loads.service_ms(service)
+        known = [
+            capacities.ServerSpeed(
+                server.life,
+                server.slots,
+                mean / max(1, self._loads.duration_ms(server)),
+            )
+            for server in self._view.servers_of(service)
+            if self._grants.is_usable(server.life)
+        ]
+        demanded = sum(self._work(service).values())
+        return capacities.weigh_capacities(known, demanded)
+
+    def _work(self, service: ids.ServiceName) -> dict[owners.Key, float]:
+        known = self._demand.get(service)
+        if known is None:
+            return {}
+        seconds = clock.seconds(1) * self._loads.service_ms(service)
+        rates = known.rates(self._clock.now())
+        return {key: rate * seconds for key, rate in rates.items()}
+
+    async def _assign(
+        self,
+        service: ids.ServiceName,
+        rows: list[owners.Ownership],
+    ) -> None:
+        """Write owners of free keys, then grant."""
+        written = None
+        try:
+            wait = self._orders.book.assumed_until - self._clock.now()
+            if wait > 0 and self._view.assignment.term > ids.FIRST_TERM:
+                await asyncio.sleep(clock.seconds(wait))
+            written = await self._terms.write_rows(service, rows)
+        finally:
+            self._grants.let_go(service, [row.keys for row in rows])
+        if written is None:
+            return
+        await asyncio.gather(*(self._grants.grant(row) for row in written))
+
+    async def _relocate(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+    ) -> None:
+        """Free keys of a server that must not keep them, then reassign."""
+        try:
+            handover = await self._free(service, row)
+            if handover is None:
+                return
+            offered = self._capacities(service)
+            chosen = placement.spread(
+                [row.keys],
+                self._view.assignment.table(service).rows,
+                self._work(service),
+                offered,
+            )
+            if not chosen:
+                return
+            await self._hand_over(service, row, chosen[0][1], handover)
+        finally:
+            self._grants.let_go(service, [row.keys])
+
+    async def _free(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+    ) -> str | None:
+        """Return the handover once a server holds keys no more."""
+        self._mark_moving(service, row.keys, is_over=False)
+        server = self._view.fleet.get(row.owner.server)
+        if server is not None and server.life != row.owner:
+            self._orders.book.forget(row.owner)
+            self._log_freed(service, row, 'server started again')
+            return ''
+        released = None
+        known = server or self._grants.last_known.get(row.owner)
+        if known is not None:
+            released = await self._orders.release(known, row.keys, row.fence)
+        if released is not None:
+            free_at = self._orders.book.free_after_release(row.owner, row.keys)
+            await self._wait_for(row, free_at)
+            self._log_freed(service, row, 'released')
+            return released.handover
+        free_at = self._orders.book.free_without_release(row.owner, row.keys)
+        await self._wait_for(row, free_at)
+        self._log_freed(service, row, 'lease is over')
+        return ''
+
+    async def _wait_for(
+        self,
+        row: owners.Ownership,
+        free_at: clock.Millis,
+    ) -> None:
+        """Wait until a time, or until the server has started again."""
+        while self._clock.now() < free_at:
+            server = self._view.fleet.get(row.owner.server)
+            if server is not None and server.life != row.owner:
+                return
+            left = free_at - self._clock.now()
+            await asyncio.sleep(clock.seconds(max(1, min(left, _CHECK_MS))))
+
+    async def _hand_over(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+        destination: servers.ServerLife,
+        handover: str,
+    ) -> None:
+        moved = owners.Ownership(
+            row.keys,
+            destination,
+            ids.NO_FENCE,
+            handover,
+        )
+        written = await self._terms.write_rows(service, [moved])
+        if written is None:
+            return
+        self.moves_made += 1
+        for granted in written:
+            await self._grants.grant(granted)
+        self._mark_moving(service, row.keys, is_over=True)
+
+    async def _move(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+        move: placement.Move,
+    ) -> None:
+        part = dataclasses.replace(row, keys=move.keys)
+        try:
+            handover = await self._free(service, part)
+            if handover is None:
+                return
+            destination = move.destination
+            if not self._grants.is_usable(destination):
+                destination = move.source
+            await self._hand_over(service, part, destination, handover)
+        finally:
+            self._destinations.pop((service, move.keys), None)
+            self._grants.let_go(service, [move.keys])
+
+    def _mark_moving(
+        self,
+        service: ids.ServiceName,
+        keys: owners.KeyRange,
+        *,
+        is_over: bool,
+    ) -> None:
+        self._view.mark_moving(service, keys, is_over=is_over)
+        self._announce(
+            peer_messages.KeysMoving(
+                service,
+                keys.first,
+                keys.last,
+                is_over,
+            ),
+        )
+
+    def _log_freed(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+        reason: str,
+    ) -> None:
+        self._log.write(
+            'coordinator',
+            'keys are free',
+            service=service,
+            first=row.keys.first,
+            last=row.keys.last,
+            server=row.owner.server,
+            fence=row.fence,
+            reason=reason,
+        )
+
+
+def _pieces(
+    gaps: typing.Sequence[owners.KeyRange],
+    count: int,
+) -> list[owners.KeyRange]:
+    """Cut large gaps so that a first start is even."""
+    pieces = []
+    for whole in owners.split_evenly(count):
+        for gap in gaps:
+            if whole.overlaps(gap):
+                first = max(whole.first, gap.first)
+                last = min(whole.last, gap.last)
+                pieces.append(owners.KeyRange(first, last))
+    return pieces
+
+
+def _weigh(
+    work: typing.Mapping[owners.Key, float],
+    keys: owners.KeyRange,
+) -> float:
+    return sum(
+        weight for key, weight in work.items() if keys.first <= key <= keys.last
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -35,6 +35,11 @@
         self._clock = source
         self.sent = 0
 
+    @property
+    def book(self) -> leases.LeaseBook:
+        """Return the leases that the orders gave."""
+        return self._book
+
     def use_book(self, book: leases.LeaseBook) -> None:
         """Record in another book from now on."""
         self._book = book
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -1,16 +1,13 @@
 """Take a request from its caller to a backend server and back."""
 
 import asyncio
-import dataclasses
-import enum
 import http
 import typing
 
-import msgspec
 import xxhash
 
 from sycamoreferry_adapter import request_headers
-from sycamoreferry_core import clock, http_messages, ids, result_codes
+from sycamoreferry_core import clock, ids, result_codes
 from sycamoreferry_core.fleet import deployment, servers
 from sycamoreferry_core.keyspace import owners
 from sycamoreferry_core.traffic import (
@@ -21,10 +18,12 @@
     waiting,
 )
 from sycamoreferry_gateway import (
+    answers,
     dispatcher,
     event_log,
     http_client,
     http_server,
+    journeys,
     telemetry,
     view,
 )
@@ -41,61 +40,6 @@
 _STARTING_RETRY_MS = 500
 _LATER_RETRY_MS = 300
 _SERVER_ERROR = 500
-_SUCCESSES = range(200, 300)
-
-
-@enum.unique
-class TryResult(enum.Enum):
-    """Tell how sending a request to a server ended."""
-
-    ANSWERED = 'answered'
-    SERVER_ERROR = 'server error'
-    NOT_RUN = 'not run'
-    NOT_SENT = 'not sent'
-    UNKNOWN = 'unknown'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Try:
-    """Hold one sending of a request."""
-
-    result: TryResult
-    server: servers.BackendServer
-    detail: str
-    reply: http_messages.HttpReply | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Journey:
-    """Hold a request on its way."""
-
-    request: http_server.CallerRequest
-    request_id: str
-    arrived: clock.Millis
-    ends_at: clock.Millis
-    route: routes.Route
-    service: ids.ServiceName
-    key: owners.Key | None
-    signature: crashes.Signature
-    tries: list[Try] = dataclasses.field(default_factory=list)
-    waited_ms: int = 0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Tell whether a server may have run the request."""
-        return any(
-            one.result in {TryResult.UNKNOWN, TryResult.SERVER_ERROR}
-            for one in self.tries
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ending:
-    """Hold the answer to a caller and why it is the answer."""
-
-    answer: http_server.CallerAnswer
-    code: result_codes.ResultCode
-    reason: str
 
 
 class RequestPath:
@@ -140,10 +84,10 @@
         """Return the answer to a request."""
         arrived = self._view.clock.now()
         self.in_flight += 1
-        journey: Journey | None = None
+        journey: journeys.Journey | None = None
         try:
             started = self._start(request, arrived)
-            if isinstance(started, Ending):
+            if isinstance(started, answers.Ending):
                 ending = started
             else:
                 journey = started
@@ -160,23 +104,25 @@
         self,
         request: http_server.CallerRequest,
         arrived: clock.Millis,
-    ) -> Journey | Ending:
+    ) -> journeys.Journey | answers.Ending:
         config, table = self._view.config, self._view.routes
         if config is None or table is None:
-            return _refusal(
+            return answers.refusal(
                 _Code.STARTING,
                 'no configuration known',
                 _STARTING_RETRY_MS,
             )
         route = table.match(request.header('host') or '', request.path)
         if route is None:
-            return _refusal(_Code.UNKNOWN_SERVICE, 'no route matches')
+            return answers.refusal(_Code.UNKNOWN_SERVICE, 'no route matches')
         request_id = request.header(request_headers.REQUEST_ID) or ''
         service = self._turns.choose(route)
         policy = config.services[service]
         key = request_headers.read_key(request.header(request_headers.KEY))
         if policy.is_keyed and key is None:
-            return _refusal(_Code.KEY_REQUIRED, 'key is missing or malformed')
+            return answers.refusal(
+                _Code.KEY_REQUIRED, 'key is missing or malformed'
+            )
         if not policy.is_keyed:
             key = None
         self.budget.count_request(service, arrived)
@@ -189,7 +135,7 @@
         allowed_ms = route.timeout_ms
         if wished is not None:
             allowed_ms = min(allowed_ms, wished)
-        return Journey(
+        return journeys.Journey(
             request=request,
             request_id=request_id,
             arrived=arrived,
@@ -200,12 +146,12 @@
             signature=_signature(request),
         )
 
-    async def _travel(self, journey: Journey) -> Ending:
+    async def _travel(self, journey: journeys.Journey) -> answers.Ending:
         if self._view.crashes.is_blocked(
             journey.signature,
             journey.arrived,
         ):
-            return _refusal(
+            return answers.refusal(
                 _Code.QUARANTINED,
                 'request ended the servers that ran it',
                 _LATER_RETRY_MS,
@@ -227,6 +173,7 @@
             found = await self._queue.acquire(wanted)
             journey.waited_ms += self._view.clock.now() - before
             if isinstance(found, dispatcher.Rejected):
+                journey.rejected = found.backlog
                 return self._give_up(
                     journey,
                     found.reason,
@@ -239,14 +186,14 @@
                 return ending
             if journey.key is None:
                 wanted.excluded |= {found.life.server}
-            elif made.result is TryResult.NOT_RUN:
+            elif made.result is journeys.TryResult.NOT_RUN:
                 await asyncio.sleep(clock.seconds(_PAUSE_AFTER_REJECTION_MS))
 
     async def _try(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         server: servers.BackendServer,
-    ) -> Try:
+    ) -> journeys.Try:
         started = self._view.clock.now()
         in_flight = self._loads.total_in_flight(server.life.server, started)
         begins_at_once = in_flight <= server.slots
@@ -255,20 +202,22 @@
         finally:
             self._queue.release(server.life.server)
         # Time spent waiting at the server says nothing of its speed.
-        if made.result is TryResult.ANSWERED and begins_at_once:
+        if made.result is journeys.TryResult.ANSWERED and begins_at_once:
             elapsed = self._view.clock.now() - started
             self._loads.learn_duration(server, elapsed)
         return made
 
     async def _send(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         server: servers.BackendServer,
         started: clock.Millis,
-    ) -> Try:
+    ) -> journeys.Try:
         remaining = journey.ends_at - started
         if remaining <= 0:
-            return Try(TryResult.NOT_SENT, server, 'no time left')
+            return journeys.Try(
+                journeys.TryResult.NOT_SENT, server, 'no time left'
+            )
         payload = http_client.encode_request(
             journey.request.method,
             journey.request.target,
@@ -283,13 +232,13 @@
             deployment.Address(server.host, server.port),
             payload,
             self._try_timeout(journey, server, remaining),
-            lambda reply: _is_own(reply, journey.request_id),
+            lambda reply: answers.is_own(reply, journey.request_id),
         )
         return self._judge(journey, server, outcome)
 
     def _try_timeout(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         server: servers.BackendServer,
         remaining: int,
     ) -> float:
@@ -302,17 +251,17 @@
         )
         return min(remaining, patient)
 
-    def _may_repeat(self, journey: Journey) -> bool:
+    def _may_repeat(self, journey: journeys.Journey) -> bool:
         if not journey.route.kind.is_repeatable:
             return False
         return len(journey.tries) + 1 < journey.route.max_attempts
 
     def _judge(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         server: servers.BackendServer,
         outcome: http_client.Exchanged,
-    ) -> Try:
+    ) -> journeys.Try:
         now = self._view.clock.now()
         if isinstance(outcome, http_client.Failed):
             return self._judge_failure(journey, server, outcome, now)
@@ -331,31 +280,39 @@
             if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
                 self._learn_failure(server, now, 'rejected')
             detail = f'rejected with {outcome.status}'
-            return Try(TryResult.NOT_RUN, server, detail, outcome)
-        if not _is_whole(outcome):
+            return journeys.Try(
+                journeys.TryResult.NOT_RUN, server, detail, outcome
+            )
+        if not answers.is_whole(outcome):
             self._learn_failure(server, now, 'answer is not its own')
-            return Try(TryResult.UNKNOWN, server, 'answer is not whole')
+            return journeys.Try(
+                journeys.TryResult.UNKNOWN, server, 'answer is not whole'
+            )
         if outcome.status >= _SERVER_ERROR:
             self._learn_failure(server, now, 'server error')
             detail = f'status {outcome.status}'
-            return Try(TryResult.SERVER_ERROR, server, detail, outcome)
+            return journeys.Try(
+                journeys.TryResult.SERVER_ERROR, server, detail, outcome
+            )
         self._loads.learn_success(server_id)
-        return Try(TryResult.ANSWERED, server, 'answered', outcome)
+        return journeys.Try(
+            journeys.TryResult.ANSWERED, server, 'answered', outcome
+        )
 
     def _judge_failure(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         server: servers.BackendServer,
         failed: http_client.Failed,
         now: clock.Millis,
-    ) -> Try:
+    ) -> journeys.Try:
         self._learn_failure(server, now, failed.failure.value)
         detail = failed.failure.value
         if not failed.was_sent:
-            return Try(TryResult.NOT_SENT, server, detail)
+            return journeys.Try(journeys.TryResult.NOT_SENT, server, detail)
         if failed.failure in _BROKEN:
             self._view.crashes.suspect(journey.signature, server.life, now)
-        return Try(TryResult.UNKNOWN, server, detail)
+        return journeys.Try(journeys.TryResult.UNKNOWN, server, detail)
 
     def _learn_failure(
         self,
@@ -371,31 +328,43 @@
                 reason=reason,
             )
 
-    def _conclude(self, journey: Journey, made: Try) -> Ending | None:
+    def _conclude(
+        self, journey: journeys.Journey, made: journeys.Try
+    ) -> answers.Ending | None:
         """Return the end of a request, or None to try again."""
-        if made.result is TryResult.ANSWERED and made.reply is not None:
-            return _passed_on(made.reply)
+        if (
+            made.result is journeys.TryResult.ANSWERED
+            and made.reply is not None
+        ):
+            return answers.passed_on(made.reply)
         if self._tries_again(journey, made):
             return None
-        if made.result is TryResult.SERVER_ERROR and made.reply is not None:
+        if (
+            made.result is journeys.TryResult.SERVER_ERROR
+            and made.reply is not None
+        ):
             if made.reply.status not in request_headers.PROMISE_NOT_RUN:
-                return _passed_on(made.reply)
+                return answers.passed_on(made.reply)
         return self._give_up(journey, made.detail, _LATER_RETRY_MS)
 
-    def _tries_again(self, journey: Journey, made: Try) -> bool:
+    def _tries_again(
+        self, journey: journeys.Journey, made: journeys.Try
+    ) -> bool:
         now = self._view.clock.now()
         sends = sum(
-            1 for one in journey.tries if one.result is not TryResult.NOT_SENT
+            1
+            for one in journey.tries
+            if one.result is not journeys.TryResult.NOT_SENT
         )
         if len(journey.tries) > _MOST_SENDS or now >= journey.ends_at:
             return False
-        if made.result is TryResult.NOT_SENT:
+        if made.result is journeys.TryResult.NOT_SENT:
             return not journey.may_have_run or self._may_run_again(journey)
-        if made.result is not TryResult.NOT_RUN:
+        if made.result is not journeys.TryResult.NOT_RUN:
             if not self._may_run_again(journey):
                 return False
             if (
-                made.result is TryResult.SERVER_ERROR
+                made.result is journeys.TryResult.SERVER_ERROR
                 and journey.key is not None
             ):
                 return False
@@ -407,41 +376,44 @@
             now,
         )
 
-    def _may_run_again(self, journey: Journey) -> bool:
+    def _may_run_again(self, journey: journeys.Journey) -> bool:
         runs = sum(
             1
             for one in journey.tries
-            if one.result in {TryResult.UNKNOWN, TryResult.SERVER_ERROR}
+            if one.result
+            in {journeys.TryResult.UNKNOWN, journeys.TryResult.SERVER_ERROR}
         )
         kind = journey.route.kind
         return kind.is_repeatable and runs < journey.route.max_attempts
 
     def _give_up(
         self,
-        journey: Journey,
+        journey: journeys.Journey,
         reason: str,
         retry_after_ms: int,
-    ) -> Ending:
+    ) -> answers.Ending:
         if not journey.may_have_run:
             code = _Code.OVERLOADED
             if journey.key is not None and reason == 'key has no owner':
                 code = _Code.NO_OWNER
-            return _refusal(code, reason, retry_after_ms)
+            return answers.refusal(code, reason, retry_after_ms)
         now = self._view.clock.now()
         code = _Code.OUTCOME_UNKNOWN
         status = http.HTTPStatus.BAD_GATEWAY
         if now >= journey.ends_at:
             code = _Code.ANSWER_TOO_LATE
             status = http.HTTPStatus.GATEWAY_TIMEOUT
-        return Ending(_own_answer(status, code, reason), code, reason)
+        return answers.Ending(
+            answers.own_answer(status, code, reason), code, reason
+        )
 
     def _log_end(
         self,
         request: http_server.CallerRequest,
-        journey: Journey | None,
+        journey: journeys.Journey | None,
         arrived: clock.Millis,
         reason: str,
-        ending: Ending | None,
+        ending: answers.Ending | None,
     ) -> None:
         elapsed = self._view.clock.now() - arrived
         code = ending.code if ending else None
@@ -459,16 +431,21 @@
             fields.update(self._describe(journey))
         self._log.sample('request', 'request ended', **fields)
 
-    def _describe(self, journey: Journey) -> dict[str, typing.Any]:
+    def _describe(self, journey: journeys.Journey) -> dict[str, typing.Any]:
         described: dict[str, typing.Any] = {
             'route': journey.route.name,
             'service': journey.service,
             'waited_ms': journey.waited_ms,
+            'owners_offset': self._view.owners_offset,
             'tries': [
                 [one.server.life.server, one.result.value, one.detail]
                 for one in journey.tries
             ],
         }
+        if journey.rejected is not None:
+            described['ahead'] = journey.rejected.ahead
+            described['slots'] = journey.rejected.slots
+            described['expected_wait_ms'] = round(journey.rejected.wait_ms)
         if journey.key is not None:
             described['key'] = journey.key
             described['term'] = self._view.assignment.term
@@ -491,51 +468,3 @@
         digest.update(b'\0')
     digest.update(request.body)
     return crashes.Signature(digest.intdigest())
-
-
-def _is_own(reply: http_messages.HttpReply, request_id: str) -> bool:
-    named = reply.header(request_headers.REQUEST_ID)
-    return named is None or named == request_id
-
-
-def _is_whole(reply: http_messages.HttpReply) -> bool:
-    if reply.header('content-encoding') is not None:
-        return False
-    if reply.status not in _SUCCESSES:
-        return True
-    return (
-        request_headers.is_sealed(reply)
-        and reply.header(request_headers.REQUEST_ID) is not None
-    )
-
-
-def _passed_on(reply: http_messages.HttpReply) -> Ending:
-    answer = http_server.answer_from_server(reply)
-    return Ending(answer, _Code.ANSWERED, 'answered')
-
-
-def _own_answer(
-    status: int,
-    code: result_codes.ResultCode,
-    reason: str,
-    retry_after_ms: int | None = None,
-) -> http_server.CallerAnswer:
-    headers = [('Content-Type', 'application/json')]
-    if retry_after_ms is not None:
-        seconds = f'{clock.seconds(retry_after_ms):.3f}'
-        headers.append((request_headers.RETRY_AFTER, seconds))
-    body = msgspec.json.encode({'code': int(code), 'message': reason})
-    return http_server.CallerAnswer(int(status), tuple(headers), body)
-
-
-def _refusal(
-    code: result_codes.ResultCode,
-    reason: str,
-    retry_after_ms: int | None = None,
-) -> Ending:
-    status = result_codes.MEANINGS[code].status
-    return Ending(
-        _own_answer(status, code, reason, retry_after_ms),
-        code,
-        reason,
-    )
--- a/packages/gateway/src/sycamoreferry_gateway/telemetry.py
+++ b/packages/gateway/src/sycamoreferry_gateway/telemetry.py
@@ -9,7 +9,7 @@
 _BUCKETS_MS = (5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200)
 
 if typing.TYPE_CHECKING:
-    from sycamoreferry_gateway import request_path
+    from sycamoreferry_gateway import journeys
 
 
 class Telemetry:
@@ -26,7 +26,7 @@
 
     def count(
         self,
-        journey: 'request_path.Journey | None',
+        journey: 'journeys.Journey | None',
         code: result_codes.ResultCode | None,
         elapsed_ms: int,
     ) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -55,6 +55,7 @@
             ids.ServiceName,
             dict[ids.ServerId, servers.BackendServer],
         ] = {}
+        self._last_outage = clock.LONG_AGO
         self._moving: list[_Moving] = []
         self._news: list[store_records.StoredRecord] = []
         # The last record that changed more than a heartbeat's number.
@@ -73,6 +74,11 @@
         taken, self._news = self._news, []
         return taken
 
+    @property
+    def owners_offset(self) -> ids.Offset:
+        """Return up to where the assignment was read."""
+        return self.mirrors[store_calls.OWNERS_TOPIC].end
+
     def servers_of(
         self,
         service: ids.ServiceName,
@@ -114,8 +120,6 @@
         """Note when the store was last away from this instance."""
         self._last_outage = moment
 
-    _last_outage = clock.LONG_AGO
-
     def mark_moving(
         self,
         service: ids.ServiceName,
