Explain how a request ended from the logs of all instances

ferryctl explain REQUEST-ID FILES joins the line of the request with the moves of its key, the terms and what was seen of its servers.

--- a/packages/ctl/src/sycamoreferry_ctl/cli.py
+++ b/packages/ctl/src/sycamoreferry_ctl/cli.py
@@ -3,7 +3,14 @@
 import typer
 
 from sycamoreferry_ctl import exit_status
-from sycamoreferry_ctl.commands import change, profile, quarantine, replay, show
+from sycamoreferry_ctl.commands import (
+    change,
+    explain,
+    profile,
+    quarantine,
+    replay,
+    show,
+)
 
 _STATUSES = '; '.join(
     f'{int(status)} {meaning}'
@@ -55,6 +62,10 @@
     name='replay',
     epilog='Example: ferryctl replay traces/launch.jsonl',
 )(replay.replay)
+app.command(
+    name='explain',
+    epilog='Example: ferryctl explain 9c41d07be2a35f68 entry-*.log',
+)(explain.explain)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -0,0 +1,170 @@
+"""Find the cause of a request's end in the lines of all instances."""
+
+import enum
+import typing
+
+import msgspec
+
+from sycamoreferry_core import result_codes
+from sycamoreferry_ctl import log_lines
+
+_Code = result_codes.ResultCode
+_REQUEST_ENDED = 'request ended'
+# Events that say why a key has no owner, the newest before the request counts.
+_KEY_EVENTS = frozenset(('moving keys', 'keys are free'))
+_SERVER_EVENTS = frozenset(
+    (
+        'server is gone',
+        'server changed',
+        'server leaves grants unanswered',
+        'server suspended after failures',
+    ),
+)
+_TERM_EVENTS = frozenset(('claimed the term', 'gave up the term'))
+
+
+@enum.unique
+class Cause(enum.Enum):
+    """Name why a request ended as it did."""
+
+    ANSWERED = 'answered by a server'
+    OVERLOAD = 'rejected under load'
+    NO_OWNER = 'key had no owner'
+    UNKNOWN_OUTCOME = 'answer was lost after the request was sent'
+    TOO_LATE = 'no answer before the deadline'
+    QUARANTINED = 'request ended the servers that ran it'
+    BAD_REQUEST = 'request does not fit the configuration'
+    STARTING = 'instance had no configuration yet'
+    CALLER_LEFT = 'caller left'
+    NOT_LOGGED = 'no line about the request in these files'
+
+
+_CAUSES: dict[int, Cause] = {
+    _Code.ANSWERED: Cause.ANSWERED,
+    _Code.OVERLOADED: Cause.OVERLOAD,
+    _Code.NO_OWNER: Cause.NO_OWNER,
+    _Code.OUTCOME_UNKNOWN: Cause.UNKNOWN_OUTCOME,
+    _Code.ANSWER_TOO_LATE: Cause.TOO_LATE,
+    _Code.QUARANTINED: Cause.QUARANTINED,
+    _Code.UNKNOWN_SERVICE: Cause.BAD_REQUEST,
+    _Code.KEY_REQUIRED: Cause.BAD_REQUEST,
+    _Code.STARTING: Cause.STARTING,
+}
+
+
+class Explanation(msgspec.Struct):
+    """Hold the cause and the lines that show it."""
+
+    request: str
+    cause: str
+    details: list[str]
+
+
+def explain(
+    request: str,
+    lines: typing.Sequence[log_lines.LogLine],
+) -> Explanation:
+    """Return why a request ended as it did."""
+    ends = [
+        index
+        for index, line in enumerate(lines)
+        if line.event == _REQUEST_ENDED and line.request == request
+    ]
+    if not ends:
+        return Explanation(request, Cause.NOT_LOGGED.value, _dropped(lines))
+    end = lines[ends[-1]]
+    cause = Cause.CALLER_LEFT
+    if end.code is not None:
+        cause = _CAUSES.get(end.code, Cause.OVERLOAD)
+    details = [_describe_end(end), *_describe_tries(end)]
+    earlier = lines[: ends[-1]]
+    if cause is Cause.NO_OWNER:
+        details.extend(_key_history(end, earlier))
+    if cause in {Cause.UNKNOWN_OUTCOME, Cause.TOO_LATE}:
+        details.extend(_server_history(end, lines))
+    return Explanation(request, cause.value, details)
+
+
+def _describe_end(end: log_lines.LogLine) -> str:
+    parts = [
+        f'{end.at}: status {end.status} after {end.ms} ms',
+        f'reason "{end.reason}"',
+        f'configuration {end.config}',
+    ]
+    if end.waited_ms:
+        parts.append(f'waited {end.waited_ms} ms for a server')
+    if end.key is not None:
+        parts.append(
+            f'key {end.key} of {end.service}, owner {end.owner},'
+            f' fence {end.fence}, term {end.term}',
+        )
+    if end.ahead is not None:
+        parts.append(
+            f'{end.ahead} ahead for {end.slots} slots,'
+            f' {end.expected_wait_ms} ms to wait',
+        )
+    return '; '.join(parts)
+
+
+def _describe_tries(end: log_lines.LogLine) -> list[str]:
+    return [
+        f'sent to {server}: {result} ({detail})'
+        for server, result, detail in end.tries
+    ]
+
+
+def _key_history(
+    end: log_lines.LogLine,
+    earlier: typing.Sequence[log_lines.LogLine],
+) -> list[str]:
+    """Return the last changes of the key's range and of the term."""
+    of_key = [
+        line
+        for line in earlier
+        if line.event in _KEY_EVENTS
+        and line.service == end.service
+        and _covers(line, end.key)
+    ]
+    of_term = [line for line in earlier if line.event in _TERM_EVENTS]
+    return [_describe(line) for line in (*of_key[-2:], *of_term[-1:])]
+
+
+def _server_history(
+    end: log_lines.LogLine,
+    lines: typing.Sequence[log_lines.LogLine],
+) -> list[str]:
+    """Return what was seen of the servers that were sent the request."""
+    sent_to = {row[0] for row in end.tries}
+    seen = [
+        line
+        for line in lines
+        if line.event in _SERVER_EVENTS and line.server in sent_to
+    ]
+    return [_describe(line) for line in seen[-3:]]
+
+
+def _covers(line: log_lines.LogLine, key: int | None) -> bool:
+    if line.first is None or line.last is None or key is None:
+        return False
+    return line.first <= key <= line.last
+
+
+def _describe(line: log_lines.LogLine) -> str:
+    named = {
+        'keys': line.first is not None and f'{line.first}-{line.last}',
+        'server': line.server,
+        'from': line.source,
+        'to': line.destination,
+        'term': line.term,
+        'reason': line.reason,
+    }
+    told = [f'{name} {held}' for name, held in named.items() if held]
+    return f'{line.at}: {line.event} ({", ".join(told)})'
+
+
+def _dropped(lines: typing.Sequence[log_lines.LogLine]) -> list[str]:
+    return [
+        f'{line.at}: {line.count} lines were dropped under load'
+        for line in lines
+        if line.event == 'lines dropped'
+    ]
