End the moves of an earlier coordinator with its term

Marks are now cleared when a later term is read. Ruled out: slow releases (the log shows them answered in some 100 ms).

--- a/packages/core/src/sycamoreferry_core/keyspace/moving.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/moving.py
@@ -41,6 +41,10 @@
             until = clock.later(now, _LONGEST_MOVE_MS)
             self._rows.append(_Moving(service, keys, until))
 
+    def clear(self) -> None:
+        """Forget all moves."""
+        self._rows.clear()
+
     def has(
         self,
         service: ids.ServiceName,
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -255,6 +255,8 @@
             return False
         if decoded.term > self.assignment.term:
             self.coordinator_since = self.clock.now()
+            # What the earlier coordinator was about to do is void.
+            self._moving.clear()
             self.log.write(
                 'owners',
                 'coordinator changed',
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -392,6 +392,21 @@
         )
 
 
+@pytest.fixture
+def chosen() -> deployment.Deployment:
+    """Return a deployment whose addresses nobody uses."""
+    return World()._deployment('one')
+
+
+@pytest.fixture
+def quiet_log() -> event_log.EventLog:
+    """Return a log that nobody reads."""
+    return event_log.EventLog(
+        steady_clock.SteadyClock(),
+        os.open(os.devnull, os.O_WRONLY),
+    )
+
+
 @pytest.fixture
 async def world() -> typing.AsyncIterator[World]:
     """Yield a world that is not started yet, and stop what it started."""
