--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -415,7 +415,7 @@
     await made.stop()
 
 
-@pytest.fixture
+@pytest.fixture(scope='session')
 def new_configuration() -> typing.Callable[..., bytes]:
     """Return the maker of configurations."""
     return configuration
--- /dev/null
+++ b/packages/gateway/tests/test_adapter.py
@@ -0,0 +1,298 @@
+"""Check what the adapter makes of good, bad and random messages."""
+
+import json
+import typing
+import zlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from sycamoreferry_adapter import (
+    key_orders,
+    operator_config,
+    request_headers,
+    server_entries,
+    settings_file,
+    store_calls,
+    units,
+)
+from sycamoreferry_core import http_messages, ids
+from sycamoreferry_core.fleet import servers, store_records
+from sycamoreferry_core.keyspace import owners
+from sycamoreferry_gateway import assignment, peer_link, peer_messages
+
+SETTINGS = """\
+Self.Node=front-1
+Self.Zone=a
+Self.Ip=10.1.0.15
+Self.Limits.MaxFds=4100
+Network.Listen.Front=10.1.0.15:8641
+Network.Listen.ReadinessAddr=10.1.0.15:8640
+Network.InternalPortRange=7620,7635
+Platform.Heartbeat=870ms
+Platform.Platform.Address=10.200.1.7:8642
+Terms.Bounds.Drain=2000ms
+Terms.Bounds.Grace=6s
+Terms.Bounds.RetryBudgetRatio=0.2
+Terms.Bounds.BudgetWindow=10s
+Terms.Bounds.RetryBudgetExtra=58
+Terms.Bounds.HoldMax=10000ms
+New.Field=anything
+"""
+ENTRY = {
+    'Service': 'v',
+    'Address': '10.0.0.1:80',
+    'Zone': 'a',
+    'Version': 'v1',
+    'Slots': 2,
+    'State': 'ready',
+    'WarmupLeft': '1500ms',
+    'Seq': 4,
+    'born': 7,
+}
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [('1500ms', 1_500), ('2.5s', 2_500), ('0ms', 0), ('10s', 10_000)],
+)
+def test_times(text: str, expected: int) -> None:
+    assert units.read_millis(text) == expected
+
+
+@pytest.mark.parametrize('text', ['', '5', 'ms', 'infs', 'nanms', None, 5])
+def test_times_that_are_malformed(text: object) -> None:
+    with pytest.raises(units.FormatError):
+        units.read_millis(text)
+
+
+def test_settings_are_read_and_new_fields_ignored() -> None:
+    chosen = settings_file.read_settings(SETTINGS, 9464)
+    assert chosen.instance == 'front-1'
+    assert chosen.bounds.grace_ms == 6_000
+    assert str(chosen.store_address) == '10.200.1.7:8642'
+
+
+@pytest.mark.parametrize(
+    ('line', 'named'),
+    [
+        ('Self.Node=front-1', 'Self.Node'),
+        ('Terms.Bounds.Grace=6s', 'Terms.Bounds.Grace'),
+    ],
+)
+def test_missing_setting_is_named(line: str, named: str) -> None:
+    with pytest.raises(units.FormatError, match=named):
+        settings_file.read_settings(SETTINGS.replace(line, ''), 9464)
+
+
+def test_malformed_setting_is_named() -> None:
+    text = SETTINGS.replace('Grace=6s', 'Grace=soon')
+    with pytest.raises(units.FormatError, match='Terms.Bounds.Grace'):
+        settings_file.read_settings(text, 9464)
+
+
+def test_entry_is_decoded() -> None:
+    entry = server_entries.decode_entry('i', json.dumps(ENTRY).encode())
+    assert entry.life == servers.ServerLife(
+        ids.ServerId('i'),
+        servers.Born(7),
+    )
+    assert entry.warmup_ms == 1_500
+    assert entry.is_ready
+
+
+@hypothesis.given(
+    field=strategies.sampled_from(sorted(ENTRY)),
+    damage=JSON,
+)
+def test_damaged_entry_is_an_entry_or_a_format_error(
+    field: str,
+    damage: typing.Any,
+) -> None:
+    content = json.dumps({**ENTRY, field: damage}).encode()
+    _decodes_or_refuses(content)
+
+
+@hypothesis.given(strategies.binary(max_size=60))
+def test_bytes_of_another_writer_are_refused(content: bytes) -> None:
+    _decodes_or_refuses(content)
+
+
+def _decodes_or_refuses(content: bytes) -> None:
+    try:
+        entry = server_entries.decode_entry('i', content)
+    except units.FormatError:
+        return
+    assert entry.slots >= 1
+
+
+@hypothesis.given(
+    path=strategies.lists(
+        strategies.sampled_from(
+            ['Services', 'Limits', 'VirtualHosts', 'Paths', 'Kind', 0],
+        ),
+        max_size=4,
+    ),
+    damage=JSON,
+)
+def test_damaged_configuration_is_refused(
+    new_configuration: typing.Any,
+    path: list[str | int],
+    damage: typing.Any,
+) -> None:
+    document = json.loads(new_configuration(3))
+    held: typing.Any = document
+    for step in path[:-1]:
+        known = isinstance(held, dict) and step in held
+        listed = isinstance(held, list) and step == 0
+        if known or listed:
+            held = held[step]
+    if path and isinstance(held, dict):
+        held[path[-1]] = damage
+    try:
+        config = operator_config.decode_config(json.dumps(document).encode())
+    except units.FormatError:
+        return
+    assert config.version == 3
+
+
+def test_keyed_records_are_read(new_configuration: typing.Any) -> None:
+    call = store_calls.append(
+        store_records.TopicName('keyed.x'),
+        store_records.RecordKey('k'),
+        b'value',
+        ids.Offset(4),
+    )
+    assert 'At=4' in call.target
+    body = bytes(8) + bytes(8) + call.body
+    reply = http_messages.HttpReply(200, (), body)
+    page = store_calls.read_records(reply, ids.Offset(4))
+    assert isinstance(page, store_records.RecordPage)
+    assert page.end == 5
+    assert page.records[0].content == b'value'
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_reply_of_the_store_is_a_page_or_a_failure(body: bytes) -> None:
+    reply = http_messages.HttpReply(200, (), body)
+    for found in (
+        store_calls.read_records(reply, ids.Offset(0)),
+        store_calls.read_newest(reply),
+        store_calls.read_appended(reply),
+    ):
+        assert isinstance(
+            found,
+            store_records.RecordPage
+            | store_records.Appended
+            | store_records.StoreFailure,
+        )
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (200, key_orders.GrantReply.HELD),
+        (409, key_orders.GrantReply.FENCED),
+        (400, key_orders.GrantReply.MALFORMED),
+        (503, key_orders.GrantReply.MALFORMED),
+    ],
+)
+def test_reply_to_a_grant(
+    status: int,
+    expected: key_orders.GrantReply,
+) -> None:
+    reply = http_messages.HttpReply(status, (), b'')
+    assert key_orders.read_grant(reply) is expected
+
+
+def test_grant_names_keys_fence_and_time() -> None:
+    row = owners.Ownership(
+        owners.KeyRange(owners.Key(1), owners.Key(2)),
+        servers.ServerLife(ids.ServerId('i'), servers.Born(1)),
+        ids.Fence(9),
+        'h',
+    )
+    body = json.loads(key_orders.grant(row, 4_000).body)
+    assert body == {
+        'From': 1,
+        'To': 2,
+        'fence': 9,
+        'Hold': '4000ms',
+        'Handover': 'h',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'not_run'),
+    [
+        (503, (('not-executed', '1'),), True),
+        (429, (('not-executed', '1'),), True),
+        (421, (), True),
+        (503, (), False),
+        (200, (('not-executed', '1'),), False),
+        (500, (), False),
+    ],
+)
+def test_only_a_statement_means_not_run(
+    status: int,
+    headers: http_messages.Headers,
+    not_run: bool,
+) -> None:
+    reply = http_messages.HttpReply(status, headers, b'')
+    assert request_headers.says_not_run(reply) is not_run
+
+
+@pytest.mark.parametrize('text', [None, '', '-1', '65536', '1.5', 'x', '٣'])
+def test_keys_that_are_malformed(text: str | None) -> None:
+    assert request_headers.read_key(text) is None
+
+
+@hypothesis.given(strategies.text(max_size=12))
+def test_any_load_is_read_or_ignored(text: str) -> None:
+    load = request_headers.read_load(text)
+    assert load is None or load.running >= 0
+
+
+def test_callers_own_hop_headers_are_replaced() -> None:
+    headers = request_headers.with_hop(
+        [('Deadline-Ms', '9'), ('expect-instance', 'x'), ('A', 'b')],
+        500,
+        ids.ServerId('i'),
+    )
+    assert headers == (
+        ('A', 'b'),
+        ('Deadline-Ms', '500'),
+        ('Expect-Instance', 'i'),
+    )
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_datagram_is_a_message_or_malformed(datagram: bytes) -> None:
+    try:
+        peer_messages.decode(peer_link._unpack(datagram))
+    except (msgspec.MsgspecError, zlib.error, ValueError):
+        return
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_assignment_is_decoded_or_malformed(content: bytes) -> None:
+    try:
+        assignment.decode_assignment(content)
+    except msgspec.MsgspecError:
+        return
