--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -326,12 +326,22 @@
         for number in range(instances):
             self.add_instance(f'i{number}')
 
+    def restart(self, number: int) -> instance.Instance:
+        """Start a killed instance again, at the address that peers know."""
+        known = self.instances[number]._deployment
+        fresh = self._deployment(known.instance)
+        again = dataclasses.replace(fresh, peer_port=known.peer_port)
+        return self._run(again)
+
     def add_instance(self, name: str) -> instance.Instance:
+        return self._run(self._deployment(name))
+
+    def _run(self, chosen: deployment.Deployment) -> instance.Instance:
         log = event_log.EventLog(
             steady_clock.SteadyClock(),
             os.open(os.devnull, os.O_WRONLY),
         )
-        made = instance.Instance(self._deployment(name), log)
+        made = instance.Instance(chosen, log)
         self.instances.append(made)
         self._tasks.append(asyncio.create_task(made.run()))
         return made
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -229,3 +229,14 @@
     world.store.is_down = False
     # The longest hold began within two seconds of the outage.
     await world.until(world.is_covered, limit_s=8)
+
+
+async def test_instance_that_starts_without_the_store_asks_its_peers(
+    world: typing.Any,
+) -> None:
+    await _started(world, instances=3)
+    world.store.is_down = True
+    await world.kill(2)
+    again = world.restart(2)
+    # As the configuration has to be in force within two seconds.
+    await world.until(lambda: again.is_ready, limit_s=2)
