Ask peers at once for a topic that was never read

Cause: PeerInbox asked for the configuration only once the store had been silent for 4 s, counted from the start of the process; the bound within which a configuration has to be in force is 2 s. Ruled out: addresses of peers, which are known from the first heartbeat of each.

--- a/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
@@ -16,7 +16,8 @@
 )
 
 _WANTED_PACE_MS = 250
-# A cut-off instance asks its peers for what the store would tell it.
+# An instance that lost the store asks its peers for what it would tell; one
+# that has yet to read a topic asks at once.
 _STORE_SILENT_MS = 4_000
 # What the coordinator hands on, so that others need not read it.
 _SHARED_TOPICS = frozenset((store_sync.OWNERS_TOPIC, store_sync.SERVERS_TOPIC))
@@ -159,7 +160,11 @@
             if mirror is None or end <= max(known, mirror.end):
                 continue
             self.read_further(topic, ids.Offset(end))
-            wants = topic in _SHARED_TOPICS or is_cut_off
+            wants = (
+                topic in _SHARED_TOPICS
+                or is_cut_off
+                or not mirror.is_complete
+            )
             last = self._wanted_at.get(topic, clock.LONG_AGO)
             if wants and now - last > _WANTED_PACE_MS:
                 self._wanted_at[topic] = now
