--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -1,7 +1,6 @@
 """Know the other instances and decide who coordinates."""
 
 import dataclasses
-import typing
 
 from sycamoreferry_core import clock, ids
 
@@ -127,15 +126,3 @@
 ) -> bool:
     """Tell whether a coordinator may still act on its last proof."""
     return now - proved_at < authority_ms
-
-
-def known_addresses(
-    records: typing.Mapping[ids.InstanceId, tuple[str, int]],
-    own: ids.InstanceId,
-) -> dict[ids.InstanceId, tuple[str, int]]:
-    """Return the addresses of the other instances."""
-    return {
-        instance: address
-        for instance, address in records.items()
-        if instance != own
-    }
--- a/packages/core/src/sycamoreferry_core/keyspace/owners.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/owners.py
@@ -33,9 +33,6 @@
         return self.first <= other.last and other.first <= self.last
 
 
-ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ownership:
     """Assign a range to one incarnation of a server under a fence."""
--- a/packages/core/src/sycamoreferry_core/traffic/routes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/routes.py
@@ -11,8 +11,6 @@
 HostName = typing.NewType('HostName', str)
 ConfigVersion = typing.NewType('ConfigVersion', int)
 
-NO_CONFIG_VERSION = ConfigVersion(0)
-
 
 @enum.unique
 class RouteKind(enum.Enum):
--- a/packages/gateway/src/sycamoreferry_gateway/__main__.py
+++ b/packages/gateway/src/sycamoreferry_gateway/__main__.py
@@ -8,7 +8,8 @@
 import uvloop
 
 from sycamoreferry_adapter import settings_file
-from sycamoreferry_gateway import event_log, instance, steady_clock
+from sycamoreferry_gateway import event_log, instance
+from sycamoreferry_ports import boot_clock
 
 BAD_SETTINGS_STATUS = 2
 _METRICS_PORT_VARIABLE = 'SYCAMOREFERRY_METRICS_PORT'
@@ -28,7 +29,7 @@
     except (OSError, ValueError) as error:
         sys.stderr.write(f'{path}: {error}\n')
         return BAD_SETTINGS_STATUS
-    log = event_log.EventLog(steady_clock.SteadyClock())
+    log = event_log.EventLog(boot_clock.BootClock())
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(instance.Instance(chosen, log).run())
     return 0
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -44,7 +44,6 @@
 
     failure: ExchangeFailure
     was_sent: bool
-    is_reused: bool = False
 
 
 Exchanged = http_messages.HttpReply | Failed
@@ -139,7 +138,6 @@
         self._accepts: AcceptsReply = _accept_any
         self._reader = _ReplyReader(self._complete)
         self._is_reusable = True
-        self._served = 0
         self._expires_at = clock.LONG_AGO
 
     @property
@@ -177,7 +175,6 @@
         except asyncio.CancelledError:
             self.abort()
             raise
-        self._served += 1
         return outcome
 
     def abort(self) -> None:
@@ -264,7 +261,7 @@
         *,
         was_sent: bool = True,
     ) -> Failed:
-        return Failed(failure, was_sent, self._served > 0)
+        return Failed(failure, was_sent)
 
 
 class ConnectionPool:
@@ -313,11 +310,6 @@
             else:
                 self._idle.pop(address)
 
-    def drop_address(self, address: deployment.Address) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
-
     def _take(self, address: deployment.Address) -> Connection | None:
         connections = self._idle.get(address)
         now = self._clock.now()
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -20,12 +20,12 @@
     peer_exchange,
     request_path,
     status_pages,
-    steady_clock,
     store_client,
     store_sync,
     telemetry,
     view,
 )
+from sycamoreferry_ports import boot_clock
 
 _LEAVING_BEAT_MS = 50
 _HOUSEKEEPING_MS = 500
@@ -44,7 +44,7 @@
     ) -> None:
         self._deployment = chosen
         self._log = log
-        self._clock = steady_clock.SteadyClock()
+        self._clock = boot_clock.BootClock()
         self._incarnation = time.time_ns()
         self._view = view.View(chosen, self._clock, log)
         self._loads = server_load.ServerLoads()
--- a/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
@@ -161,9 +161,7 @@
                 continue
             self.read_further(topic, ids.Offset(end))
             wants = (
-                topic in _SHARED_TOPICS
-                or is_cut_off
-                or not mirror.is_complete
+                topic in _SHARED_TOPICS or is_cut_off or not mirror.is_complete
             )
             last = self._wanted_at.get(topic, clock.LONG_AGO)
             if wants and now - last > _WANTED_PACE_MS:
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -20,8 +20,8 @@
     event_log,
     http_server,
     instance,
-    steady_clock,
 )
+from sycamoreferry_ports import boot_clock
 
 Headers = tuple[tuple[str, str], ...]
 LAST_KEY = 65_535
@@ -40,7 +40,7 @@
     """Serve HTTP on a free port of loopback."""
 
     def __init__(self) -> None:
-        self.clock = steady_clock.SteadyClock()
+        self.clock = boot_clock.BootClock()
         self._server = http_server.HttpServer(self.handle, self.clock)
         self.port = 0
 
@@ -338,7 +338,7 @@
 
     def _run(self, chosen: deployment.Deployment) -> instance.Instance:
         log = event_log.EventLog(
-            steady_clock.SteadyClock(),
+            boot_clock.BootClock(),
             os.open(os.devnull, os.O_WRONLY),
         )
         made = instance.Instance(chosen, log)
@@ -412,7 +412,7 @@
 def quiet_log() -> event_log.EventLog:
     """Return a log that nobody reads."""
     return event_log.EventLog(
-        steady_clock.SteadyClock(),
+        boot_clock.BootClock(),
         os.open(os.devnull, os.O_WRONLY),
     )
 
--- a/packages/gateway/tests/test_http_client.py
+++ b/packages/gateway/tests/test_http_client.py
@@ -9,7 +9,8 @@
 
 from sycamoreferry_core import http_messages
 from sycamoreferry_core.fleet import deployment
-from sycamoreferry_gateway import http_client, steady_clock
+from sycamoreferry_gateway import http_client
+from sycamoreferry_ports import boot_clock
 
 REQUEST = http_client.encode_request('GET', '/a', (('Host', 'b'),), b'')
 WHOLE = b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok'
@@ -63,7 +64,7 @@
         server = await asyncio.start_server(scripted.serve, '127.0.0.1', 0)
         servers.append(server)
         port = server.sockets[0].getsockname()[1]
-        pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+        pool = http_client.ConnectionPool(boot_clock.BootClock())
         return scripted, deployment.Address('127.0.0.1', port), pool
 
     yield start
@@ -170,7 +171,7 @@
 
 
 async def test_refused_connection_was_never_sent() -> None:
-    pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
     outcome = await _exchange(pool, deployment.Address('127.0.0.1', 1))
     assert isinstance(outcome, http_client.Failed)
     assert not outcome.was_sent
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -3,7 +3,8 @@
 import asyncio
 import typing
 
-from sycamoreferry_gateway import http_client, steady_clock
+from sycamoreferry_gateway import http_client
+from sycamoreferry_ports import boot_clock
 
 KEY = 4_000
 LONG_RELEASE_S = 10
@@ -28,7 +29,7 @@
         ),
         b'',
     )
-    pool = http_client.ConnectionPool(steady_clock.SteadyClock())
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
     address = made._deployment.request_address
     reply = await pool.exchange(address, payload, 3_000)
     assert not isinstance(reply, http_client.Failed)
