Give released keys back when the store refuses the new owner

A 503 or 429 of the store, or a call that was never sent, has no effect by the store's contract. After 400 ms of only such failures write_rows reports that the owners are as before, the ranges are let go and the next renewal grants them to the old owner under its fence; moves and new owners wait while writes are refused and are tried once a second. A write without an answer is handled as before. Test: test_released_keys_go_back_if_the_new_owner_cannot_be_written failed before (TimeoutError) and passes.

--- a/packages/core/src/sycamoreferry_core/fleet/store_records.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -57,11 +57,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreFailure:
-    """Tell that a call has no result; it may still be carried out later."""
+    """Tell that a call has no result; it may be carried out later."""
 
     trouble: StoreTrouble
     detail: str
 
+    @property
+    def has_no_effect(self) -> bool:
+        """Tell whether the call was surely not carried out."""
+        return self.trouble in {StoreTrouble.UNREACHABLE, StoreTrouble.REJECTED}
+
 
 class TopicMirror:
     """Keep the newest record of each key of a topic."""
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -167,9 +167,11 @@
         is_planning = now - self._planned_at >= _PLAN_PACE_MS
         if is_planning:
             self._planned_at = now
+        can_write = not self._terms.is_refused
         for service in self._keyed_services():
-            self._mover.relocate_lost(service)
-            self._mover.assign_gaps(service)
+            if can_write:
+                self._mover.relocate_lost(service)
+                self._mover.assign_gaps(service)
             self._grants.renew(service)
-            if is_planning:
+            if is_planning and can_write:
                 self._mover.balance(service)
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -246,11 +246,12 @@
             handover,
         )
         written = await self._terms.write_rows(service, [moved])
-        if written is None:
+        if written is None and not self._terms.has_authority:
             return
-        self.moves_made += 1
-        for granted in written:
+        for granted in written or ():
             await self._grants.grant(granted)
+            self.moves_made += 1
+        # Keys that could not be written go back with the next renewal.
         self._mark_moving(service, row.keys, is_over=True)
 
     async def _move(
--- a/packages/gateway/src/sycamoreferry_gateway/term_keeper.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import typing
 import uuid
 
@@ -23,6 +24,20 @@
 # While its proof ages, the coordinator grants for as long as is allowed.
 _PROOF_AGING_MS = 900
 _WRITE_RETRY_MS = 100
+# A store that refuses writes for longer is not waited for with keys released.
+_WRITE_PATIENCE_MS = 400
+# Then it is tried again at this pace.
+_REFUSED_RETRY_MS = 1_000
+
+
+@enum.unique
+class _Written(enum.Enum):
+    """Tell whether an assignment is in the store."""
+
+    PRESENT = 'present'
+    ABSENT = 'absent'
+    UNKNOWN = 'unknown'
+
 
 Announce = typing.Callable[[peer_messages.PeerMessage], None]
 
@@ -49,6 +64,16 @@
         self._given_up_term = ids.NO_TERM
         self._end = ids.FIRST_OFFSET
         self._proved_at = clock.LONG_AGO
+        # The first and the last of a row of writes that were refused.
+        self._refused_since = clock.LONG_AGO
+        self._refused_at = clock.LONG_AGO
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether the store has refused writes for a while."""
+        if self._clock.now() - self._refused_at >= _REFUSED_RETRY_MS:
+            return False
+        return self._refused_at - self._refused_since >= _WRITE_PATIENCE_MS
 
     @property
     def is_proof_aging(self) -> bool:
@@ -121,7 +146,7 @@
             },
         )
         asked_at = self._clock.now()
-        if not await self._append(claimed):
+        if await self._append(claimed) is not _Written.PRESENT:
             return False
         self._term = claimed.term
         self._proved_at = asked_at
@@ -143,27 +168,22 @@
         """Write new owners; return the rows with their fences.
 
         The rows' keys must be held back until the result is known, since a
-        write without an answer may still be carried out.
+        write without an answer may still be carried out. None means that the
+        owners are as before, or that the term was given up.
         """
         async with self._writing:
+            written = _Written.ABSENT
             while self.has_authority:
-                current = self._view.assignment
-                # The offset at which the record will lie is a fence above
-                # all that were written before.
-                fence = ids.Fence(self._end + 1)
-                fenced = [dataclasses.replace(row, fence=fence) for row in rows]
-                table = current.table(service)
-                for row in fenced:
-                    table = table.replace(row)
-                wanted = dataclasses.replace(
-                    current,
-                    write=uuid.uuid4().hex,
-                    tables={**current.tables, service: table},
-                )
+                fenced, wanted = self._with_rows(service, rows)
                 asked_at = self._clock.now()
-                if await self._append(wanted):
+                appended = await self._append(wanted)
+                if appended is _Written.PRESENT:
                     self._proved_at = max(self._proved_at, asked_at)
                     return fenced
+                if appended is _Written.UNKNOWN:
+                    written = appended
+                if self.is_refused and written is _Written.ABSENT:
+                    return None
                 await asyncio.sleep(clock.seconds(_WRITE_RETRY_MS))
             if self.is_coordinating:
                 # The write may still be carried out, so nothing may be
@@ -187,6 +207,27 @@
         """Hold no term any more."""
         self._term = ids.NO_TERM
 
+    def _with_rows(
+        self,
+        service: ids.ServiceName,
+        rows: typing.Sequence[owners.Ownership],
+    ) -> tuple[list[owners.Ownership], assignment.Assignment]:
+        """Return rows with their fence and the assignment that has them."""
+        current = self._view.assignment
+        # The offset at which the record will lie is a fence above all that
+        # were written before.
+        fence = ids.Fence(self._end + 1)
+        fenced = [dataclasses.replace(row, fence=fence) for row in rows]
+        table = current.table(service)
+        for row in fenced:
+            table = table.replace(row)
+        wanted = dataclasses.replace(
+            current,
+            write=uuid.uuid4().hex,
+            tables={**current.tables, service: table},
+        )
+        return fenced, wanted
+
     async def _adopt_newest(self, asked_at: clock.Millis) -> bool:
         listing = await self._client.newest(store_calls.OWNERS_TOPIC)
         if isinstance(listing, store_records.StoreFailure):
@@ -222,7 +263,7 @@
             until = clock.later(self._clock.now(), unknown_ms)
         book.assume_earlier_grants(until)
 
-    async def _append(self, wanted: assignment.Assignment) -> bool:
+    async def _append(self, wanted: assignment.Assignment) -> _Written:
         """Append an assignment at the known end; tell whether it is there."""
         content = assignment.encode_assignment(wanted)
         at = self._end
@@ -233,23 +274,38 @@
             at,
         )
         if isinstance(appended, store_records.Appended):
+            self._refused_at = clock.LONG_AGO
             self._take_written(appended.offset, content)
-            return True
+            return _Written.PRESENT
         if isinstance(appended, store_records.StoreFailure):
-            self._log.sample(
-                'coordinator',
-                'write has no result',
-                trouble=appended.trouble.value,
-                detail=appended.detail,
-                offset=at,
-            )
-            return False
+            return self._note_failure(appended, at)
         listing = await self._client.newest(store_calls.OWNERS_TOPIC)
         if isinstance(listing, store_records.StoreFailure):
-            return False
+            return _Written.UNKNOWN
         self._end = listing.end
         self._view.replace(store_calls.OWNERS_TOPIC, listing)
-        return self._view.assignment.write == wanted.write
+        is_there = self._view.assignment.write == wanted.write
+        return _Written.PRESENT if is_there else _Written.ABSENT
+
+    def _note_failure(
+        self,
+        failure: store_records.StoreFailure,
+        at: ids.Offset,
+    ) -> _Written:
+        self._log.sample(
+            'coordinator',
+            'write has no result',
+            trouble=failure.trouble.value,
+            detail=failure.detail,
+            offset=at,
+        )
+        if not failure.has_no_effect:
+            return _Written.UNKNOWN
+        now = self._clock.now()
+        if now - self._refused_at >= _REFUSED_RETRY_MS:
+            self._refused_since = now
+        self._refused_at = now
+        return _Written.ABSENT
 
     def _take_written(self, offset: ids.Offset, content: bytes) -> None:
         self._end = ids.Offset(offset + 1)
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -68,6 +68,7 @@
         super().__init__()
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.is_down = False
+        self.refuses_appends = False
         self.lose_answers = 0
         self.appends = 0
         self._news = asyncio.Event()
@@ -92,6 +93,8 @@
         if request.path == '/log-read':
             return await self._read(query)
         self.appends += 1
+        if self.refuses_appends:
+            return _answer(503)
         return await self._append(query, request.body)
 
     def _newest(
@@ -172,6 +175,9 @@
         self.drops = 0
         self.sequence = 0
         self.loses_grants = 0
+        self.work_s = 0.0
+        self.running = 0
+        self.most_running = 0
         self._store = store
 
     def register(self, state: str = 'ready') -> None:
@@ -210,6 +216,10 @@
             return await self._grant(json.loads(request.body))
         if request.path == '/release':
             return self._release(json.loads(request.body))
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        await asyncio.sleep(self.work_s)
+        self.running -= 1
         return self._run(request)
 
     async def _grant(
@@ -391,6 +401,8 @@
             store_address=deployment.Address('127.0.0.1', self.store.port),
             heartbeat_ms=870,
             max_descriptors=1_000,
+            cores=1,
+            link_mbps=100,
             bounds=deployment.Bounds(
                 drain_ms=2_000,
                 grace_ms=6_000,
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from sycamoreferry_core.keyspace import placement
 from sycamoreferry_gateway import http_client
 from sycamoreferry_ports import boot_clock
 
@@ -146,6 +147,30 @@
     assert world.is_covered()
 
 
+async def test_released_keys_go_back_if_the_new_owner_cannot_be_written(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    leader = next(
+        one for one in world.instances if one._coordinator.is_coordinating
+    )
+    row = leader._view.owner_of('keys', KEY)
+    other = next(
+        known.life
+        for known in leader._view.servers_of('keys')
+        if known.life != row.owner
+    )
+    world.store.refuses_appends = True
+    move = placement.Move(row.keys, row.owner, other)
+    leader._coordinator._mover._start_move('keys', row, move, 1)
+    await world.until(lambda: not world.owners(KEY), limit_s=1)
+    await world.until(
+        lambda: world.owners(KEY) == [row.owner.server],
+        limit_s=1.5,
+    )
+    await world.until(lambda: _knows_owners(world), limit_s=0.5)
+
+
 async def test_next_coordinator_keeps_the_owners(world: typing.Any) -> None:
     await _started(world, instances=3)
     owners = world.owners(KEY)
