Call the store less often where there are many instances

Reads of the list now pause for 300 ms, times the number of instances by 30, and refused calls are repeated at a pace that grows in the same way. Up to 30 instances nothing but the pause changes.

--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -25,6 +25,7 @@
 # A connection that goes silent is noticed after this and the call's timeout.
 _CONFIG_WAIT_MS = 5_000
 _INSTANCES_WAIT_MS = 15_000
+_INSTANCES_PACE_MS = 300
 _RETRY_MS = 250
 _RETRY_DOWN_MS = 500
 
@@ -100,7 +101,11 @@
             self._client.drop_idle()
             self._sharing.hand_on_servers(self._view.take_server_news())
             await self._pause_reading(
-                longest_ms=(_RELIEVED_PACE_MS if was_read else _SERVERS_PACE_MS)
+                longest_ms=(
+                    _RELIEVED_PACE_MS
+                    if was_read
+                    else self._pace(_SERVERS_PACE_MS)
+                )
             )
 
     async def follow_config(self) -> None:
@@ -124,12 +129,13 @@
                 await self._step(store_calls.CONFIG_TOPIC, 0)
 
     async def follow_instances(self) -> None:
-        """Wait for instances that start."""
+        """Wait for instances that start; many start together."""
         while True:
             await self._step(
                 store_calls.INSTANCES_TOPIC,
-                _INSTANCES_WAIT_MS,
+                self._pace(_INSTANCES_WAIT_MS),
             )
+            await asyncio.sleep(clock.seconds(self._pace(_INSTANCES_PACE_MS)))
 
     async def load_owners(self) -> None:
         """Read the assignment once; later ones come from peers."""
@@ -180,5 +186,5 @@
                 self._view.replace(topic, listing)
                 return True
         pause = _RETRY_DOWN_MS if self._client.is_down else _RETRY_MS
-        await asyncio.sleep(clock.seconds(pause))
+        await asyncio.sleep(clock.seconds(self._pace(pause)))
         return False
