Count the room at servers at one instance where there are many

Cause: with more than 16 peers each instance knew the load of the others up to half a second late. One single key at 166 requests a second sent up to 1,360 resets to one server; without keys, all instances chose the server that had looked idle. Ruled out: connections over the cap as the main cause (they follow from long queues).

One instance, by weighted highest random weight, counts for each owner of keys and for each pool of up to 64 equal servers; others ask it for room and wait there in turn (core traffic/permits, fleet/homes). Returns are confirmed and repeated. The instance that counts, and the coordinator, are preferably large ones: a coordinator on a link of 10 Mbit/s was replaced six times in ten seconds, as each write of the assignment goes to 70 peers. A change of authority is told at once instead of with the next sign of life (first claim after a loss 1.2 s before, 0.1 s after).

--- a/packages/core/src/sycamoreferry_core/fleet/deployment.py
+++ b/packages/core/src/sycamoreferry_core/fleet/deployment.py
@@ -43,4 +43,11 @@
     store_address: Address
     heartbeat_ms: int
     max_descriptors: int
+    cores: float
+    link_mbps: float
     bounds: Bounds
+
+    @property
+    def counting_weight(self) -> float:
+        """Return how much counting for others this instance can bear."""
+        return self.cores * self.link_mbps
--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -25,13 +25,15 @@
     is_leaving: bool
     store_age_ms: int
     has_authority: bool
+    counting_weight: float
 
 
 class Peers:
     """Track the instances that are heard."""
 
-    def __init__(self, own: ids.InstanceId) -> None:
+    def __init__(self, own: ids.InstanceId, counting_weight: float) -> None:
         self._own = own
+        self._own_weight = counting_weight
         self.silence_ms = SILENCE_MS
         self._peers: dict[ids.InstanceId, PeerStatus] = {}
 
@@ -59,13 +61,18 @@
         return 1 + len(self.alive(now))
 
     def rank(self, now: clock.Millis) -> int:
-        """Return this instance's place among those that can coordinate."""
+        """Return this instance's place among those that can coordinate.
+
+        The orders and reports of many instances fill the link of a small one,
+        so larger ones come first.
+        """
+        own = (-self._own_weight, self._own)
         able = [
-            peer.instance
+            (-peer.counting_weight, peer.instance)
             for peer in self.alive(now)
             if not peer.is_leaving and peer.store_age_ms < _STORE_FRESH_MS
         ]
-        return sum(1 for instance in able if instance < self._own)
+        return sum(1 for place in able if place < own)
 
 
 # Followers call the store every few seconds, the coordinator twice a second.
--- a/packages/core/src/sycamoreferry_core/traffic/choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/choice.py
@@ -35,11 +35,13 @@
     excluded: frozenset[ids.ServerId]
     now: clock.Millis
     has_large_answer: bool = False
+    # The requests at each server, where they are counted exactly.
+    counted: typing.Mapping[ids.ServerId, int] | None = None
 
 
-def capacity(server: servers.BackendServer) -> int:
+def capacity_of(slots: int) -> int:
     """Return how many requests a server may be sent at once."""
-    return server.slots + max(1, server.slots // _SLOTS_PER_WAITING)
+    return slots + max(1, slots // _SLOTS_PER_WAITING)
 
 
 def has_room(
@@ -49,7 +51,7 @@
 ) -> bool:
     """Tell whether a server can take one more request."""
     server_id = server.life.server
-    return loads.total_in_flight(server_id, now) < capacity(server)
+    return loads.total_in_flight(server_id, now) < capacity_of(server.slots)
 
 
 def choose_server(
@@ -68,7 +70,7 @@
         for server in candidates
         if server.is_ready
         and server.life.server not in choosing.excluded
-        and has_room(server, loads, now)
+        and _busy(server, loads, choosing) < capacity_of(server.slots)
     ]
     sound = [
         server
@@ -93,7 +95,7 @@
     choosing: Choosing,
 ) -> float:
     """Return the expected duration of one more request in milliseconds."""
-    busy = loads.total_in_flight(server.life.server, choosing.now)
+    busy = _busy(server, loads, choosing)
     duration = loads.duration_ms(server)
     if server.warmup_ms > 0:
         duration = max(
@@ -108,3 +110,13 @@
             _LARGE_DISTANCE_MS if choosing.has_large_answer else _DISTANCE_MS
         )
     return cost
+
+
+def _busy(
+    server: servers.BackendServer,
+    loads: server_load.ServerLoads,
+    choosing: Choosing,
+) -> int:
+    if choosing.counted is None:
+        return loads.total_in_flight(server.life.server, choosing.now)
+    return choosing.counted.get(server.life.server, 0)
--- a/packages/core/src/sycamoreferry_core/traffic/waiting.py
+++ b/packages/core/src/sycamoreferry_core/traffic/waiting.py
@@ -32,6 +32,8 @@
     ends_at: clock.Millis
     excluded: frozenset[ids.ServerId] = frozenset()
     has_large_answer: bool = False
+    # Where the request came in.
+    data_centre: ids.DataCentre = ids.DataCentre('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/fleet/test_instances.py
+++ b/packages/core/tests/fleet/test_instances.py
@@ -16,6 +16,7 @@
     is_leaving: bool = False,
     store_age_ms: int = 0,
     has_authority: bool = True,
+    counting_weight: float = 1,
 ) -> instances.PeerStatus:
     return instances.PeerStatus(
         name,
@@ -24,6 +25,7 @@
         is_leaving,
         store_age_ms,
         has_authority,
+        counting_weight=counting_weight,
     )
 
 
@@ -47,13 +49,13 @@
 
 
 def test_coordinator_that_is_heard_is_not_replaced() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     claimed = _claims_at(_view(), peers, (LEADER, OTHER))
     assert claimed is None
 
 
 def test_silent_coordinator_is_replaced_within_two_seconds() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     peers.hear(_status(LEADER, START))
     claimed = _claims_at(_view(), peers)
     assert claimed is not None
@@ -62,17 +64,17 @@
 
 def test_coordinator_lost_with_all_others_is_replaced_soon() -> None:
     # After a loss of power nobody has heard the coordinator since the start.
-    claimed = _claims_at(_view(), instances.Peers(OWN))
+    claimed = _claims_at(_view(), instances.Peers(OWN, 1))
     assert claimed is not None
     assert claimed <= 600
 
 
 def test_instance_claims_its_own_earlier_term_at_once() -> None:
-    assert _claims_at(_view(is_own=True), instances.Peers(OWN)) == 0
+    assert _claims_at(_view(is_own=True), instances.Peers(OWN, 1)) == 0
 
 
 def test_leaving_coordinator_is_replaced_at_once() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     peers.hear(_status(LEADER, START, is_leaving=True))
     claimed = _claims_at(_view(), peers)
     assert claimed is not None
@@ -80,7 +82,7 @@
 
 
 def test_coordinator_without_store_is_replaced() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     for elapsed in range(0, 4_000, 50):
         now = clock.Millis(START + elapsed)
         peers.hear(
@@ -99,7 +101,7 @@
 
 
 def test_instance_that_hears_nobody_waits_longer() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     peers.hear(_status(LEADER, START))
     alone = _claims_at(_view(), peers, ())
     assert alone is not None
@@ -107,17 +109,26 @@
 
 
 def test_ranks_spread_the_claims() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     peers.hear(_status(LEADER, START))
     second = _claims_at(_view(), peers, (ids.InstanceId('aa'), OTHER))
-    first = _claims_at(_view(), instances.Peers(OWN), (OTHER,))
+    first = _claims_at(_view(), instances.Peers(OWN, 1), (OTHER,))
     assert first is not None
     assert second is not None
     assert second > first
 
 
+def test_larger_instance_claims_first() -> None:
+    small = instances.Peers(OWN, 1)
+    large = instances.Peers(OWN, 4)
+    for peers in (small, large):
+        peers.hear(_status(OTHER, START, counting_weight=2))
+    assert large.rank(START) == 0
+    assert small.rank(START) == 1
+
+
 def test_older_incarnation_is_ignored() -> None:
-    peers = instances.Peers(OWN)
+    peers = instances.Peers(OWN, 1)
     newer = _status(LEADER, START)
     newer.incarnation = 2
     peers.hear(newer)
--- a/packages/gateway/src/sycamoreferry_gateway/backlogs.py
+++ b/packages/gateway/src/sycamoreferry_gateway/backlogs.py
@@ -81,8 +81,16 @@
         own_waiting: int,
     ) -> Rejected:
         """Return why a request is rejected and when to come back."""
-        now = self._view.clock.now()
         backlog = self.backlog(request, own_waiting)
+        return self.rejection_behind(request, backlog)
+
+    def rejection_behind(
+        self,
+        request: waiting.WaitingRequest,
+        backlog: waiting.Backlog,
+    ) -> Rejected:
+        """Return the rejection of a request behind a known backlog."""
+        now = self._view.clock.now()
         retry_after = waiting.return_after_ms(
             request.ends_at - now,
             backlog,
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -7,7 +7,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
 from sycamoreferry_core.traffic import choice, server_load, waiting
-from sycamoreferry_gateway import backlogs, view
+from sycamoreferry_gateway import backlogs, permit_requests, view
 
 # How often waiting requests look for room that nobody told of.
 _TICK_MS = 20
@@ -34,17 +34,26 @@
         self._is_due = False
         self._random = random.Random()
         self._backlogs = backlogs.Backlogs(folded, loads, self._random)
+        self.permits = permit_requests.PermitRequests(
+            folded,
+            loads,
+            self._backlogs,
+            folded.log,
+        )
 
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait."""
-        return sum(len(rows) for rows in self._tickets.values())
+        held = sum(len(rows) for rows in self._tickets.values())
+        return held + self.permits.waiting_count
 
     async def acquire(
         self,
         request: waiting.WaitingRequest,
     ) -> servers.BackendServer | backlogs.Rejected:
         """Wait for a server with room; its load counts the request."""
+        if self.permits.is_in_use:
+            return await self._acquire_permit(request)
         tickets = self._tickets.get(request.service)
         if not tickets:
             server = self._place(request)
@@ -63,9 +72,16 @@
             self._withdraw(ticket)
             raise
 
-    def release(self, server: ids.ServerId) -> None:
+    def release(
+        self,
+        request: waiting.WaitingRequest,
+        server: ids.ServerId,
+        *,
+        has_failed: bool = False,
+    ) -> None:
         """Give back the room of a request that ended."""
         self._loads.finish(server)
+        self.permits.give_back(request, server if has_failed else None)
         self.wake()
 
     def wake(self) -> None:
@@ -73,7 +89,7 @@
         if self._is_due or not self._tickets:
             return
         self._is_due = True
-        asyncio.get_running_loop().call_soon(self._run_due)
+        asyncio.get_running_loop().call_soon(self.pump)
 
     async def tick_forever(self) -> None:
         """Look for room and end waits that are over."""
@@ -84,14 +100,22 @@
 
     def pump(self) -> None:
         """Send waiting requests in turn while there is room."""
+        self._is_due = False
         now = self._view.clock.now()
         for service, tickets in list(self._tickets.items()):
             self._pump_service(service, tickets, now)
         self._report_waiting()
 
-    def _run_due(self) -> None:
-        self._is_due = False
-        self.pump()
+    async def _acquire_permit(
+        self,
+        request: waiting.WaitingRequest,
+    ) -> permit_requests.Found:
+        if self.waiting_count >= _MOST_WAITING:
+            return self._backlogs.rejection(request, 0)
+        found = await self.permits.acquire(request)
+        if isinstance(found, servers.BackendServer):
+            self._loads.start(found.life.server)
+        return found
 
     def _pump_service(
         self,
@@ -160,7 +184,7 @@
         elif ticket.result.done() and not ticket.result.cancelled():
             granted = ticket.result.result()
             if isinstance(granted, servers.BackendServer):
-                self.release(granted.life.server)
+                self.release(ticket.request, granted.life.server)
 
     def _place(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -18,6 +18,7 @@
     http_client,
     http_server,
     peer_exchange,
+    permit_counter,
     request_path,
     status_pages,
     store_client,
@@ -80,6 +81,14 @@
             self._exchange,
         )
         self._exchange.inbox.read_further = self._sync.peer_read_further
+        self._counter = permit_counter.PermitCounter(
+            self._view,
+            self._loads,
+            self._exchange.post,
+        )
+        self._exchange.inbox.counter = self._counter
+        self._exchange.inbox.permits = self._queue.permits
+        self._queue.permits.returns.post = self._exchange.post
         self._coordinator: coordinator.Coordinator = coordinator.Coordinator(
             self._view,
             self._store,
@@ -137,6 +146,8 @@
             self._coordinator.run,
             self._coordinator.prove_forever,
             self._queue.tick_forever,
+            self._counter.sweep_forever,
+            self._queue.permits.returns.repeat_forever,
             self._server.sweep_forever,
             self._exchange.send_forever,
             self._keep_house,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -127,6 +127,20 @@
         """Send a message to all other instances."""
         self._link.send_all(message, self._view.peer_addresses.values())
 
+    def post(
+        self,
+        instance: ids.InstanceId,
+        message: peer_messages.PeerMessage,
+    ) -> None:
+        """Send a message to one instance, which may be this one."""
+        chosen = self._view.deployment
+        if instance == chosen.instance:
+            self.inbox.take(message, (chosen.host, chosen.peer_port))
+            return
+        address = self._view.peer_addresses.get(instance)
+        if address is not None:
+            self._link.send(message, address)
+
     def send_heartbeat(self) -> None:
         """Tell peers what changed since the last heartbeat."""
         plan = self._spread_plan()
@@ -143,7 +157,9 @@
         now = self._clock.now()
         is_hub = self._coordination().has_authority or self.is_leaving
         pause = plan.summary_ms if is_hub else plan.life_ms
-        if now - self._told_at >= pause:
+        state = (beat.is_leaving, beat.has_authority, beat.given_up_term)
+        if state != self._told or now - self._told_at >= pause:
+            self._told = state
             self._told_at = now
             beat.loads = None
             self.announce(beat)
@@ -183,6 +199,7 @@
             is_leaving=self.is_leaving,
             store_age_ms=self._store.silent_ms(),
             has_authority=self._coordination().has_authority,
+            counting_weight=self._view.deployment.counting_weight,
             given_up_term=given_up_term,
             leases_ms=leases_ms,
             ends=list(self._view.ends().values()),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
@@ -10,6 +10,8 @@
 from sycamoreferry_gateway import (
     coordinator,
     peer_messages,
+    permit_counter,
+    permit_requests,
     store_client,
     store_sync,
     view,
@@ -45,6 +47,8 @@
         self._send = send
         self._wanted_at: dict[store_records.TopicName, clock.Millis] = {}
         self.read_further: store_sync.ReadFurther = _ignore_further
+        self.counter: permit_counter.PermitCounter | None = None
+        self.permits: permit_requests.PermitRequests | None = None
 
     @functools.singledispatchmethod
     def take(self, message: object, sender: _Address) -> None:
@@ -69,6 +73,7 @@
                 beat.is_leaving,
                 beat.store_age_ms,
                 beat.has_authority,
+                beat.counting_weight,
             ),
         )
         if beat.given_up_term:
@@ -147,6 +152,30 @@
         service = ids.ServiceName(message.service)
         self._view.mark_moving(service, keys, is_over=message.is_over)
 
+    @take.register
+    def _(self, message: peer_messages.PermitAsk, sender: _Address) -> None:
+        if self.counter is not None:
+            self.counter.take_ask(message)
+
+    @take.register
+    def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
+        if self.counter is not None:
+            self.counter.take_return(message)
+
+    @take.register
+    def _(self, message: peer_messages.PermitAnswer, sender: _Address) -> None:
+        if self.permits is not None:
+            self.permits.take_answer(message)
+
+    @take.register
+    def _(
+        self,
+        message: peer_messages.PermitReturned,
+        sender: _Address,
+    ) -> None:
+        if self.permits is not None:
+            self.permits.returns.take_returned(message)
+
     def _ask_for_newer(
         self,
         beat: peer_messages.Heartbeat,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -36,6 +36,8 @@
     is_leaving: bool
     store_age_ms: int
     has_authority: bool
+    # How much counting for others the sender can bear.
+    counting_weight: float
     # The term that the sender gave up last, and how long its leases last.
     given_up_term: int
     leases_ms: int
@@ -91,13 +93,70 @@
     is_over: bool
 
 
+class PermitAsk(msgspec.Struct, array_like=True, tag='permit-ask'):
+    """Ask for room; times are in milliseconds from now."""
+
+    instance: str
+    number: int
+    line: str
+    # Any server of the service's pool will do if no server is named.
+    server: str
+    service: str
+    pool: int
+    slots: int
+    duration_ms: float
+    priority: int
+    waited_ms: int
+    objective_in_ms: int
+    ends_in_ms: int
+    data_centre: str
+    excluded: list[str]
+    has_large_answer: bool
+
+
+class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
+    """Tell what becomes of a request for room."""
+
+    number: int
+    verdict: str
+    server: str
+    ahead: int
+    slots: float
+    duration_ms: float
+
+
+class PermitReturn(msgspec.Struct, array_like=True, tag='permit-return'):
+    """Give back room, or stop waiting for it."""
+
+    instance: str
+    number: int
+    line: str
+    # The server that failed the request, if one did.
+    failed: str
+
+
+class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
+    """Confirm that room was given back."""
+
+    number: int
+
+
 PeerMessage = (
-    Heartbeat | Demand | LoadSummary | Records | RecordsWanted | KeysMoving
+    Heartbeat
+    | Demand
+    | LoadSummary
+    | Records
+    | RecordsWanted
+    | KeysMoving
+    | PermitAsk
+    | PermitAnswer
+    | PermitReturn
+    | PermitReturned
 )
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(
-    Heartbeat | Demand | LoadSummary | Records | RecordsWanted | KeysMoving,
+    PeerMessage,
 )
 
 
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_counter.py
@@ -0,0 +1,169 @@
+"""Count the requests at servers for all instances and answer who asks."""
+
+import asyncio
+import functools
+import random
+import typing
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import homes, servers
+from sycamoreferry_core.traffic import choice, permits, server_load, waiting
+from sycamoreferry_gateway import peer_messages, view
+
+# How often waits that are over are looked for.
+_SWEEP_MS = 50
+
+Post = typing.Callable[[ids.InstanceId, peer_messages.PeerMessage], None]
+
+
+class PermitCounter:
+    """Give out room at the servers that this instance counts for."""
+
+    def __init__(
+        self,
+        folded: view.View,
+        loads: server_load.ServerLoads,
+        post: Post,
+    ) -> None:
+        self._view = folded
+        self._clock = folded.clock
+        self._loads = loads
+        self._post = post
+        self._desk = permits.PermitDesk()
+        self._random = random.Random()
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait here, of all instances."""
+        return self._desk.waiting_count
+
+    async def sweep_forever(self) -> None:
+        """Answer waits that are over."""
+        while True:
+            await asyncio.sleep(clock.seconds(_SWEEP_MS))
+            self._answer(self._desk.sweep(self._clock.now()))
+
+    def take_ask(self, asked: peer_messages.PermitAsk) -> None:
+        """Grant room, let the request wait, or reject it."""
+        now = self._clock.now()
+        supply = self._single(asked) if asked.server else self._pool(asked)
+        decided = self._desk.ask(
+            permits.LineName(asked.line),
+            _permit_of(asked),
+            _request_of(asked, now),
+            supply,
+            now,
+        )
+        self._answer(decided)
+
+    def take_return(self, returned: peer_messages.PermitReturn) -> None:
+        """Give the room to the next request in turn."""
+        now = self._clock.now()
+        if returned.failed:
+            self._loads.learn_failure(ids.ServerId(returned.failed), now)
+        decided = self._desk.give_back(
+            permits.LineName(returned.line),
+            _permit_of(returned),
+            now,
+        )
+        self._post(
+            ids.InstanceId(returned.instance),
+            peer_messages.PermitReturned(returned.number),
+        )
+        self._answer(decided)
+
+    def _single(self, asked: peer_messages.PermitAsk) -> permits.Supply:
+        """Return the room of the owner of a key."""
+        server_id = ids.ServerId(asked.server)
+        server = self._view.fleet.get(server_id)
+        duration = asked.duration_ms
+        if server is not None:
+            duration = self._loads.duration_ms(server)
+        capacity = choice.capacity_of(asked.slots)
+        choose = functools.partial(_choose_owner, server_id, capacity)
+        return permits.Supply(asked.slots, capacity, duration, choose)
+
+    def _pool(self, asked: peer_messages.PermitAsk) -> permits.Supply:
+        """Return the room of a pool of equal servers."""
+        service = ids.ServiceName(asked.service)
+        known = self._view.servers_of(service)
+        pools = homes.pools_of(len(known))
+        members = [
+            server
+            for server in known
+            if homes.pool_of(server.life.server, pools) == asked.pool % pools
+        ]
+        ready = [server.slots for server in members if server.is_ready]
+        return permits.Supply(
+            slots=sum(ready),
+            capacity=sum(choice.capacity_of(slots) for slots in ready),
+            duration_ms=self._loads.service_ms(service),
+            choose=functools.partial(self._choose, members),
+        )
+
+    def _choose(
+        self,
+        members: typing.Sequence[servers.BackendServer],
+        request: waiting.WaitingRequest,
+        counted: typing.Mapping[ids.ServerId, int],
+    ) -> ids.ServerId | None:
+        chosen = choice.choose_server(
+            members,
+            self._loads,
+            choice.Choosing(
+                request.data_centre,
+                request.excluded,
+                self._clock.now(),
+                request.has_large_answer,
+                counted,
+            ),
+            self._random.random,
+        )
+        return None if chosen is None else chosen.life.server
+
+    def _answer(self, decided: list[permits.PermitDecision]) -> None:
+        for decision in decided:
+            answer = peer_messages.PermitAnswer(
+                decision.permit.number,
+                decision.verdict.value,
+                decision.server or '',
+                decision.backlog.ahead,
+                decision.backlog.slots,
+                decision.backlog.duration_ms,
+            )
+            self._post(decision.permit.instance, answer)
+
+
+def _choose_owner(
+    owner: ids.ServerId,
+    capacity: int,
+    _request: waiting.WaitingRequest,
+    counted: typing.Mapping[ids.ServerId, int],
+) -> ids.ServerId | None:
+    return owner if counted.get(owner, 0) < capacity else None
+
+
+def _request_of(
+    asked: peer_messages.PermitAsk,
+    now: clock.Millis,
+) -> waiting.WaitingRequest:
+    return waiting.WaitingRequest(
+        service=ids.ServiceName(asked.service),
+        key=None,
+        priority=asked.priority,
+        arrived=clock.later(now, -asked.waited_ms),
+        objective_at=clock.later(now, asked.objective_in_ms),
+        ends_at=clock.later(now, asked.ends_in_ms),
+        excluded=frozenset(ids.ServerId(one) for one in asked.excluded),
+        has_large_answer=asked.has_large_answer,
+        data_centre=ids.DataCentre(asked.data_centre),
+    )
+
+
+def _permit_of(
+    message: peer_messages.PermitAsk | peer_messages.PermitReturn,
+) -> permits.PermitId:
+    return permits.PermitId(
+        ids.InstanceId(message.instance),
+        permits.PermitNumber(message.number),
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -170,6 +170,7 @@
             ),
             ends_at=journey.ends_at,
             has_large_answer=(journey.route.kind is routes.RouteKind.DOWNLOAD),
+            data_centre=self._view.deployment.data_centre,
         )
         while True:
             before = self._view.clock.now()
@@ -182,7 +183,7 @@
                     found.reason,
                     found.retry_after_ms,
                 )
-            made = await self._try(journey, found)
+            made = await self._try(journey, wanted, found)
             journey.tries.append(made)
             ending = self._conclude(journey, made)
             if ending is not None:
@@ -195,15 +196,22 @@
     async def _try(
         self,
         journey: journeys.Journey,
+        wanted: waiting.WaitingRequest,
         server: servers.BackendServer,
     ) -> journeys.Try:
         started = self._view.clock.now()
         in_flight = self._loads.total_in_flight(server.life.server, started)
         begins_at_once = in_flight <= server.slots
+        has_failed = False
         try:
             made = await self._send(journey, server, started)
+            has_failed = made.result is not journeys.TryResult.ANSWERED
         finally:
-            self._queue.release(server.life.server)
+            self._queue.release(
+                wanted,
+                server.life.server,
+                has_failed=has_failed,
+            )
         # Time spent waiting at the server says nothing of its speed.
         if made.result is journeys.TryResult.ANSWERED and begins_at_once:
             elapsed = self._view.clock.now() - started
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -33,7 +33,7 @@
         self.log = log
         self.mirrors = {topic: store_records.TopicMirror() for topic in _TOPICS}
         self.fleet = servers.ServerFleet()
-        self.peers = instances.Peers(chosen.instance)
+        self.peers = instances.Peers(chosen.instance, chosen.counting_weight)
         self.crashes = crashes.CrashHistory()
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
--- /dev/null
+++ b/packages/gateway/tests/test_permits.py
@@ -0,0 +1,133 @@
+"""Share the room of servers among instances too many for a full mesh."""
+
+import asyncio
+import typing
+
+import pytest
+
+from sycamoreferry_core.fleet import spreading
+from sycamoreferry_core.traffic import choice
+from sycamoreferry_gateway import http_client, peer_messages
+from sycamoreferry_ports import boot_clock
+
+KEY = 4_000
+SLOTS = 2
+OBJECTIVE_MS = 500
+ASSUMED_MS = 100
+INSTANCES = 4
+
+
+@pytest.fixture(autouse=True)
+def _no_mesh(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(spreading, '_MESH_PEERS', 0)
+
+
+async def _call(world: typing.Any, number: int, request_id: str) -> int:
+    made = world.instances[number % INSTANCES]
+    payload = http_client.encode_request(
+        'GET',
+        '/k/a',
+        (
+            ('Host', 'h'),
+            ('Request-Id', request_id),
+            ('Deadline-Ms', '3000'),
+            ('Shard-Key', str(KEY)),
+        ),
+        b'',
+    )
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
+    address = made._deployment.request_address
+    reply = await pool.exchange(address, payload, 4_000)
+    assert not isinstance(reply, http_client.Failed)
+    return reply.status
+
+
+async def _started(world: typing.Any) -> None:
+    await world.start(servers=2, instances=INSTANCES)
+    await world.until(world.is_covered)
+    await world.until(
+        lambda: all(
+            one.is_ready
+            and len(one._view.peer_addresses) == INSTANCES - 1
+            and one._view.owner_of('keys', KEY) is not None
+            for one in world.instances
+        ),
+    )
+
+
+def _owner(world: typing.Any) -> typing.Any:
+    (name,) = world.owners(KEY)
+    return next(one for one in world.servers if one.name == name)
+
+
+async def test_one_key_through_many_instances_does_not_overrun_its_server(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    server = _owner(world)
+    server.work_s = 0.05
+    statuses = await asyncio.gather(
+        *(_call(world, number, f'r{number}') for number in range(40)),
+    )
+    assert server.most_running <= choice.capacity_of(SLOTS)
+    # What two slots can run before the objective if a request takes 100 ms,
+    # as is assumed before the first answers.
+    possible = SLOTS * (OBJECTIVE_MS - ASSUMED_MS) // ASSUMED_MS
+    assert statuses.count(200) >= possible
+    assert set(statuses) <= {200, 503}
+
+
+async def test_returns_that_are_lost_are_repeated(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    lost: list[int] = []
+    for made in world.instances:
+        sending = made._queue.permits.returns
+        sending.post = _Losing(sending.post, lost)
+    server = _owner(world)
+    server.work_s = 0.02
+    for number in range(3 * choice.capacity_of(SLOTS)):
+        assert await _call(world, number, f'r{number}') == 200
+    assert lost
+    await world.until(
+        lambda: (
+            not any(
+                made._queue.permits.returns.open_count
+                for made in world.instances
+            )
+        ),
+        limit_s=1,
+    )
+
+
+async def test_counting_instance_that_is_gone_is_passed_over(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    asking = world.instances[0]
+    line = _owner(world).name
+    asking._queue.permits._refresh_homes()
+    home = asking._queue.permits._homes.get(line)
+    number = [one._deployment.instance for one in world.instances].index(home)
+    others = [each for each in range(INSTANCES) if each != number]
+    await world.kill(number)
+    for each in others:
+        assert await _call(world, each, f'r{each}') == 200
+
+
+class _Losing:
+    """Lose the first of each return."""
+
+    def __init__(self, post: typing.Any, lost: list[int]) -> None:
+        self._post = post
+        self._lost = lost
+        self._seen: set[int] = set()
+
+    def __call__(self, instance: typing.Any, message: typing.Any) -> None:
+        is_return = isinstance(message, peer_messages.PermitReturn)
+        if is_return and message.number not in self._seen:
+            self._seen.add(message.number)
+            self._lost.append(message.number)
+            return
+        self._post(instance, message)
