Write the owners that wait for the store in one record

Rows that wait for a write now share the next record; a plan may have one move for every three servers. Test: test_rows_written_at_once_share_a_record (20 rows, failed with 20 appends).

--- a/packages/core/src/sycamoreferry_core/keyspace/placement.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/placement.py
@@ -24,6 +24,8 @@
     # Moves smaller than this many slots do not repay their interruption.
     least_gain_slots: float = 0.08
     moves_at_once: int = 12
+    # Where there are many servers, one for every so many of them.
+    servers_per_move: int = 3
     # A key that no server can run alone moves only to a clearly better one.
     rehoming_share: float = 0.8
 
@@ -118,7 +120,8 @@
     mean = sum(plan.load.values()) / sum(plan.capacity.values())
     moves: list[Move] = []
     exhausted: set[servers.ServerLife] = set()
-    while len(moves) < policy.moves_at_once:
+    most = max(policy.moves_at_once, len(capacities) // policy.servers_per_move)
+    while len(moves) < most:
         candidates = [life for life in plan.load if life not in exhausted]
         if not candidates:
             break
--- a/packages/gateway/src/sycamoreferry_gateway/term_keeper.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_keeper.py
@@ -39,6 +39,16 @@
     UNKNOWN = 'unknown'
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _RowsWanted:
+    """Hold rows to be written, and what they became."""
+
+    service: ids.ServiceName
+    rows: typing.Sequence[owners.Ownership]
+    written: list[owners.Ownership] | None = None
+
+
+_FencedRows = list[owners.Ownership]
 Announce = typing.Callable[[peer_messages.PeerMessage], None]
 
 
@@ -60,6 +70,7 @@
         self._log = log
         self._announce = announce
         self._writing = asyncio.Lock()
+        self._unwritten: list[_RowsWanted] = []
         self._term = ids.NO_TERM
         self._given_up_term = ids.NO_TERM
         self._end = ids.FIRST_OFFSET
@@ -171,25 +182,20 @@
         write without an answer may still be carried out. None means that the
         owners are as before, or that the term was given up.
         """
-        async with self._writing:
-            written = _Written.ABSENT
-            while self.has_authority:
-                fenced, wanted = self._with_rows(service, rows)
-                asked_at = self._clock.now()
-                appended = await self._append(wanted)
-                if appended is _Written.PRESENT:
-                    self._proved_at = max(self._proved_at, asked_at)
-                    return fenced
-                if appended is _Written.UNKNOWN:
-                    written = appended
-                if self.is_refused and written is _Written.ABSENT:
-                    return None
-                await asyncio.sleep(clock.seconds(_WRITE_RETRY_MS))
-            if self.is_coordinating:
-                # The write may still be carried out, so nothing may be
-                # granted under the state before it.
-                self.give_up('a write has no result')
-        return None
+        wanted = _RowsWanted(service, rows)
+        self._unwritten.append(wanted)
+        try:
+            async with self._writing:
+                # Rows that wait for the same write share one record.
+                if wanted in self._unwritten:
+                    batch = self._unwritten
+                    self._unwritten = []
+                    await self._write_batch(batch)
+        finally:
+            # Rows of a term that ended must not be written in the next one.
+            if wanted in self._unwritten:
+                self._unwritten.remove(wanted)
+        return wanted.written
 
     def give_up(self, reason: str) -> None:
         """Give no order of this term any more, so that its leases are known."""
@@ -207,26 +213,30 @@
         """Hold no term any more."""
         self._term = ids.NO_TERM
 
-    def _with_rows(
-        self,
-        service: ids.ServiceName,
-        rows: typing.Sequence[owners.Ownership],
-    ) -> tuple[list[owners.Ownership], assignment.Assignment]:
-        """Return rows with their fence and the assignment that has them."""
-        current = self._view.assignment
-        # The offset at which the record will lie is a fence above all that
-        # were written before.
-        fence = ids.Fence(self._end + 1)
-        fenced = [dataclasses.replace(row, fence=fence) for row in rows]
-        table = current.table(service)
-        for row in fenced:
-            table = table.replace(row)
-        wanted = dataclasses.replace(
-            current,
-            write=uuid.uuid4().hex,
-            tables={**current.tables, service: table},
-        )
-        return fenced, wanted
+    async def _write_batch(self, batch: list[_RowsWanted]) -> None:
+        written = _Written.ABSENT
+        while self.has_authority:
+            # The offset at which the record will lie is a fence above all
+            # that were written before.
+            fence = ids.Fence(self._end + 1)
+            current = self._view.assignment
+            fenced, wanted = _with_rows(current, batch, fence)
+            asked_at = self._clock.now()
+            appended = await self._append(wanted)
+            if appended is _Written.PRESENT:
+                self._proved_at = max(self._proved_at, asked_at)
+                for one, rows in zip(batch, fenced, strict=True):
+                    one.written = rows
+                return
+            if appended is _Written.UNKNOWN:
+                written = appended
+            if self.is_refused and written is _Written.ABSENT:
+                return
+            await asyncio.sleep(clock.seconds(_WRITE_RETRY_MS))
+        if self.is_coordinating:
+            # The write may still be carried out, so nothing may be granted
+            # under the state before it.
+            self.give_up('a write has no result')
 
     async def _adopt_newest(self, asked_at: clock.Millis) -> bool:
         listing = await self._client.newest(store_calls.OWNERS_TOPIC)
@@ -323,3 +333,25 @@
                 [peer_messages.RecordRow(record.key, offset, content)],
             ),
         )
+
+
+def _with_rows(
+    current: assignment.Assignment,
+    batch: list[_RowsWanted],
+    fence: ids.Fence,
+) -> tuple[list[_FencedRows], assignment.Assignment]:
+    """Return rows with their fence and the assignment that has them."""
+    tables = dict(current.tables)
+    fenced = []
+    for one in batch:
+        rows = [dataclasses.replace(row, fence=fence) for row in one.rows]
+        fenced.append(rows)
+        table = tables.get(one.service, owners.OwnerTable())
+        for row in rows:
+            table = table.replace(row)
+        tables[one.service] = table
+    return fenced, dataclasses.replace(
+        current,
+        write=uuid.uuid4().hex,
+        tables=tables,
+    )
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -1,9 +1,10 @@
 """Serve requests through instances, a store and servers on loopback."""
 
 import asyncio
+import dataclasses
 import typing
 
-from sycamoreferry_core.keyspace import placement
+from sycamoreferry_core.keyspace import owners, placement
 from sycamoreferry_gateway import http_client
 from sycamoreferry_ports import boot_clock
 
@@ -171,6 +172,32 @@
     await world.until(lambda: _knows_owners(world), limit_s=0.5)
 
 
+async def test_rows_written_at_once_share_a_record(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    leader = next(
+        one for one in world.instances if one._coordinator.is_coordinating
+    )
+    terms = leader._coordinator._terms
+    row = leader._view.owner_of('keys', KEY)
+    parts = [
+        dataclasses.replace(
+            row, keys=owners.KeyRange(owners.Key(key), owners.Key(key))
+        )
+        for key in range(KEY, KEY + 20)
+    ]
+    before = world.store.appends
+    written = await asyncio.gather(
+        *(terms.write_rows('keys', [part]) for part in parts),
+    )
+    # The first goes alone, the others while it is on its way.
+    assert world.store.appends - before <= 2
+    assert [rows[0].keys for rows in written] == [part.keys for part in parts]
+    for rows in written:
+        assert leader._view.owner_of('keys', rows[0].keys.first) == rows[0]
+
+
 async def test_next_coordinator_keeps_the_owners(world: typing.Any) -> None:
     await _started(world, instances=3)
     owners = world.owners(KEY)
