--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/judging.py
@@ -0,0 +1,108 @@
+"""Judge what backend servers answer, and learn about them from it."""
+
+import http
+
+from sycamoreferry_adapter import request_headers
+from sycamoreferry_core import clock
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import server_load
+from sycamoreferry_gateway import (
+    answers,
+    event_log,
+    http_client,
+    journeys,
+    view,
+)
+
+_SERVER_ERROR = 500
+# Failures after which a server may have ended.
+_BROKEN = frozenset(
+    (http_client.ExchangeFailure.RESET, http_client.ExchangeFailure.CLOSED),
+)
+
+
+class AnswerJudge:
+    """Tell whether a request was answered, ran, or may have run."""
+
+    def __init__(
+        self,
+        folded: view.View,
+        loads: server_load.ServerLoads,
+        log: event_log.EventLog,
+    ) -> None:
+        self._view = folded
+        self._loads = loads
+        self._log = log
+
+    def judge(
+        self,
+        journey: journeys.Journey,
+        server: servers.BackendServer,
+        outcome: http_client.Exchanged,
+    ) -> journeys.Try:
+        """Return what an answer or its absence means for a request."""
+        now = self._view.clock.now()
+        if isinstance(outcome, http_client.Failed):
+            return self._judge_failure(journey, server, outcome, now)
+        load = request_headers.read_load(
+            outcome.header(request_headers.LOAD),
+        )
+        server_id = server.life.server
+        if load is not None:
+            self._loads.learn_load(
+                server_id,
+                load.running,
+                load.waiting,
+                now,
+            )
+        if request_headers.says_not_run(outcome):
+            if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+                self._learn_failure(server, now, 'rejected')
+            detail = f'rejected with {outcome.status}'
+            return journeys.Try(
+                journeys.TryResult.NOT_RUN, server, detail, outcome
+            )
+        if not answers.is_whole(outcome):
+            self._learn_failure(server, now, 'answer is not its own')
+            return journeys.Try(
+                journeys.TryResult.UNKNOWN, server, 'answer is not whole'
+            )
+        if outcome.status >= _SERVER_ERROR:
+            self._learn_failure(server, now, 'server error')
+            detail = f'status {outcome.status}'
+            return journeys.Try(
+                journeys.TryResult.SERVER_ERROR, server, detail, outcome
+            )
+        self._loads.learn_success(server_id)
+        return journeys.Try(
+            journeys.TryResult.ANSWERED, server, 'answered', outcome
+        )
+
+    def _judge_failure(
+        self,
+        journey: journeys.Journey,
+        server: servers.BackendServer,
+        failed: http_client.Failed,
+        now: clock.Millis,
+    ) -> journeys.Try:
+        self._learn_failure(server, now, failed.failure.value)
+        detail = failed.failure.value
+        if not failed.was_sent:
+            return journeys.Try(journeys.TryResult.NOT_SENT, server, detail)
+        if failed.failure in _BROKEN:
+            self._view.crashes.suspect(journey.signature, server.life, now)
+        return journeys.Try(journeys.TryResult.UNKNOWN, server, detail)
+
+    def _learn_failure(
+        self,
+        server: servers.BackendServer,
+        now: clock.Millis,
+        reason: str,
+    ) -> None:
+        if self._loads.learn_failure(server.life.server, now):
+            self._log.sample(
+                'servers',
+                'server suspended after failures',
+                server=server.life.server,
+                reason=reason,
+            )
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -25,6 +25,7 @@
     http_client,
     http_server,
     journeys,
+    judging,
     telemetry,
     view,
 )
@@ -40,7 +41,6 @@
 _PAUSE_AFTER_REJECTION_MS = 40
 _STARTING_RETRY_MS = 500
 _LATER_RETRY_MS = 300
-_SERVER_ERROR = 500
 
 
 class RequestPath:
@@ -61,6 +61,7 @@
         self._pool = pool
         self._log = log
         self._measures = measures
+        self._judge = judging.AnswerJudge(folded, loads, log)
         self._turns = routes.SplitTurns()
         self._demand: dict[tuple[ids.ServiceName, owners.Key], int] = {}
         bounds = folded.deployment.bounds
@@ -245,7 +246,7 @@
             self._try_timeout(journey, server, remaining),
             lambda reply: answers.is_own(reply, journey.request_id),
         )
-        return self._judge(journey, server, outcome)
+        return self._judge.judge(journey, server, outcome)
 
     def _try_timeout(
         self,
@@ -267,78 +268,6 @@
             return False
         return len(journey.tries) + 1 < journey.route.max_attempts
 
-    def _judge(
-        self,
-        journey: journeys.Journey,
-        server: servers.BackendServer,
-        outcome: http_client.Exchanged,
-    ) -> journeys.Try:
-        now = self._view.clock.now()
-        if isinstance(outcome, http_client.Failed):
-            return self._judge_failure(journey, server, outcome, now)
-        load = request_headers.read_load(
-            outcome.header(request_headers.LOAD),
-        )
-        server_id = server.life.server
-        if load is not None:
-            self._loads.learn_load(
-                server_id,
-                load.running,
-                load.waiting,
-                now,
-            )
-        if request_headers.says_not_run(outcome):
-            if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
-                self._learn_failure(server, now, 'rejected')
-            detail = f'rejected with {outcome.status}'
-            return journeys.Try(
-                journeys.TryResult.NOT_RUN, server, detail, outcome
-            )
-        if not answers.is_whole(outcome):
-            self._learn_failure(server, now, 'answer is not its own')
-            return journeys.Try(
-                journeys.TryResult.UNKNOWN, server, 'answer is not whole'
-            )
-        if outcome.status >= _SERVER_ERROR:
-            self._learn_failure(server, now, 'server error')
-            detail = f'status {outcome.status}'
-            return journeys.Try(
-                journeys.TryResult.SERVER_ERROR, server, detail, outcome
-            )
-        self._loads.learn_success(server_id)
-        return journeys.Try(
-            journeys.TryResult.ANSWERED, server, 'answered', outcome
-        )
-
-    def _judge_failure(
-        self,
-        journey: journeys.Journey,
-        server: servers.BackendServer,
-        failed: http_client.Failed,
-        now: clock.Millis,
-    ) -> journeys.Try:
-        self._learn_failure(server, now, failed.failure.value)
-        detail = failed.failure.value
-        if not failed.was_sent:
-            return journeys.Try(journeys.TryResult.NOT_SENT, server, detail)
-        if failed.failure in _BROKEN:
-            self._view.crashes.suspect(journey.signature, server.life, now)
-        return journeys.Try(journeys.TryResult.UNKNOWN, server, detail)
-
-    def _learn_failure(
-        self,
-        server: servers.BackendServer,
-        now: clock.Millis,
-        reason: str,
-    ) -> None:
-        if self._loads.learn_failure(server.life.server, now):
-            self._log.sample(
-                'servers',
-                'server suspended after failures',
-                server=server.life.server,
-                reason=reason,
-            )
-
     def _conclude(
         self, journey: journeys.Journey, made: journeys.Try
     ) -> answers.Ending | None:
@@ -467,11 +396,6 @@
         return described
 
 
-_BROKEN = frozenset(
-    (http_client.ExchangeFailure.RESET, http_client.ExchangeFailure.CLOSED),
-)
-
-
 def _signature(request: http_server.CallerRequest) -> crashes.Signature:
     digest = xxhash.xxh3_64()
     for part in (request.method, request.target, request.caller):
