Renew only keys that are still held as the renewal says

A server's rows are renewed one after the other; before each, only the owner of its first key was looked at again. While an earlier row's grant took its time, the last key of a later row moved to another server, and the renewal granted it to the old one as well, under its lower fence. Ruled out: the release (answered) and the claim's fences.

--- a/packages/core/src/sycamoreferry_core/keyspace/owners.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/owners.py
@@ -62,6 +62,16 @@
             return None
         return self._rows[index]
 
+    def has(self, row: Ownership) -> bool:
+        """Tell whether all keys of a row are held as it says."""
+        held = self.owner_of(row.keys.first)
+        return (
+            held is not None
+            and held.owner == row.owner
+            and held.fence == row.fence
+            and held.keys.last >= row.keys.last
+        )
+
     def replace(self, changed: Ownership) -> 'OwnerTable':
         """Return the table after one row takes its keys from others."""
         kept: list[Ownership] = []
--- a/packages/gateway/src/sycamoreferry_gateway/grant_keeper.py
+++ b/packages/gateway/src/sycamoreferry_gateway/grant_keeper.py
@@ -187,9 +187,9 @@
             for row in rows:
                 if self.is_held_back(service, row.keys):
                     continue
-                current = self._view.assignment.table(service)
-                held = current.owner_of(row.keys.first)
-                if held is not None and held.fence == row.fence:
+                # Grants before this one took time, in which keys may have
+                # moved on.
+                if self._view.assignment.table(service).has(row):
                     await self.grant(row, service)
         finally:
             self._health_of(life).is_renewing = False
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -175,6 +175,8 @@
         self.drops = 0
         self.sequence = 0
         self.loses_grants = 0
+        self.grant_delay_s = 0.0
+        self.delayed_grants = 0
         self.work_s = 0.0
         self.running = 0
         self.most_running = 0
@@ -238,6 +240,9 @@
         if self.loses_grants:
             self.loses_grants -= 1
             await asyncio.sleep(30)
+        if self.grant_delay_s:
+            self.delayed_grants += 1
+            await asyncio.sleep(self.grant_delay_s)
         return _answer(200)
 
     def _release(self, order: dict[str, int]) -> http_server.CallerAnswer:
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -172,6 +172,44 @@
     await world.until(lambda: _knows_owners(world), limit_s=0.5)
 
 
+async def test_renewal_leaves_out_keys_that_moved_while_it_went_on(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    leader = next(
+        one for one in world.instances if one._coordinator.is_coordinating
+    )
+    row = leader._view.owner_of('keys', KEY)
+    await _move(world, leader, row.keys.first + 100)
+    renewed = leader._view.owner_of('keys', row.keys.last)
+    source = next(one for one in world.servers if one.name == row.owner.server)
+    # The first row's renewal is slow, the second one's follows it.
+    source.grant_delay_s = 0.6
+    source.delayed_grants = 0
+    await world.until(lambda: source.delayed_grants, limit_s=2)
+    await _move(world, leader, renewed.keys.last)
+    for _ in range(40):
+        await asyncio.sleep(0.05)
+        assert len(world.owners(renewed.keys.last)) == 1
+
+
+async def _move(world: typing.Any, leader: typing.Any, key: int) -> None:
+    """Move one key to another server and wait until it holds it."""
+    row = leader._view.owner_of('keys', key)
+    destination = next(
+        known.life
+        for known in leader._view.servers_of('keys')
+        if known.life != row.owner
+    )
+    keys = owners.KeyRange(owners.Key(key), owners.Key(key))
+    move = placement.Move(keys, row.owner, destination)
+    leader._coordinator._mover._start_move('keys', row, move, 1)
+    await world.until(
+        lambda: world.owners(key) == [destination.server],
+        limit_s=1,
+    )
+
+
 async def test_rows_written_at_once_share_a_record(
     world: typing.Any,
 ) -> None:
