Test that a log nobody reads stops no request

In the process: 20,000 lines into a pipe that is not read lose lines and count them. With the program as a process: 600 requests, whose lines are several times what the pipe holds, are served and SIGTERM ends it.

--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -198,6 +198,7 @@
         return {
             'requests_in_flight': self._path.in_flight,
             'requests_waiting': self._queue.waiting_count,
+            'permits_waiting': self._counter.waiting_count,
             'config_version': 0 if config is None else config.version,
             'servers_known': len(self._view.fleet.servers),
             'instances_alive': self._view.peers.count(now),
--- /dev/null
+++ b/packages/gateway/tests/test_event_log.py
@@ -0,0 +1,73 @@
+"""Write log lines to a reader that stops reading."""
+
+import json
+import os
+import typing
+
+import pytest
+
+from sycamoreferry_core import clock
+from sycamoreferry_gateway import event_log
+
+LINES = 20_000
+# What a pipe and the pending lines may hold together.
+MOST_KEPT = 2_000 + 65_536 // 40
+
+
+@pytest.fixture
+def pipe() -> typing.Iterator[tuple[int, int]]:
+    """Return the ends of a pipe that nobody reads yet."""
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def _read_all(reading: int) -> bytes:
+    found = b''
+    while True:
+        try:
+            chunk = os.read(reading, 1 << 20)
+        except BlockingIOError:
+            return found
+        found += chunk
+
+
+def test_stalled_reader_loses_lines_but_stops_nobody(
+    pipe: tuple[int, int],
+) -> None:
+    reading, writing = pipe
+    log = event_log.EventLog(clock.ManualClock(), writing)
+    # A write that blocked would never return, as nobody reads.
+    for number in range(LINES):
+        log.write('part', 'event', number=number)
+    kept = b''
+    while chunk := _read_all(reading):
+        kept += chunk
+        log.tell_dropped()
+    lines = [json.loads(line) for line in kept.splitlines()]
+    events = [line for line in lines if line['event'] == 'event']
+    told = [line for line in lines if line['event'] == 'lines dropped']
+    assert [line['number'] for line in events] == list(range(len(events)))
+    assert len(events) <= MOST_KEPT
+    assert sum(line['count'] for line in told) == LINES - len(events)
+
+
+def test_lines_of_requests_are_bounded_and_others_are_not(
+    pipe: tuple[int, int],
+) -> None:
+    reading, writing = pipe
+    log = event_log.EventLog(clock.ManualClock(), writing)
+    for number in range(1_000):
+        log.sample('request', 'request ended', number=number)
+    log.write('instance', 'stopping')
+    log.tell_dropped()
+    kept = b''
+    while chunk := _read_all(reading):
+        kept += chunk
+        log.tell_dropped()
+    events = [json.loads(line)['event'] for line in kept.splitlines()]
+    assert events.count('request ended') == 600
+    assert events.count('stopping') == 1
+    assert json.loads(kept.splitlines()[-1])['count'] == 400
--- /dev/null
+++ b/packages/gateway/tests/test_process.py
@@ -0,0 +1,113 @@
+"""Run the program as a process whose log nobody reads."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import typing
+
+import pytest
+
+from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import http_client
+from sycamoreferry_ports import boot_clock
+
+# Their log lines are several times what a pipe holds.
+REQUESTS = 600
+SETTINGS = """\
+Self.Node={instance}
+Self.Zone=here
+Self.Ip={host}
+Self.Limits.CpuShare=1
+Self.Limits.Cores=1
+Self.Limits.MaxFds=1000
+Self.Limits.LinkMbps=100
+Network.Listen.Front={request_address}
+Network.Listen.ReadinessAddr={readiness_address}
+Network.InternalPortRange={peer_port},{peer_port}
+Platform.Heartbeat=870ms
+Platform.Platform.Address={store_address}
+Terms.Bounds.Drain=2000ms
+Terms.Bounds.Grace=3s
+Terms.Bounds.RetryBudgetRatio=0.2
+Terms.Bounds.BudgetWindow=10s
+Terms.Bounds.RetryBudgetExtra=58
+Terms.Bounds.HoldMax=10000ms
+"""
+
+
+@pytest.fixture
+def start_process(
+    tmp_path: pathlib.Path,
+) -> typing.Iterator[typing.Callable[..., subprocess.Popen[bytes]]]:
+    """Start the program with a log that nobody reads; end it after."""
+    started = []
+
+    def start(chosen: deployment.Deployment) -> subprocess.Popen[bytes]:
+        settings = tmp_path / 'boot.conf'
+        settings.write_text(
+            SETTINGS.format(
+                instance=chosen.instance,
+                host=chosen.host,
+                request_address=chosen.request_address,
+                readiness_address=chosen.readiness_address,
+                peer_port=chosen.peer_port,
+                store_address=chosen.store_address,
+            ),
+        )
+        process = subprocess.Popen(
+            (sys.executable, '-m', 'sycamoreferry_gateway'),
+            env={
+                **os.environ,
+                'SYCAMOREFERRY_CONFIG': str(settings),
+                'SYCAMOREFERRY_METRICS_PORT': str(chosen.metrics_port),
+            },
+            stdout=subprocess.PIPE,
+        )
+        started.append(process)
+        return process
+
+    yield start
+    for process in started:
+        process.kill()
+        process.wait()
+        assert process.stdout is not None
+        process.stdout.close()
+
+
+async def _status(address: deployment.Address) -> int:
+    payload = http_client.encode_request(
+        'GET',
+        '/k/a',
+        (
+            ('Host', 'h'),
+            ('Request-Id', 'r1'),
+            ('Deadline-Ms', '2000'),
+            ('Shard-Key', '7'),
+        ),
+        b'',
+    )
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
+    reply = await pool.exchange(address, payload, 3_000)
+    return 0 if isinstance(reply, http_client.Failed) else reply.status
+
+
+@pytest.mark.processes
+async def test_requests_are_served_while_nobody_reads_the_log(
+    world: typing.Any,
+    start_process: typing.Callable[..., subprocess.Popen[bytes]],
+) -> None:
+    await world.start(servers=2, instances=1)
+    chosen = world._deployment('process')
+    process = start_process(chosen)
+    address = chosen.request_address
+    for _ in range(200):
+        if await _status(address) == 200:
+            break
+        await asyncio.sleep(0.1)
+    statuses = [await _status(address) for _ in range(REQUESTS)]
+    assert statuses == [200] * REQUESTS
+    process.send_signal(signal.SIGTERM)
+    await world.until(lambda: process.poll() == 0, limit_s=6)
