Let an instance that starts hear the others at once

The first heartbeat of a new incarnation is now answered with one. Test: test_instance_that_starts_again_hears_the_others_at_once failed (TimeoutError) and passes.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -44,6 +44,11 @@
             return
         self._peers[status.instance] = status
 
+    def is_new(self, instance: ids.InstanceId, incarnation: int) -> bool:
+        """Tell whether an incarnation has not been heard before."""
+        known = self._peers.get(instance)
+        return known is None or known.incarnation < incarnation
+
     def status(self, instance: ids.InstanceId) -> PeerStatus | None:
         """Return the last word of a peer."""
         return self._peers.get(instance)
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -57,8 +57,9 @@
             loads,
             store,
             coordination,
-            self._send,
+            lambda message, to: self._link.send(message, to),
         )
+        self.inbox.greet = self._greet
         self._link = peer_link.PeerLink(self.inbox.take, log)
         self._beats = 0
         self._told: tuple[object, ...] = ()
@@ -164,12 +165,10 @@
             beat.loads = None
             self.announce(beat)
 
-    def _send(
-        self,
-        message: peer_messages.PeerMessage,
-        to: _Address,
-    ) -> None:
-        self._link.send(message, to)
+    def _greet(self, newcomer: _Address) -> None:
+        """Tell an instance that has started that this one lives."""
+        if not self._spread_plan().is_mesh:
+            self._link.send(self._heartbeat(loads=None), newcomer)
 
     def _spread_plan(self) -> spreading.SpreadPlan:
         return spreading.plan_spreading(len(self._view.peer_addresses))
@@ -190,7 +189,7 @@
 
     def _heartbeat(
         self,
-        loads: list[peer_messages.LoadRow],
+        loads: list[peer_messages.LoadRow] | None,
     ) -> peer_messages.Heartbeat:
         given_up_term, leases_ms = self._coordination().given_up()
         return peer_messages.Heartbeat(
--- a/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_inbox.py
@@ -46,6 +46,7 @@
         self._coordination = coordination
         self._send = send
         self._wanted_at: dict[store_records.TopicName, clock.Millis] = {}
+        self.greet: typing.Callable[[_Address], None] = _greet_nobody
         self.read_further: store_sync.ReadFurther = _ignore_further
         self.counter: permit_counter.PermitCounter | None = None
         self.permits: permit_requests.PermitRequests | None = None
@@ -65,6 +66,8 @@
         now = self._clock.now()
         instance = ids.InstanceId(beat.instance)
         self._view.peer_addresses.setdefault(instance, sender)
+        if self._view.peers.is_new(instance, beat.incarnation):
+            self.greet(sender)
         self._view.peers.hear(
             instances.PeerStatus(
                 instance,
@@ -199,6 +202,10 @@
                 self._send(wanted, sender)
 
 
+def _greet_nobody(_sender: _Address) -> None:
+    """Do nothing until heartbeats are sent."""
+
+
 def _ignore_further(
     _topic: store_records.TopicName,
     _end: ids.Offset,
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -116,6 +116,21 @@
         assert await _call(world, each, f'r{each}') == 200
 
 
+async def test_instance_that_starts_again_hears_the_others_at_once(
+    world: typing.Any,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    await _started(world)
+    # As with some 150 peers.
+    monkeypatch.setattr(spreading, '_LIFE_MS_PER_PEER', 1_000)
+    await world.kill(1)
+    again = world.restart(1)
+    await world.until(
+        lambda: again._view.peers.count(again._clock.now()) == INSTANCES,
+        limit_s=1,
+    )
+
+
 class _Losing:
     """Lose the first of each return."""
 
