Send one request at a time to an owner that fails

Besides, the instance that counts learned of failures but not of answers, so that three failures in any time suspended a server. Returns now tell both; an owner suspended after three failures in a row is sent one request at a time, the others wait or are rejected. The test came with the change, as it needs the new message.

--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -77,11 +77,11 @@
         request: waiting.WaitingRequest,
         server: ids.ServerId,
         *,
-        has_failed: bool = False,
+        has_answered: bool | None = None,
     ) -> None:
         """Give back the room of a request that ended."""
         self._loads.finish(server)
-        self.permits.give_back(request, server if has_failed else None)
+        self.permits.give_back(request, server, has_answered=has_answered)
         self.wake()
 
     def wake(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -131,8 +131,9 @@
     instance: str
     number: int
     line: str
-    # The server that failed the request, if one did.
+    # The server that failed or answered the request, if one did.
     failed: str
+    answered: str
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_counter.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_counter.py
@@ -61,6 +61,8 @@
         now = self._clock.now()
         if returned.failed:
             self._loads.learn_failure(ids.ServerId(returned.failed), now)
+        if returned.answered:
+            self._loads.learn_success(ids.ServerId(returned.answered))
         decided = self._desk.give_back(
             permits.LineName(returned.line),
             _permit_of(returned),
@@ -80,8 +82,12 @@
         if server is not None:
             duration = self._loads.duration_ms(server)
         capacity = choice.capacity_of(asked.slots)
+        if self._loads.is_suspended(server_id, self._clock.now()):
+            # Most likely it is gone; one request at a time finds out.
+            capacity = 1
         choose = functools.partial(_choose_owner, server_id, capacity)
-        return permits.Supply(asked.slots, capacity, duration, choose)
+        slots = min(asked.slots, capacity)
+        return permits.Supply(slots, capacity, duration, choose)
 
     def _pool(self, asked: peer_messages.PermitAsk) -> permits.Supply:
         """Return the room of a pool of equal servers."""
--- a/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
@@ -50,6 +50,9 @@
     heard_at: clock.Millis = clock.LONG_AGO
     unheard: int = 0
     is_over: bool = False
+    # The server that answered or failed the request, if it is known.
+    answered: ids.ServerId | None = None
+    failed: ids.ServerId | None = None
 
 
 class PermitRequests:
@@ -109,10 +112,18 @@
     def give_back(
         self,
         request: waiting.WaitingRequest,
-        failed: ids.ServerId | None,
+        server: ids.ServerId,
+        *,
+        has_answered: bool | None,
     ) -> None:
-        """Return the room of a request; name the server that failed it."""
-        self._leave(self._held.pop(request, None), failed)
+        """Return the room of a request; tell whether its server answered."""
+        held = self._held.pop(request, None)
+        if held is None:
+            return
+        if has_answered is not None:
+            held.answered = server if has_answered else None
+            held.failed = None if has_answered else server
+        self._leave(held)
 
     def take_answer(self, answer: peer_messages.PermitAnswer) -> None:
         """Take what the counting instance decided."""
@@ -225,11 +236,7 @@
             has_large_answer=request.has_large_answer,
         )
 
-    def _leave(
-        self,
-        wait: _Wait | None,
-        failed: ids.ServerId | None = None,
-    ) -> None:
+    def _leave(self, wait: _Wait | None) -> None:
         if wait is None or wait.is_over:
             return
         wait.is_over = True
@@ -238,7 +245,8 @@
             self._own,
             wait.permit.number,
             wait.place.line,
-            failed or '',
+            wait.failed or '',
+            wait.answered or '',
         )
         self.returns.start(wait.place.home, message)
 
--- a/packages/gateway/src/sycamoreferry_gateway/request_path.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_path.py
@@ -203,15 +203,15 @@
         started = self._view.clock.now()
         in_flight = self._loads.total_in_flight(server.life.server, started)
         begins_at_once = in_flight <= server.slots
-        has_failed = False
+        has_answered = None
         try:
             made = await self._send(journey, server, started)
-            has_failed = made.result is not journeys.TryResult.ANSWERED
+            has_answered = made.result is journeys.TryResult.ANSWERED
         finally:
             self._queue.release(
                 wanted,
                 server.life.server,
-                has_failed=has_failed,
+                has_answered=has_answered,
             )
         # Time spent waiting at the server says nothing of its speed.
         if made.result is journeys.TryResult.ANSWERED and begins_at_once:
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -146,3 +146,71 @@
             self._lost.append(message.number)
             return
         self._post(instance, message)
+
+
+async def test_owner_that_fails_is_sent_one_request_at_a_time(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    counting = world.instances[0]._counter
+    answers: list[str] = []
+    counting._post = _Collecting(answers)
+    name = _owner(world).name
+    for number in range(2):
+        counting.take_ask(_ask(name, number))
+        counting.take_return(_return(name, number, failed=name))
+    counting.take_ask(_ask(name, 2))
+    counting.take_return(_return(name, 2, answered=name))
+    counting.take_ask(_ask(name, 3))
+    counting.take_return(_return(name, 3, failed=name))
+    # An answer came between the failures.
+    answers.clear()
+    for number in (4, 5):
+        counting.take_ask(_ask(name, number))
+    assert answers == ['granted', 'granted']
+    for number in (4, 5):
+        counting.take_return(_return(name, number, failed=name))
+    answers.clear()
+    for number in (6, 7):
+        counting.take_ask(_ask(name, number))
+    assert answers == ['granted', 'queued']
+
+
+def _ask(name: str, number: int) -> peer_messages.PermitAsk:
+    return peer_messages.PermitAsk(
+        instance='asking',
+        number=number,
+        line=name,
+        server=name,
+        service='keys',
+        pool=0,
+        slots=SLOTS,
+        duration_ms=ASSUMED_MS,
+        priority=1,
+        waited_ms=0,
+        objective_in_ms=OBJECTIVE_MS,
+        ends_in_ms=3_000,
+        data_centre='here',
+        excluded=[],
+        has_large_answer=False,
+    )
+
+
+def _return(
+    name: str,
+    number: int,
+    failed: str = '',
+    answered: str = '',
+) -> peer_messages.PermitReturn:
+    return peer_messages.PermitReturn('asking', number, name, failed, answered)
+
+
+class _Collecting:
+    """Keep the verdicts that are sent."""
+
+    def __init__(self, verdicts: list[str]) -> None:
+        self._verdicts = verdicts
+
+    def __call__(self, instance: typing.Any, message: typing.Any) -> None:
+        if isinstance(message, peer_messages.PermitAnswer):
+            self._verdicts.append(message.verdict)
