Reject in time where nobody tells of room

Granted requests no longer count as waiting. Test: test_request_is_rejected_in_time_if_nobody_tells_of_room failed and passes.

--- a/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
@@ -158,18 +158,28 @@
             return None
         decision = await self._ask(request, wait)
         if decision is None:
-            return None
-        if decision.verdict is permits.PermitVerdict.REJECTED:
-            self._waits.pop(wait.permit.number, None)
-            return self._backlogs.rejection_behind(request, decision.backlog)
+            return self._reject_late(request, wait)
+        self._waits.pop(wait.permit.number, None)
         if decision.server is None:
-            return None
+            return self._backlogs.rejection_behind(request, decision.backlog)
         server = self._view.fleet.get(decision.server)
         if server is None:
             # Its entry is gone here already, so another one is asked for.
             self._leave(wait)
         return server
 
+    def _reject_late(
+        self,
+        request: waiting.WaitingRequest,
+        wait: _Wait,
+    ) -> backlogs.Rejected | None:
+        """Reject a request that can't be sent in time any more."""
+        duration = self._loads.service_ms(request.service)
+        if self._clock.now() < waiting.latest_start(request, duration):
+            return None
+        self._leave(wait)
+        return self._backlogs.rejection(request, 0)
+
     def _follow(
         self,
         wait: _Wait | None,
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -148,6 +148,27 @@
         self._post(instance, message)
 
 
+async def test_request_is_rejected_in_time_if_nobody_tells_of_room(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    asking = world.instances[0]
+    line = _owner(world).name
+    asking._queue.permits._refresh_homes()
+    if asking._queue.permits._homes.get(line) == asking._deployment.instance:
+        asking = world.instances[1]
+    asking._queue.permits.returns.post = _lose
+    started = asking._clock.now()
+    status = await _call(world, world.instances.index(asking), 'r1')
+    assert status == 503
+    # The route allows 1.5 s, of which seven tenths may pass before the send.
+    assert asking._clock.now() - started <= 1_500 * 0.7 + 200
+
+
+def _lose(_instance: typing.Any, _message: typing.Any) -> None:
+    """Lose a message."""
+
+
 async def test_owner_that_fails_is_sent_one_request_at_a_time(
     world: typing.Any,
 ) -> None:
