--- a/packages/core/src/sycamoreferry_core/traffic/permits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/permits.py
@@ -26,7 +26,7 @@
 _ASKED_FRESH_MS = 700
 # Arrivals are counted over this time to see whether demand exceeds the slots.
 _DEMAND_WINDOW_MS = 1_000
-_SATURATED_SHARE = 1.2
+_SATURATED_SHARE = 1.0
 
 
 @enum.unique
