--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -180,13 +180,15 @@
         self.work_s = 0.0
         self.running = 0
         self.most_running = 0
+        # Where others reach the server, if not at its own port.
+        self.public_port = 0
         self._store = store
 
     def register(self, state: str = 'ready') -> None:
         self.sequence += 1
         entry = {
             'Service': 'keys',
-            'Address': f'127.0.0.1:{self.port}',
+            'Address': f'127.0.0.1:{self.public_port or self.port}',
             'Zone': 'here',
             'Version': 'v1',
             'Slots': 2,
@@ -321,6 +323,28 @@
     raise AssertionError('no port is free')
 
 
+_SETTINGS = """\
+Self.Node={deployment.instance}
+Self.Zone=here
+Self.Ip={deployment.host}
+Self.Limits.CpuShare=1
+Self.Limits.Cores=1
+Self.Limits.MaxFds=1000
+Self.Limits.LinkMbps=100
+Network.Listen.Front={deployment.request_address}
+Network.Listen.ReadinessAddr={deployment.readiness_address}
+Network.InternalPortRange={deployment.peer_port},{deployment.peer_port}
+Platform.Heartbeat=870ms
+Platform.Platform.Address=127.0.0.1:{store_port}
+Terms.Bounds.Drain=2000ms
+Terms.Bounds.Grace=3s
+Terms.Bounds.RetryBudgetRatio=0.2
+Terms.Bounds.BudgetWindow=10s
+Terms.Bounds.RetryBudgetExtra=58
+Terms.Bounds.HoldMax=10000ms
+"""
+
+
 class World:
     """Run a store, servers and instances on one loop."""
 
@@ -330,9 +354,14 @@
         self.instances: list[instance.Instance] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self, servers: int, instances: int) -> None:
+    async def start(
+        self,
+        servers: int,
+        instances: int,
+        kind: str = 'safe',
+    ) -> None:
         await self.store.start()
-        self.store.put('keyed.op', 'config', configuration(1))
+        self.store.put('keyed.op', 'config', configuration(1, kind))
         for number in range(servers):
             server = ServerStandIn(f's{number}', self.store)
             await server.start()
@@ -393,6 +422,10 @@
             len(self.owners(key)) == 1 for key in range(0, LAST_KEY + 1, 999)
         )
 
+    def settings(self, chosen: deployment.Deployment, store_port: int) -> str:
+        """Return the settings file of an instance that runs as a process."""
+        return _SETTINGS.format(deployment=chosen, store_port=store_port)
+
     def _deployment(self, name: str) -> deployment.Deployment:
         ports = [_free_port() for _ in range(4)]
         return deployment.Deployment(
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -16,30 +16,11 @@
 
 # Their log lines are several times what a pipe holds.
 REQUESTS = 600
-SETTINGS = """\
-Self.Node={instance}
-Self.Zone=here
-Self.Ip={host}
-Self.Limits.CpuShare=1
-Self.Limits.Cores=1
-Self.Limits.MaxFds=1000
-Self.Limits.LinkMbps=100
-Network.Listen.Front={request_address}
-Network.Listen.ReadinessAddr={readiness_address}
-Network.InternalPortRange={peer_port},{peer_port}
-Platform.Heartbeat=870ms
-Platform.Platform.Address={store_address}
-Terms.Bounds.Drain=2000ms
-Terms.Bounds.Grace=3s
-Terms.Bounds.RetryBudgetRatio=0.2
-Terms.Bounds.BudgetWindow=10s
-Terms.Bounds.RetryBudgetExtra=58
-Terms.Bounds.HoldMax=10000ms
-"""
 
 
 @pytest.fixture
 def start_process(
+    world: typing.Any,
     tmp_path: pathlib.Path,
 ) -> typing.Iterator[typing.Callable[..., subprocess.Popen[bytes]]]:
     """Start the program with a log that nobody reads; end it after."""
@@ -47,16 +28,7 @@
 
     def start(chosen: deployment.Deployment) -> subprocess.Popen[bytes]:
         settings = tmp_path / 'boot.conf'
-        settings.write_text(
-            SETTINGS.format(
-                instance=chosen.instance,
-                host=chosen.host,
-                request_address=chosen.request_address,
-                readiness_address=chosen.readiness_address,
-                peer_port=chosen.peer_port,
-                store_address=chosen.store_address,
-            ),
-        )
+        settings.write_text(world.settings(chosen, world.store.port))
         process = subprocess.Popen(
             (sys.executable, '-m', 'sycamoreferry_gateway'),
             env={
