Wait for the last byte of an answer before the end of a planned stop

A connection is now idle when nothing is left to send. Ruled out: the end of the grace time (cut at 3.3 and 4.7 s of 6 s). Test: test_server_is_not_quiet_while_an_answer_is_on_its_way failed and passes.

--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -107,8 +107,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is read or served."""
-        return self._task is None and self._reading_since is None
+        """Tell whether no request is read or served and no answer is left."""
+        if self._task is not None or self._reading_since is not None:
+            return False
+        return not (self._transport and self._transport.get_write_buffer_size())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
@@ -269,7 +271,7 @@
 
     @property
     def is_quiet(self) -> bool:
-        """Tell whether no request is read or served."""
+        """Tell whether no request is read or served and no answer is left."""
         return all(connection.is_idle for connection in self.connections)
 
     def stop_listening(self) -> None:
--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -8,6 +8,7 @@
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import http_server
+from sycamoreferry_ports import boot_clock
 
 LIMITS = routes.CallerLimits(
     header_bytes=400,
@@ -177,3 +178,30 @@
     assert not await idle_reader.read(1)
     idle_writer.close()
     slow_writer.close()
+
+
+async def test_server_is_not_quiet_while_an_answer_is_on_its_way() -> None:
+    size = 20_000_000
+
+    async def answer(
+        _request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        return http_server.CallerAnswer(200, (), bytes(size))
+
+    server = http_server.HttpServer(answer, boot_clock.BootClock())
+    await server.listen('127.0.0.1', 0)
+    assert server._listener is not None
+    port = server._listener.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert b'200' in head
+    assert not server.is_quiet
+    server.close_idle()
+    assert not server.is_quiet
+    await reader.readexactly(size)
+    async with asyncio.timeout(2):
+        while not server.is_quiet:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    writer.close()
+    server.stop_listening()
