Release keys at a new incarnation before they are given away

When the entry was seen, the keys were taken as free at once and given to another server, while the new incarnation held them for up to 4 s. Ruled out: what the earlier incarnation held (it ended with it).

The keys are now released at the new incarnation, and grants without an answer are waited for, as with any other owner.

--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -201,13 +201,10 @@
         """Return the handover once a server holds keys no more."""
         self._mark_moving(service, row.keys, is_over=False)
         server = self._view.fleet.get(row.owner.server)
-        if server is not None and server.life != row.owner:
-            self._orders.book.forget(row.owner)
-            self._log_freed(service, row, 'server started again')
-            return ''
         released = None
         known = server or self._grants.last_known.get(row.owner)
         if known is not None:
+            # A new incarnation may have taken a renewal before it was seen.
             released = await self._orders.release(known, row.keys, row.fence)
         if released is not None:
             free_at = self._orders.book.free_after_release(row.owner, row.keys)
@@ -224,11 +221,8 @@
         row: owners.Ownership,
         free_at: clock.Millis,
     ) -> None:
-        """Wait until a time, or until the server has started again."""
+        """Wait until a time."""
         while self._clock.now() < free_at:
-            server = self._view.fleet.get(row.owner.server)
-            if server is not None and server.life != row.owner:
-                return
             left = free_at - self._clock.now()
             await asyncio.sleep(clock.seconds(max(1, min(left, _CHECK_MS))))
 
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -210,6 +210,22 @@
     )
 
 
+async def test_keys_renewed_at_a_new_incarnation_have_one_owner(
+    world: typing.Any,
+) -> None:
+    await _started(world)
+    (name,) = world.owners(KEY)
+    server = next(one for one in world.servers if one.name == name)
+    # It starts again, and is renewed before its entry tells of it.
+    server.born += 1
+    server.granted.clear()
+    await world.until(lambda: server.holds(KEY), limit_s=3)
+    server.register('draining')
+    for _ in range(60):
+        await asyncio.sleep(0.05)
+        assert len(world.owners(KEY)) <= 1
+
+
 async def test_rows_written_at_once_share_a_record(
     world: typing.Any,
 ) -> None:
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -23,8 +23,10 @@
 from sycamoreferry_ports import boot_clock
 
 # One line on the cause for each seed that ever failed.
-REGRESSION_SEEDS: dict[int, str] = {}
-SHORT_SEEDS = (1, 2)
+REGRESSION_SEEDS: dict[int, str] = {
+    1: 'a new incarnation kept a renewal that was meant for the earlier one',
+}
+SHORT_SEEDS = (2,)
 INSTANCES = 3
 SERVERS = 3
 CALLERS = 6
