Sort waiting requests in one place and drop what the change left over

- waiting.in_turn was replayed by tests only, while the dispatcher and the permit desk each sorted by themselves; both call it now.
- LeaseBook.forget has had no caller since new incarnations release their keys; the counters PeerLink.sent and OrderSender.sent were read by nobody.
- Connection._failed only repeated the Failed that it made.
- KeyMover waits for a time in one way; its wait no longer takes a row that it did not use.
- An ask for room looks the owner up once, with its place.

--- a/packages/core/src/sycamoreferry_core/keyspace/leases.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/leases.py
@@ -133,11 +133,6 @@
         ends = [row.ends_at for rows in self._leases.values() for row in rows]
         return max([self._assumed_until, *ends])
 
-    def forget(self, life: servers.ServerLife) -> None:
-        """Drop the leases of an incarnation that is over."""
-        self._leases.pop(life, None)
-        self._confirmed.pop(life, None)
-
     def prune(self, now: clock.Millis) -> None:
         """Drop leases that are over."""
         for life, rows in list(self._leases.items()):
--- a/packages/core/src/sycamoreferry_core/traffic/permits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/permits.py
@@ -198,9 +198,11 @@
     ) -> list[PermitDecision]:
         line.drop_stale(now)
         duration = line.supply.duration_ms
-        in_turn = sorted(
+        in_turn = waiting.in_turn(
             line.queue.items(),
-            key=lambda row: waiting.turn(row[1].request, duration, now),
+            lambda row: row[1].request,
+            duration,
+            now,
         )
         decided = []
         ahead = 0
--- a/packages/core/src/sycamoreferry_core/traffic/waiting.py
+++ b/packages/core/src/sycamoreferry_core/traffic/waiting.py
@@ -11,6 +11,8 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.keyspace import owners
 
+_Row = typing.TypeVar('_Row')
+
 # A request that can't be answered by then is rejected on arrival.
 _USABLE_SHARE = 0.7
 # Callers come back at most after a third of what they have left.
@@ -96,12 +98,13 @@
 
 
 def in_turn(
-    requests: typing.Iterable[WaitingRequest],
-    duration_ms: typing.Callable[[WaitingRequest], float],
+    rows: typing.Iterable[_Row],
+    request_of: typing.Callable[[_Row], WaitingRequest],
+    duration_ms: float,
     now: clock.Millis,
-) -> list[WaitingRequest]:
-    """Return waiting requests in the order in which they are sent."""
+) -> list[_Row]:
+    """Return what holds waiting requests in the order of their turns."""
     return sorted(
-        requests,
-        key=lambda waiting: turn(waiting, duration_ms(waiting), now),
+        rows,
+        key=lambda row: turn(request_of(row), duration_ms, now),
     )
--- a/packages/core/tests/traffic/test_waiting.py
+++ b/packages/core/tests/traffic/test_waiting.py
@@ -26,8 +26,8 @@
     )
 
 
-def _work_ms(_request: waiting.WaitingRequest) -> float:
-    return WORK_MS
+def _itself(request: waiting.WaitingRequest) -> waiting.WaitingRequest:
+    return request
 
 
 def _on_time(load: float, seed: int, *, in_turn: bool) -> float:
@@ -53,7 +53,7 @@
         if in_turn:
             queue = [
                 one
-                for one in waiting.in_turn(queue, _work_ms, moment)
+                for one in waiting.in_turn(queue, _itself, WORK_MS, moment)
                 if moment <= waiting.latest_start(one, WORK_MS)
             ]
         if not queue:
@@ -82,7 +82,7 @@
     later = _request(100, priority=1)
     earlier = _request(0, priority=2)
     now = clock.Millis(120)
-    order = waiting.in_turn([earlier, later], _work_ms, now)
+    order = waiting.in_turn([earlier, later], _itself, WORK_MS, now)
     assert order == [later, earlier]
 
 
@@ -90,7 +90,7 @@
     late = _request(0, priority=1)
     on_time = _request(400, priority=2)
     now = clock.Millis(450)
-    order = waiting.in_turn([late, on_time], _work_ms, now)
+    order = waiting.in_turn([late, on_time], _itself, WORK_MS, now)
     assert order == [on_time, late]
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -124,11 +124,14 @@
         now: clock.Millis,
     ) -> None:
         duration = self._loads.service_ms(service)
-        tickets.sort(
-            key=lambda ticket: waiting.turn(ticket.request, duration, now),
+        in_turn = waiting.in_turn(
+            tickets,
+            lambda ticket: ticket.request,
+            duration,
+            now,
         )
         is_full = False
-        for ticket in tickets:
+        for ticket in in_turn:
             if ticket.result.done():
                 continue
             is_keyed = ticket.request.key is not None
@@ -137,7 +140,7 @@
                 is_full = is_full or not (is_keyed or is_placed)
             else:
                 self._expire(ticket, duration, now)
-        left = [ticket for ticket in tickets if not ticket.result.done()]
+        left = [ticket for ticket in in_turn if not ticket.result.done()]
         if left:
             self._tickets[service] = left
         else:
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -165,7 +165,7 @@
     ) -> Exchanged:
         """Send a request and return its whole answer."""
         if not self.is_open or self._transport is None:
-            return self._failed(ExchangeFailure.CLOSED, was_sent=False)
+            return Failed(ExchangeFailure.CLOSED, was_sent=False)
         self._waiter = asyncio.get_running_loop().create_future()
         self._accepts = accepts
         self._reader = _ReplyReader(self._complete)
@@ -197,7 +197,7 @@
         try:
             self._reader.feed(data)
         except httptools.HttpParserError:
-            self._finish(self._failed(ExchangeFailure.MALFORMED))
+            self._finish(Failed(ExchangeFailure.MALFORMED, was_sent=True))
             self.close()
 
     def eof_received(self) -> bool:
@@ -214,7 +214,7 @@
         failure = ExchangeFailure.CLOSED
         if exc is not None:
             failure = ExchangeFailure.RESET
-        self._finish(self._failed(failure))
+        self._finish(Failed(failure, was_sent=True))
 
     def close(self) -> None:
         """Close the connection."""
@@ -255,14 +255,6 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(outcome)
 
-    def _failed(
-        self,
-        failure: ExchangeFailure,
-        *,
-        was_sent: bool = True,
-    ) -> Failed:
-        return Failed(failure, was_sent)
-
 
 class ConnectionPool:
     """Keep idle connections by address."""
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -157,9 +157,8 @@
         """Write owners of free keys, then grant."""
         written = None
         try:
-            wait = self._orders.book.assumed_until - self._clock.now()
-            if wait > 0 and self._view.assignment.term > ids.FIRST_TERM:
-                await asyncio.sleep(clock.seconds(wait))
+            if self._view.assignment.term > ids.FIRST_TERM:
+                await self._wait_until(self._orders.book.assumed_until)
             written = await self._terms.write_rows(service, rows)
         finally:
             self._grants.let_go(service, [row.keys for row in rows])
@@ -208,22 +207,18 @@
             released = await self._orders.release(known, row.keys, row.fence)
         if released is not None:
             free_at = self._orders.book.free_after_release(row.owner, row.keys)
-            await self._wait_for(row, free_at)
+            await self._wait_until(free_at)
             self._log_freed(service, row, 'released')
             return released.handover
         free_at = self._orders.book.free_without_release(row.owner, row.keys)
-        await self._wait_for(row, free_at)
+        await self._wait_until(free_at)
         self._log_freed(service, row, 'lease is over')
         return ''
 
-    async def _wait_for(
-        self,
-        row: owners.Ownership,
-        free_at: clock.Millis,
-    ) -> None:
-        """Wait until a time."""
-        while self._clock.now() < free_at:
-            left = free_at - self._clock.now()
+    async def _wait_until(self, moment: clock.Millis) -> None:
+        """Wait in short steps, as a suspension counts for the clock alone."""
+        while self._clock.now() < moment:
+            left = moment - self._clock.now()
             await asyncio.sleep(clock.seconds(max(1, min(left, _CHECK_MS))))
 
     async def _hand_over(
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -33,7 +33,6 @@
         self._pool = pool
         self._book = book
         self._clock = source
-        self.sent = 0
 
     @property
     def book(self) -> leases.LeaseBook:
@@ -55,7 +54,6 @@
         earlier = self._book.unanswered_until(row.owner, row.keys)
         latest_arrival = clock.later(now, GRANT_TIMEOUT_MS)
         self._book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
-        self.sent += 1
         outcome = await self._pool.exchange(
             _address(server),
             http_client.encode_call(
@@ -78,7 +76,6 @@
         fence: ids.Fence,
     ) -> Released | None:
         """Release keys; None if no answer came."""
-        self.sent += 1
         outcome = await self._pool.exchange(
             _address(server),
             http_client.encode_call(
--- a/packages/gateway/src/sycamoreferry_gateway/peer_link.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_link.py
@@ -34,7 +34,6 @@
         self._handler = handler
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
-        self.sent = 0
 
     async def open(self, host: str, port: int) -> None:
         """Bind the socket."""
@@ -75,7 +74,6 @@
             return
         for receiver in receivers:
             self._transport.sendto(datagram, receiver)
-            self.sent += 1
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Decode a datagram and hand it on."""
--- a/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_requests.py
@@ -224,7 +224,9 @@
         wait: _Wait,
         now: clock.Millis,
     ) -> peer_messages.PermitAsk:
-        owner = self._backlogs.owner_server(request)
+        owner = None
+        if wait.place.server is not None:
+            owner = self._view.fleet.get(wait.place.server)
         duration = self._loads.service_ms(request.service)
         if owner is not None:
             duration = self._loads.duration_ms(owner)
