Share the tests' request, leader and check of owners

test_path, test_permits, test_process and test_soak each encoded the same request; test_path looked the coordinator up in five places and counted overlapping owners in two. The world of the tests offers them once. Every assertion and bound is as before; the gateway's tests pass.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -18,6 +18,7 @@
 from sycamoreferry_core.fleet import deployment
 from sycamoreferry_gateway import (
     event_log,
+    http_client,
     http_server,
     instance,
 )
@@ -422,6 +423,34 @@
             len(self.owners(key)) == 1 for key in range(0, LAST_KEY + 1, 999)
         )
 
+    def leader(self) -> instance.Instance:
+        """Return the instance that coordinates."""
+        return next(
+            one for one in self.instances if one._coordinator.is_coordinating
+        )
+
+    def payload(
+        self,
+        request_id: str,
+        key: int,
+        *,
+        path: str = '/k/a',
+        deadline_ms: int = 2_000,
+        method: str = 'GET',
+    ) -> bytes:
+        """Encode a request of a caller."""
+        return http_client.encode_request(
+            method,
+            path,
+            (
+                ('Host', 'h'),
+                ('Request-Id', request_id),
+                ('Deadline-Ms', str(deadline_ms)),
+                ('Shard-Key', str(key)),
+            ),
+            b'',
+        )
+
     def settings(self, chosen: deployment.Deployment, store_port: int) -> str:
         """Return the settings file of an instance that runs as a process."""
         return _SETTINGS.format(deployment=chosen, store_port=store_port)
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -20,17 +20,7 @@
     request_id: str = '1',
 ) -> tuple[int, bytes]:
     made = world.instances[number]
-    payload = http_client.encode_request(
-        'GET',
-        path,
-        (
-            ('Host', 'h'),
-            ('Request-Id', request_id),
-            ('Deadline-Ms', '2000'),
-            ('Shard-Key', str(key)),
-        ),
-        b'',
-    )
+    payload = world.payload(request_id, key, path=path)
     pool = http_client.ConnectionPool(boot_clock.BootClock())
     address = made._deployment.request_address
     reply = await pool.exchange(address, payload, 3_000)
@@ -152,9 +142,7 @@
     world: typing.Any,
 ) -> None:
     await _started(world)
-    leader = next(
-        one for one in world.instances if one._coordinator.is_coordinating
-    )
+    leader = world.leader()
     row = leader._view.owner_of('keys', KEY)
     other = next(
         known.life
@@ -176,9 +164,7 @@
     world: typing.Any,
 ) -> None:
     await _started(world)
-    leader = next(
-        one for one in world.instances if one._coordinator.is_coordinating
-    )
+    leader = world.leader()
     row = leader._view.owner_of('keys', KEY)
     await _move(world, leader, row.keys.first + 100)
     renewed = leader._view.owner_of('keys', row.keys.last)
@@ -230,9 +216,7 @@
     world: typing.Any,
 ) -> None:
     await _started(world)
-    leader = next(
-        one for one in world.instances if one._coordinator.is_coordinating
-    )
+    leader = world.leader()
     terms = leader._coordinator._terms
     row = leader._view.owner_of('keys', KEY)
     parts = [
@@ -276,17 +260,22 @@
     assert world.owners(KEY) == owners
 
 
+async def _overlaps(world: typing.Any, length_s: int) -> int:
+    """Count how often in a time two servers held one of some keys."""
+    overlaps = 0
+    for _ in range(20 * length_s):
+        await asyncio.sleep(0.05)
+        overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
+    return overlaps
+
+
 async def test_write_with_a_lost_answer_gives_one_owner(
     world: typing.Any,
 ) -> None:
     await _started(world)
     world.store.lose_answers = 1
     world.servers[0].register('draining')
-    overlaps = 0
-    for _ in range(80):
-        await asyncio.sleep(0.05)
-        overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
-    assert not overlaps
+    assert not await _overlaps(world, 4)
     await world.until(world.is_covered, limit_s=5)
 
 
@@ -298,11 +287,7 @@
     server.loses_grants = 2
     await asyncio.sleep(1.5)
     server.register('draining')
-    overlaps = 0
-    for _ in range(160):
-        await asyncio.sleep(0.05)
-        overlaps += any(len(world.owners(key)) > 1 for key in (0, KEY, 65_535))
-    assert not overlaps
+    assert not await _overlaps(world, 8)
     await world.until(world.is_covered, limit_s=8)
 
 
@@ -313,9 +298,7 @@
     lost = world.servers.pop()
     lost.stop()
     world.store.put('keyed.servers', lost.name, b'')
-    leaving = next(
-        one for one in world.instances if one._coordinator.is_coordinating
-    )
+    leaving = world.leader()
     # As on SIGTERM.
     leaving._server.is_leaving = True
     leaving._exchange.is_leaving = True
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -24,17 +24,7 @@
 
 async def _call(world: typing.Any, number: int, request_id: str) -> int:
     made = world.instances[number % INSTANCES]
-    payload = http_client.encode_request(
-        'GET',
-        '/k/a',
-        (
-            ('Host', 'h'),
-            ('Request-Id', request_id),
-            ('Deadline-Ms', '3000'),
-            ('Shard-Key', str(KEY)),
-        ),
-        b'',
-    )
+    payload = world.payload(request_id, KEY, deadline_ms=3_000)
     pool = http_client.ConnectionPool(boot_clock.BootClock())
     address = made._deployment.request_address
     reply = await pool.exchange(address, payload, 4_000)
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -49,18 +49,8 @@
         process.stdout.close()
 
 
-async def _status(address: deployment.Address) -> int:
-    payload = http_client.encode_request(
-        'GET',
-        '/k/a',
-        (
-            ('Host', 'h'),
-            ('Request-Id', 'r1'),
-            ('Deadline-Ms', '2000'),
-            ('Shard-Key', '7'),
-        ),
-        b'',
-    )
+async def _status(world: typing.Any, address: deployment.Address) -> int:
+    payload = world.payload('r1', 7)
     pool = http_client.ConnectionPool(boot_clock.BootClock())
     reply = await pool.exchange(address, payload, 3_000)
     return 0 if isinstance(reply, http_client.Failed) else reply.status
@@ -76,10 +66,10 @@
     process = start_process(chosen)
     address = chosen.request_address
     for _ in range(200):
-        if await _status(address) == 200:
+        if await _status(world, address) == 200:
             break
         await asyncio.sleep(0.1)
-    statuses = [await _status(address) for _ in range(REQUESTS)]
+    statuses = [await _status(world, address) for _ in range(REQUESTS)]
     assert statuses == [200] * REQUESTS
     process.send_signal(signal.SIGTERM)
     await world.until(lambda: process.poll() == 0, limit_s=6)
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -320,16 +320,11 @@
             entry = self._chance.choice(self.entries)
             self._number += 1
             name = f'r{self._number}'
-            payload = http_client.encode_request(
-                'POST',
-                '/k/a',
-                (
-                    ('Host', 'h'),
-                    ('Request-Id', name),
-                    ('Deadline-Ms', '1000'),
-                    ('Shard-Key', str(self._chance.choice(KEYS))),
-                ),
-                b'',
+            payload = self.world.payload(
+                name,
+                self._chance.choice(KEYS),
+                deadline_ms=1_000,
+                method='POST',
             )
             address = entry.deployment.request_address
             reply = await pool.exchange(address, payload, 1_500)
