Log which requests a planned stop leaves without an answer

A request that is cut at the end of a shutdown was logged as one whose caller left, without the server that it had been sent to, or not at all. Change: at the end of a shutdown each request in flight is named with the server that it was sent to, if any; the line 'stopped' has the number of busy connections, which exceeds the requests in flight if answers are unsent. Test: test_log_tells_waiting_requests_from_those_at_a_server, with direct choice of servers and with permits.

--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -274,7 +274,12 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is in flight and no answer is unsent."""
-        return all(connection.is_idle for connection in self.connections)
+        return not self.busy_count
+
+    @property
+    def busy_count(self) -> int:
+        """Return how many connections have a request or an unsent answer."""
+        return sum(not connection.is_idle for connection in self.connections)
 
     def stop_listening(self) -> None:
         """Accept no new connections."""
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -251,12 +251,14 @@
                 and not self._request_handler.in_flight,
             )
         self._server.stop_listening()
-        self._server.close_connections()
+        self._request_handler.log_unanswered()
         self._log.write(
             'instance',
             'stopped',
             in_flight=self._request_handler.in_flight,
+            busy_connections=self._server.busy_count,
         )
+        self._server.close_connections()
         self._log.report_dropped()
 
     def _on_hangup(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -31,7 +31,7 @@
     reply: http_messages.HttpResponse | None = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class ProxiedRequest:
     """Hold a request from its arrival until its answer."""
 
@@ -45,6 +45,8 @@
     signature: crashes.Signature
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     waited_ms: int = 0
+    # The server of the attempt in progress; None while waiting for one.
+    current_server: ids.ServerId | None = None
     # The backlog ahead of the request when it was rejected.
     rejection_backlog: queueing.Backlog | None = None
 
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -75,6 +75,7 @@
                 bounds.retry_extra,
             ),
         )
+        self._open: set[proxied_requests.ProxiedRequest] = set()
         self.in_flight = 0
 
     def drain_demand(self) -> dict[tuple[ids.ServiceName, owners.Key], int]:
@@ -83,6 +84,19 @@
         self._demand = {}
         return demand
 
+    def log_unanswered(self) -> None:
+        """Log each request in flight and the server that it was sent to."""
+        now = self._view.clock.now()
+        for proxied in self._open:
+            self._log.write(
+                'request',
+                'request is unanswered at the end of the shutdown',
+                request=proxied.request_id,
+                ms=now - proxied.arrived,
+                sent_to=proxied.current_server,
+                **self._log_fields(proxied),
+            )
+
     async def serve(
         self,
         request: http_server.CallerRequest,
@@ -97,12 +111,15 @@
                 final = prepared
             else:
                 proxied = prepared
+                self._open.add(proxied)
                 final = await self._forward(proxied)
         except asyncio.CancelledError:
             self._log_end(request, proxied, arrived, 'caller left', None)
             raise
         finally:
             self.in_flight -= 1
+            if proxied is not None:
+                self._open.discard(proxied)
         self._log_end(request, proxied, arrived, final.reason, final)
         return final.answer
 
@@ -211,12 +228,14 @@
         )
         has_free_slot = in_flight <= server.slots
         has_answered = None
+        proxied.current_server = server.incarnation.server
         try:
             attempt = await self._send(proxied, server, started_at)
             has_answered = (
                 attempt.result is proxied_requests.AttemptResult.ANSWERED
             )
         finally:
+            proxied.current_server = None
             self._dispatcher.release(
                 queued,
                 server.incarnation.server,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -281,13 +281,17 @@
         )
 
 
-def configuration(version: int, kind: str = 'safe') -> bytes:
+def configuration(
+    version: int,
+    kind: str = 'safe',
+    timeout_ms: int = 1_500,
+) -> bytes:
     """Encode an operator's configuration with one route."""
     path = {
         'Name': 'r',
         'PathPrefix': '/k/',
         'Kind': kind,
-        'Timeout': '1500ms',
+        'Timeout': f'{timeout_ms}ms',
         'Slo': '500ms',
         'Priority': 1,
         'Service': 'keys',
@@ -381,10 +385,14 @@
     def add_instance(self, name: str) -> instance.Instance:
         return self._run(self._deployment(name))
 
-    def _run(self, chosen: deployment.Deployment) -> instance.Instance:
+    def _run(
+        self,
+        chosen: deployment.Deployment,
+        log_path: str = os.devnull,
+    ) -> instance.Instance:
         log = event_log.EventLog(
             boot_clock.BootClock(),
-            os.open(os.devnull, os.O_WRONLY),
+            os.open(log_path, os.O_WRONLY | os.O_CREAT),
         )
         added = instance.Instance(chosen, log)
         self.instances.append(added)
--- /dev/null
+++ b/packages/gateway/tests/test_shutdown.py
@@ -0,0 +1,94 @@
+"""Stop an instance while callers wait for their answers."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import typing
+
+import pytest
+
+from sycamoreferry_core.fleet import message_intervals
+from sycamoreferry_gateway import http_client, instance
+from sycamoreferry_ports import boot_clock
+
+KEY = 7
+# The server's two slots, and one request that may queue at it.
+CAPACITY = 3
+GRACE_MS = 2_000
+# Longer than the grace period.
+LONG_MS = 6_000
+UNANSWERED = 'request is unanswered at the end of the shutdown'
+
+
+@dataclasses.dataclass
+class BusyInstance:
+    """Call an instance whose only server is full, and read its log."""
+
+    cluster: typing.Any
+    instance: instance.Instance
+    log: pathlib.Path
+
+    async def call(self, request_id: str) -> http_client.ExchangeResult:
+        payload = self.cluster.encode_request(
+            request_id, KEY, deadline_ms=LONG_MS
+        )
+        pool = http_client.ConnectionPool(boot_clock.BootClock())
+        address = self.instance._deployment.request_address
+        return await pool.exchange(address, payload, LONG_MS)
+
+    async def start_calls(
+        self, count: int
+    ) -> list[asyncio.Task[http_client.ExchangeResult]]:
+        """Send requests and wait until the server runs all that it may."""
+        calls = [
+            asyncio.create_task(self.call(f'r{number}'))
+            for number in range(count)
+        ]
+        await self.cluster.wait_until(
+            lambda: (
+                self.instance._request_handler.in_flight == count
+                and self.cluster.servers[0].running == min(count, CAPACITY)
+            )
+        )
+        return calls
+
+    def lines(self, event: str) -> list[dict[str, typing.Any]]:
+        rows = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [row for row in rows if row['event'] == event]
+
+
+@pytest.fixture(params=[False, True], ids=['direct', 'permits'])
+async def busy(
+    cluster: typing.Any,
+    tmp_path: pathlib.Path,
+    encode_configuration: typing.Callable[..., bytes],
+    monkeypatch: pytest.MonkeyPatch,
+    request: pytest.FixtureRequest,
+) -> BusyInstance:
+    """Return an instance with a short grace period and one slow server."""
+    if request.param:
+        monkeypatch.setattr(message_intervals, '_MAX_MESH_PEERS', -1)
+    await cluster.start(servers=1, instances=0)
+    cluster.servers[0].processing_time_s = 30
+    content = encode_configuration(2, timeout_ms=LONG_MS)
+    cluster.store.put('keyed.op', 'config', content)
+    chosen = cluster._deployment('busy')
+    bounds = dataclasses.replace(chosen.bounds, grace_ms=GRACE_MS)
+    log = tmp_path / 'instance.log'
+    added = cluster._run(dataclasses.replace(chosen, bounds=bounds), str(log))
+    await cluster.wait_until(
+        lambda: added.is_ready and added._view.owner_of('keys', KEY) is not None
+    )
+    return BusyInstance(cluster, added, log)
+
+
+async def test_log_tells_waiting_requests_from_those_at_a_server(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY + 1)
+    busy.instance._request_handler.log_unanswered()
+    sent_to = [row['sent_to'] for row in busy.lines(UNANSWERED)]
+    assert sorted(sent_to, key=str) == [None, *(['s0'] * CAPACITY)]
+    for call in calls:
+        call.cancel()
