--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -92,3 +92,32 @@
     assert sorted(sent_to, key=str) == [None, *(['s0'] * CAPACITY)]
     for call in calls:
         call.cancel()
+
+
+async def test_waiting_request_is_answered_before_the_shutdown_ends(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY + 1)
+    busy.instance._stop.set()
+    replies = await asyncio.gather(*calls)
+    rejected = [
+        reply
+        for reply in replies
+        if not isinstance(reply, http_client.FailedExchange)
+        and reply.status == 503
+    ]
+    assert len(rejected) == 1
+    assert rejected[0].header('retry-after') is not None
+
+
+async def test_running_request_is_answered_before_the_shutdown_ends(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY)
+    busy.instance._stop.set()
+    replies = await asyncio.gather(*calls)
+    statuses = [
+        0 if isinstance(reply, http_client.FailedExchange) else reply.status
+        for reply in replies
+    ]
+    assert statuses == [502] * CAPACITY
