Answer all requests before a stopping instance closes its connections

Cause: the wait for a server and the attempts at one were bounded by the caller's deadline and the route's timeout only. The shutdown has a deadline of its own, the grace time, which none of them knew: a request that could wait longer was still queued when the instance closed its connections. Class: a wait that outlives its owner, since it does not have the owner's deadline. A request that was sent is answered 502, never 503, and is not sent again. Tests: packages/gateway/tests/test_shutdown.py, with direct choice and with permits. Not explained: one set-up of these tests timed out while three other test runs used the machine; the same files passed before and after.

--- a/packages/core/tests/fleet/test_graceful_shutdown.py
+++ b/packages/core/tests/fleet/test_graceful_shutdown.py
@@ -55,3 +55,18 @@
         is_idle=False,
     )
     assert phase is graceful_shutdown.ShutdownPhase.FINISHING
+
+
+@pytest.mark.parametrize('grace_ms', [1_000, 2_000, 6_000, 30_000])
+def test_answers_are_due_in_the_last_sixth_before_connections_close(
+    grace_ms: int,
+) -> None:
+    due = graceful_shutdown.answers_due_at(clock.Millis(0), grace_ms)
+    phase = graceful_shutdown.shutdown_phase(
+        clock.Millis(0),
+        due,
+        grace_ms=grace_ms,
+        is_idle=False,
+    )
+    assert due * 6 >= grace_ms * 5
+    assert phase is graceful_shutdown.ShutdownPhase.FINISHING
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -236,6 +236,12 @@
         self._coordinator.resign()
         self._exchange.send_heartbeat()
         drain_started_at = self._clock.now()
+        self._request_handler.open_requests.finish_by(
+            graceful_shutdown.answers_due_at(
+                drain_started_at,
+                self._deployment.bounds.grace_ms,
+            ),
+        )
         phase = graceful_shutdown.ShutdownPhase.ACCEPTING
         while phase is not graceful_shutdown.ShutdownPhase.DONE:
             if phase is graceful_shutdown.ShutdownPhase.FINISHING:
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -38,7 +38,10 @@
     request: http_server.CallerRequest
     request_id: str
     arrived: clock.Millis
+    # When the caller's deadline or the route's timeout is reached.
     ends_at: clock.Millis
+    # Before ends_at if the instance stops earlier.
+    answer_by: clock.Millis
     route: routes.Route
     service: ids.ServiceName
     key: owners.Key | None
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -25,6 +25,7 @@
     event_log,
     http_client,
     http_server,
+    open_requests,
     proxied_requests,
     telemetry,
     view,
@@ -42,6 +43,7 @@
 _REJECTION_BACKOFF_MS = 40
 _STARTING_RETRY_AFTER_MS = 500
 _RETRY_AFTER_MS = 300
+_STOPPING = 'instance is stopping'
 
 
 class RequestHandler:
@@ -75,7 +77,7 @@
                 bounds.retry_extra,
             ),
         )
-        self._open: set[proxied_requests.ProxiedRequest] = set()
+        self.open_requests = open_requests.OpenRequests(cluster_view.clock)
         self.in_flight = 0
 
     def drain_demand(self) -> dict[tuple[ids.ServiceName, owners.Key], int]:
@@ -87,7 +89,7 @@
     def log_unanswered(self) -> None:
         """Log each request in flight and the server that it was sent to."""
         now = self._view.clock.now()
-        for proxied in self._open:
+        for proxied in self.open_requests.proxied:
             self._log.write(
                 'request',
                 'request is unanswered at the end of the shutdown',
@@ -111,15 +113,12 @@
                 final = prepared
             else:
                 proxied = prepared
-                self._open.add(proxied)
                 final = await self._forward(proxied)
         except asyncio.CancelledError:
             self._log_end(request, proxied, arrived, 'caller left', None)
             raise
         finally:
             self.in_flight -= 1
-            if proxied is not None:
-                self._open.discard(proxied)
         self._log_end(request, proxied, arrived, final.reason, final)
         return final.answer
 
@@ -164,6 +163,7 @@
             request_id=request_id,
             arrived=arrived,
             ends_at=clock.later(arrived, allowed_ms),
+            answer_by=clock.later(arrived, allowed_ms),
             route=route,
             service=service,
             key=key,
@@ -195,6 +195,18 @@
             has_large_answer=(proxied.route.kind is routes.RouteKind.DOWNLOAD),
             data_centre=self._view.deployment.data_centre,
         )
+        try:
+            return await self.open_requests.run(
+                proxied, queued, self._attempt_until_final(proxied, queued)
+            )
+        except TimeoutError:
+            return self._failure_answer(proxied, _STOPPING, _RETRY_AFTER_MS)
+
+    async def _attempt_until_final(
+        self,
+        proxied: proxied_requests.ProxiedRequest,
+        queued: queueing.QueuedRequest,
+    ) -> answers.FinalAnswer:
         while True:
             queued_at = self._view.clock.now()
             found = await self._dispatcher.acquire(queued)
@@ -234,6 +246,15 @@
             has_answered = (
                 attempt.result is proxied_requests.AttemptResult.ANSWERED
             )
+        except asyncio.CancelledError:
+            proxied.attempts.append(
+                proxied_requests.Attempt(
+                    proxied_requests.AttemptResult.UNKNOWN,
+                    server,
+                    'interrupted',
+                )
+            )
+            raise
         finally:
             proxied.current_server = None
             self._dispatcher.release(
@@ -256,7 +277,7 @@
         server: servers.BackendServer,
         started_at: clock.Millis,
     ) -> proxied_requests.Attempt:
-        remaining = proxied.ends_at - started_at
+        remaining = proxied.answer_by - started_at
         if remaining <= 0:
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, 'no time left'
@@ -274,7 +295,7 @@
         outcome = await self._pool.exchange(
             deployment.Address(server.host, server.port),
             payload,
-            self._attempt_timeout_ms(proxied, server, remaining),
+            self._attempt_timeout_ms(proxied, server, started_at),
             lambda reply: answers.matches_request(reply, proxied.request_id),
         )
         return self._classifier.classify(proxied, server, outcome)
@@ -283,12 +304,13 @@
         self,
         proxied: proxied_requests.ProxiedRequest,
         server: servers.BackendServer,
-        remaining: int,
+        started_at: clock.Millis,
     ) -> float:
+        remaining = proxied.answer_by - started_at
         if proxied.key is not None or not self._has_attempts_left(proxied):
             return remaining
         attempt_ms = max(
-            remaining * _ATTEMPT_SHARE,
+            (proxied.ends_at - started_at) * _ATTEMPT_SHARE,
             _MIN_ATTEMPT_MS,
             4 * self._loads.duration_ms(server),
         )
@@ -333,7 +355,7 @@
             for one in proxied.attempts
             if one.result is not proxied_requests.AttemptResult.NOT_SENT
         )
-        if len(proxied.attempts) > _MAX_SENDS or now >= proxied.ends_at:
+        if len(proxied.attempts) > _MAX_SENDS or now >= proxied.answer_by:
             return False
         if attempt.result is proxied_requests.AttemptResult.NOT_SENT:
             return not proxied.may_have_run or self._may_rerun(proxied)
@@ -376,6 +398,8 @@
             code = _Code.OVERLOADED
             if proxied.key is not None and reason == 'key has no owner':
                 code = _Code.NO_OWNER
+            if reason == _STOPPING:
+                code = _Code.LEAVING
             return answers.refusal(code, reason, retry_after_ms)
         now = self._view.clock.now()
         code = _Code.OUTCOME_UNKNOWN
@@ -419,6 +443,7 @@
             'service': proxied.service,
             'waited_ms': proxied.waited_ms,
             'owners_offset': self._view.owners_offset,
+            'stopping': self.open_requests.is_stopping,
             'tries': [
                 [one.server.incarnation.server, one.result.value, one.detail]
                 for one in proxied.attempts
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -110,6 +110,18 @@
     assert rejected[0].header('retry-after') is not None
 
 
+async def test_request_taken_during_the_shutdown_is_answered_before_it_ends(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY)
+    busy.instance._stop.set()
+    reply = await busy.call('late')
+    assert not isinstance(reply, http_client.FailedExchange)
+    assert reply.status == 503
+    assert busy.cluster.servers[0].peak_running == CAPACITY
+    await asyncio.gather(*calls)
+
+
 async def test_running_request_is_answered_before_the_shutdown_ends(
     busy: BusyInstance,
 ) -> None:
