Count the grace time of a planned stop from its signal

Callers would see: answers that come after the grace time, or none, since the process is killed before its shutdown ends. Cause: the shutdown counted the grace time from the moment at which the event loop handled SIGTERM. Same class as the requests that outlived the shutdown: a deadline that is not the owner's real one. Change: the signal's handler notes the time when it is delivered, between two steps of the interpreter, and only wakes the loop. Test: test_answers_are_in_time_if_the_loop_is_busy_at_the_signal; with the loop's own handler it fails, directly and with permits.

--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -104,6 +104,7 @@
         )
         self._status = http_server.HttpServer(self._serve_status, self._clock)
         self._stop = asyncio.Event()
+        self._stop_requested_at = clock.LONG_AGO
         self._was_ready = False
 
     @property
@@ -119,7 +120,8 @@
         """Serve until SIGTERM, then drain and stop."""
         settings = self._deployment
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        # Unlike the loop's own handlers it runs also while the loop is busy.
+        signal.signal(signal.SIGTERM, lambda *_: self.request_stop(loop))
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         self._view.on_change = self._apply_view_change
         await self._exchange.open()
@@ -140,6 +142,11 @@
         for task in tasks:
             task.cancel()
 
+    def request_stop(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start a shutdown; the grace period begins now."""
+        self._stop_requested_at = self._clock.now()
+        loop.call_soon_threadsafe(self._stop.set)
+
     def _coordination(self) -> coordinator.Coordinator:
         return self._coordinator
 
@@ -235,10 +242,9 @@
         self._exchange.is_leaving = True
         self._coordinator.resign()
         self._exchange.send_heartbeat()
-        drain_started_at = self._clock.now()
         self._request_handler.open_requests.finish_by(
             graceful_shutdown.answers_due_at(
-                drain_started_at,
+                self._stop_requested_at,
                 self._deployment.bounds.grace_ms,
             ),
         )
@@ -250,7 +256,7 @@
             self._exchange.send_heartbeat()
             await asyncio.sleep(clock.seconds(_DRAIN_HEARTBEAT_MS))
             phase = graceful_shutdown.shutdown_phase(
-                drain_started_at,
+                self._stop_requested_at,
                 self._clock.now(),
                 grace_ms=self._deployment.bounds.grace_ms,
                 is_idle=self._server.is_idle
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -3,7 +3,10 @@
 import asyncio
 import dataclasses
 import json
+import os
 import pathlib
+import signal
+import time
 import typing
 
 import pytest
@@ -53,6 +56,9 @@
         )
         return calls
 
+    def stop(self) -> None:
+        self.instance.request_stop(asyncio.get_running_loop())
+
     def lines(self, event: str) -> list[dict[str, typing.Any]]:
         rows = [json.loads(line) for line in self.log.read_text().splitlines()]
         return [row for row in rows if row['event'] == event]
@@ -98,7 +104,7 @@
     busy: BusyInstance,
 ) -> None:
     calls = await busy.start_calls(CAPACITY + 1)
-    busy.instance._stop.set()
+    busy.stop()
     replies = await asyncio.gather(*calls)
     rejected = [
         reply
@@ -114,7 +120,7 @@
     busy: BusyInstance,
 ) -> None:
     calls = await busy.start_calls(CAPACITY)
-    busy.instance._stop.set()
+    busy.stop()
     reply = await busy.call('late')
     assert not isinstance(reply, http_client.FailedExchange)
     assert reply.status == 503
@@ -126,10 +132,25 @@
     busy: BusyInstance,
 ) -> None:
     calls = await busy.start_calls(CAPACITY)
-    busy.instance._stop.set()
+    busy.stop()
     replies = await asyncio.gather(*calls)
     statuses = [
         0 if isinstance(reply, http_client.FailedExchange) else reply.status
         for reply in replies
     ]
     assert statuses == [502] * CAPACITY
+
+
+async def test_answers_are_in_time_if_the_loop_is_busy_at_the_signal(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY)
+    os.kill(os.getpid(), signal.SIGTERM)
+    signalled_at = time.monotonic()
+    # Blocks the event loop.
+    time.sleep(GRACE_MS / 4_000)  # noqa: ASYNC251
+    replies = await asyncio.gather(*calls)
+    assert not any(
+        isinstance(reply, http_client.FailedExchange) for reply in replies
+    )
+    assert time.monotonic() < signalled_at + GRACE_MS / 1_000
