Log the first listing of servers in one line

Cause: an instance that starts wrote a line for each server when it first read the servers' topic. Change: the first listing, from the store or from a peer that answers first, gives one line 'servers listed' with the counts by service and state; later changes, and those that the coordinator forwards before the listing, keep a line each. `ferryctl explain` so no longer shows the start of an instance as a change of the servers that a request was sent to. Test: test_first_listing_does_not_push_earlier_lines_out_of_the_log, with the store's and a peer's listing; failed before in both, with 300 lines.

--- a/packages/core/src/sycamoreferry_core/fleet/store_records.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -89,6 +89,11 @@
         """Return whether a full listing of the topic was applied."""
         return self._is_complete
 
+    @property
+    def is_listed(self) -> bool:
+        """Return whether a listing was applied, of the store or of a peer."""
+        return self._is_complete or self._end > ids.FIRST_OFFSET
+
     @property
     def records(self) -> typing.Mapping[RecordKey, StoredRecord]:
         """Return the records by key."""
--- a/packages/ctl/tests/test_explaining.py
+++ b/packages/ctl/tests/test_explaining.py
@@ -61,6 +61,14 @@
         reason='reset',
         tries=[['c', 'unknown', 'reset']],
     ),
+    _line(
+        6,
+        'servers',
+        'servers listed',
+        count=2,
+        services={'v': {'ready': 1, 'draining': 1}},
+        offset=9,
+    ),
     _line(6, 'servers', 'server is gone', server='c', service='v'),
     _line(6, 'servers', 'server is gone', server='d', service='v'),
     _ended(7, 'late', 4003, reason='timeout', tries=[['d', 'unknown', 'x']]),
@@ -96,6 +104,13 @@
     assert not_shown not in told
 
 
+def test_start_of_an_instance_is_not_taken_as_a_change_of_servers() -> None:
+    assert 'servers listed' in {line.event for line in LINES}
+    for request_id in ('lost', 'late', 'absent'):
+        found = explaining.explain(request_id, LINES)
+        assert 'listed' not in '\n'.join(found.details)
+
+
 def test_command_reads_files(tmp_path: pathlib.Path) -> None:
     path = tmp_path / 'entry.log'
     path.write_text('\n'.join(TRACE))
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/server_log.py
@@ -0,0 +1,78 @@
+"""Log what changed about the backend servers."""
+
+import collections
+import typing
+
+from sycamoreferry_core import ids
+from sycamoreferry_core.fleet import servers, store_records
+from sycamoreferry_gateway import event_log
+
+_PART = 'servers'
+
+
+class ServerLog:
+    """Log each change of a server, and the first listing as counts."""
+
+    def __init__(
+        self,
+        log: event_log.EventLog,
+        mirror: store_records.TopicMirror,
+    ) -> None:
+        self._log = log
+        self._mirror = mirror
+        self._has_logged_listing = False
+
+    def log_change(
+        self,
+        known: servers.BackendServer | None,
+        entry: servers.BackendServer,
+        offset: ids.Offset,
+    ) -> None:
+        """Log a new server, state or incarnation, except in the listing."""
+        if self._is_first_listing or not _is_logged(known, entry):
+            return
+        self._log.write(
+            _PART,
+            'server changed',
+            server=entry.incarnation.server,
+            service=entry.service,
+            state=entry.state.value,
+            born=entry.incarnation.born,
+            data_centre=entry.data_centre,
+            offset=offset,
+        )
+
+    def log_listing(
+        self, listed: typing.Collection[servers.BackendServer]
+    ) -> None:
+        """Log the servers by service and state after the first listing."""
+        if not self._is_first_listing:
+            return
+        self._has_logged_listing = True
+        counts: dict[ids.ServiceName, collections.Counter[str]] = {}
+        for server in listed:
+            states = counts.setdefault(server.service, collections.Counter())
+            states[server.state.value] += 1
+        self._log.write(
+            _PART,
+            'servers listed',
+            count=len(listed),
+            services=counts,
+            offset=self._mirror.end,
+        )
+
+    @property
+    def _is_first_listing(self) -> bool:
+        """Tell whether the first listing is being applied."""
+        return self._mirror.is_listed and not self._has_logged_listing
+
+
+def _is_logged(
+    known: servers.BackendServer | None,
+    entry: servers.BackendServer,
+) -> bool:
+    return (
+        known is None
+        or known.state is not entry.state
+        or known.incarnation != entry.incarnation
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -16,7 +16,12 @@
 )
 from sycamoreferry_core.keyspace import owners, pending_moves
 from sycamoreferry_core.traffic import crashes, routes
-from sycamoreferry_gateway import assignment, event_log, instance_records
+from sycamoreferry_gateway import (
+    assignment,
+    event_log,
+    instance_records,
+    server_log,
+)
 
 
 class View:
@@ -33,6 +38,9 @@
         self.log = log
         self.mirrors = {topic: store_records.TopicMirror() for topic in _TOPICS}
         self.fleet = servers.ServerFleet()
+        self._server_log = server_log.ServerLog(
+            log, self.mirrors[store_calls.SERVERS_TOPIC]
+        )
         self.peers = instances.Peers(
             settings.instance, settings.counting_weight
         )
@@ -161,6 +169,7 @@
                     self.servers_changed_offset,
                     record.offset,
                 )
+        self._server_log.log_listing(self.fleet.servers.values())
         if changed:
             self.on_change()
 
@@ -222,21 +231,7 @@
         if known is not None and known.service != entry.service:
             self._by_service.get(known.service, {}).pop(server_id, None)
         self._by_service.setdefault(entry.service, {})[server_id] = entry
-        if (
-            known is None
-            or known.state is not entry.state
-            or known.incarnation != entry.incarnation
-        ):
-            self.log.write(
-                'servers',
-                'server changed',
-                server=record.key,
-                service=entry.service,
-                state=entry.state.value,
-                born=entry.incarnation.born,
-                data_centre=entry.data_centre,
-                offset=record.offset,
-            )
+        self._server_log.log_change(known, entry, record.offset)
         return is_relevant
 
     def _end_life(self, life: servers.ServerIncarnation) -> None:
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -1,5 +1,10 @@
 """Check how an instance updates its view from the records it reads."""
 
+import json
+import os
+import pathlib
+import typing
+
 import pytest
 
 from sycamoreferry_adapter import store_calls
@@ -15,6 +20,73 @@
     ids.ServerId('s'), servers.IncarnationNumber(1)
 )
 
+SERVER_COUNT = 300
+LISTING_END = ids.Offset(SERVER_COUNT)
+
+
+class LoggedView:
+    """Apply server entries to a view and read the lines that it writes."""
+
+    def __init__(
+        self, settings: deployment.Deployment, log: pathlib.Path
+    ) -> None:
+        descriptor = os.open(log, os.O_WRONLY | os.O_CREAT)
+        self._log = log
+        self.view = view.View(
+            settings,
+            clock.ManualClock(),
+            event_log.EventLog(clock.ManualClock(), descriptor),
+        )
+
+    def forward(self, *rows: store_records.StoredRecord) -> None:
+        """Apply changes as the coordinator forwards them."""
+        self.view.apply(
+            store_calls.SERVERS_TOPIC,
+            store_records.RecordPage(rows, ids.FIRST_OFFSET),
+        )
+
+    def lines(self, event: str) -> list[dict[str, typing.Any]]:
+        rows = [json.loads(line) for line in self._log.read_text().splitlines()]
+        return [row for row in rows if row['event'] == event]
+
+
+@pytest.fixture
+def logged(
+    sample_deployment: deployment.Deployment, tmp_path: pathlib.Path
+) -> LoggedView:
+    return LoggedView(sample_deployment, tmp_path / 'view.log')
+
+
+def _server_record(number: int, **fields: object) -> store_records.StoredRecord:
+    offset = fields.pop('offset', number)
+    entry = {
+        'Service': f'service{number % 3}',
+        'Address': '127.0.0.1:80',
+        'Zone': 'here',
+        'Version': 'v1',
+        'Slots': 2,
+        'State': 'ready',
+        'WarmupLeft': '0ms',
+        'Seq': 1,
+        'born': 1,
+        **fields,
+    }
+    return store_records.StoredRecord(
+        store_records.RecordKey(f's{number}'),
+        ids.Offset(typing.cast(int, offset)),
+        json.dumps(entry).encode(),
+    )
+
+
+def _listing(*leaving: int) -> store_records.RecordPage:
+    rows = [
+        _server_record(
+            number, State='draining' if number in leaving else 'ready'
+        )
+        for number in range(SERVER_COUNT)
+    ]
+    return store_records.RecordPage(tuple(rows), LISTING_END)
+
 
 @pytest.fixture
 def instance_view(
@@ -70,3 +142,62 @@
     _apply_term(instance_view, 2, 5)
     _apply_term(instance_view, 1, 4)
     assert instance_view.assignment.term == 2
+
+
+@pytest.mark.parametrize('read', [view.View.replace, view.View.apply])
+def test_first_listing_does_not_push_earlier_lines_out_of_the_log(
+    logged: LoggedView,
+    read: typing.Callable[..., None],
+) -> None:
+    """Read the listing from the store, and from a peer that answered first."""
+    read(logged.view, store_calls.SERVERS_TOPIC, _listing(4, 6))
+    assert not logged.lines('server changed')
+    listed = logged.lines('servers listed')
+    assert [row['count'] for row in listed] == [SERVER_COUNT]
+    assert listed[0]['offset'] == LISTING_END
+    assert listed[0]['services'] == {
+        'service0': {'ready': 99, 'draining': 1},
+        'service1': {'ready': 99, 'draining': 1},
+        'service2': {'ready': 100},
+    }
+
+
+def test_changes_after_the_first_listing_have_a_line_each(
+    logged: LoggedView,
+) -> None:
+    logged.view.apply(store_calls.SERVERS_TOPIC, _listing())
+    changed = [
+        _server_record(1, offset=SERVER_COUNT, Seq=2, State='draining'),
+        _server_record(2, offset=SERVER_COUNT + 1, Seq=2),
+        _server_record(3, offset=SERVER_COUNT + 2, born=2),
+        _server_record(SERVER_COUNT, offset=SERVER_COUNT + 3),
+    ]
+    logged.forward(*changed)
+    end = ids.Offset(SERVER_COUNT + 4)
+    listed = (*_listing().records, *changed)
+    logged.view.replace(
+        store_calls.SERVERS_TOPIC, store_records.RecordPage(listed, end)
+    )
+    lines = logged.lines('server changed')
+    assert [row['server'] for row in lines] == ['s1', 's3', 's300']
+    assert len(logged.lines('servers listed')) == 1
+
+
+def test_change_before_the_first_listing_has_a_line(logged: LoggedView) -> None:
+    logged.forward(_server_record(1, offset=7))
+    assert len(logged.lines('server changed')) == 1
+    assert not logged.lines('servers listed')
+    logged.view.replace(store_calls.SERVERS_TOPIC, _listing())
+    assert len(logged.lines('server changed')) == 1
+    assert logged.lines('servers listed')[0]['count'] == SERVER_COUNT
+
+
+def test_empty_first_listing_has_a_line(logged: LoggedView) -> None:
+    empty = store_records.RecordPage((), ids.FIRST_OFFSET)
+    logged.view.replace(store_calls.SERVERS_TOPIC, empty)
+    logged.view.apply(
+        store_calls.SERVERS_TOPIC,
+        store_records.RecordPage((_server_record(1),), ids.Offset(2)),
+    )
+    assert logged.lines('servers listed')[0]['count'] == 0
+    assert len(logged.lines('server changed')) == 1
