Explain the requests that a planned stop ends

Cause: `ferryctl explain` did not know the ends that a shutdown gives. A request that it left unanswered was 'caller left', since the closed connection ends the request after the line that names it; 502 with the reason 'instance is stopping' was 'answer was lost after the request was sent'; 503 with code 3007 was 'rejected under load', the default; and nothing told that a request rejected with 3006 had less time because its instance stopped. Change: these have causes of their own, with the server that had the request and what was seen of it; lines with `stopping` say so. A later answer to the same id still goes before. Test: test_cause_of_a_request_that_ends_in_a_shutdown, 11 samples.

--- a/packages/ctl/src/sycamoreferry_ctl/explaining.py
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -10,6 +10,9 @@
 
 _Code = result_codes.ResultCode
 _REQUEST_ENDED = 'request ended'
+_REQUEST_UNANSWERED = 'request is unanswered at the end of the shutdown'
+_END_EVENTS = frozenset((_REQUEST_ENDED, _REQUEST_UNANSWERED))
+_STOPPING_REASON = 'instance is stopping'
 # Events that say why a key has no owner, the newest before the request counts.
 _KEY_EVENTS = frozenset(('moving keys', 'keys are free'))
 _SERVER_EVENTS = frozenset(
@@ -32,6 +35,9 @@
     NO_OWNER = 'key had no owner'
     UNKNOWN_OUTCOME = 'answer was lost after the request was sent'
     TOO_LATE = 'no answer before the deadline'
+    LEAVING = 'instance stopped before a server ran the request'
+    INTERRUPTED = 'instance stopped before the server answered'
+    UNANSWERED = 'instance stopped without an answer to the request'
     QUARANTINED = 'request ended the servers that ran it'
     BAD_REQUEST = 'request does not fit the configuration'
     STARTING = 'instance had no configuration yet'
@@ -43,6 +49,7 @@
     _Code.ANSWERED: Cause.ANSWERED,
     _Code.OVERLOADED: Cause.OVERLOAD,
     _Code.NO_OWNER: Cause.NO_OWNER,
+    _Code.LEAVING: Cause.LEAVING,
     _Code.OUTCOME_UNKNOWN: Cause.UNKNOWN_OUTCOME,
     _Code.ANSWER_TOO_LATE: Cause.TOO_LATE,
     _Code.QUARANTINED: Cause.QUARANTINED,
@@ -50,6 +57,14 @@
     _Code.KEY_REQUIRED: Cause.BAD_REQUEST,
     _Code.STARTING: Cause.STARTING,
 }
+_SERVER_CAUSES = frozenset(
+    (
+        Cause.UNKNOWN_OUTCOME,
+        Cause.TOO_LATE,
+        Cause.INTERRUPTED,
+        Cause.UNANSWERED,
+    ),
+)
 
 
 class Explanation(msgspec.Struct):
@@ -65,32 +80,52 @@
     lines: typing.Sequence[log_lines.LogLine],
 ) -> Explanation:
     """Return why a request ended as it did."""
-    ends = [
-        index
-        for index, line in enumerate(lines)
-        if line.event == _REQUEST_ENDED and line.request == request
-    ]
-    if not ends:
+    index = _find_end(request, lines)
+    if index is None:
         return Explanation(request, Cause.NOT_LOGGED.value, _dropped(lines))
-    end = lines[ends[-1]]
-    cause = Cause.CALLER_LEFT
-    if end.code is not None:
-        cause = _CAUSES.get(end.code, Cause.OVERLOAD)
+    end = lines[index]
+    cause = _cause(end)
     details = [_describe_end(end), *_describe_tries(end)]
-    earlier = lines[: ends[-1]]
     if cause is Cause.NO_OWNER:
-        details.extend(_key_history(end, earlier))
-    if cause in {Cause.UNKNOWN_OUTCOME, Cause.TOO_LATE}:
+        details.extend(_key_history(end, lines[:index]))
+    if cause in _SERVER_CAUSES:
         details.extend(_server_history(end, lines))
     return Explanation(request, cause.value, details)
 
 
-def _describe_end(end: log_lines.LogLine) -> str:
-    parts = [
-        f'{end.at}: status {end.status} after {end.ms} ms',
-        f'reason "{end.reason}"',
-        f'configuration {end.config}',
+def _find_end(
+    request: str,
+    lines: typing.Sequence[log_lines.LogLine],
+) -> int | None:
+    """Return the index of the last line that tells how a request ended."""
+    ends = [
+        index
+        for index, line in enumerate(lines)
+        if line.event in _END_EVENTS and line.request == request
     ]
+    if not ends:
+        return None
+    # A shutdown that closes a connection is then logged as a caller that left.
+    if len(ends) > 1 and lines[ends[-1]].code is None:
+        if lines[ends[-2]].event == _REQUEST_UNANSWERED:
+            return ends[-2]
+    return ends[-1]
+
+
+def _cause(end: log_lines.LogLine) -> Cause:
+    if end.event == _REQUEST_UNANSWERED:
+        return Cause.UNANSWERED
+    if end.code is None:
+        return Cause.CALLER_LEFT
+    if end.code == _Code.OUTCOME_UNKNOWN and end.reason == _STOPPING_REASON:
+        return Cause.INTERRUPTED
+    return _CAUSES.get(end.code, Cause.OVERLOAD)
+
+
+def _describe_end(end: log_lines.LogLine) -> str:
+    parts = _describe_outcome(end)
+    if end.stopping:
+        parts.append('the instance was stopping')
     if end.waited_ms:
         parts.append(f'waited {end.waited_ms} ms for a server')
     if end.key is not None:
@@ -106,6 +141,19 @@
     return '; '.join(parts)
 
 
+def _describe_outcome(end: log_lines.LogLine) -> list[str]:
+    if end.event == _REQUEST_UNANSWERED:
+        place = f'at server {end.sent_to}'
+        if end.sent_to is None:
+            place = 'still waiting for a server'
+        return [f'{end.at}: no answer after {end.ms} ms', place]
+    return [
+        f'{end.at}: status {end.status} after {end.ms} ms',
+        f'reason "{end.reason}"',
+        f'configuration {end.config}',
+    ]
+
+
 def _describe_tries(end: log_lines.LogLine) -> list[str]:
     return [
         f'sent to {server}: {result} ({detail})'
@@ -134,7 +182,7 @@
     lines: typing.Sequence[log_lines.LogLine],
 ) -> list[str]:
     """Return what was seen of the servers that were sent the request."""
-    sent_to = {row[0] for row in end.tries}
+    sent_to = {end.sent_to, *(row[0] for row in end.tries)} - {None}
     seen = [
         line
         for line in lines
--- a/packages/ctl/src/sycamoreferry_ctl/log_lines.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_lines.py
@@ -22,6 +22,8 @@
     service: str | None = None
     waited_ms: int = 0
     tries: list[list[str]] = []
+    sent_to: str | None = None
+    stopping: bool = False
     key: int | None = None
     owner: str | None = None
     fence: int | None = None
--- a/packages/ctl/tests/test_explaining.py
+++ b/packages/ctl/tests/test_explaining.py
@@ -15,7 +15,7 @@
     return f'  1.0 entry-1 {json.dumps(row)}'
 
 
-def _ended(at: int, request: str, code: int, **fields: object) -> str:
+def _ended(at: int, request: str, code: int | None, **fields: object) -> str:
     return _line(
         at,
         'request',
@@ -30,6 +30,19 @@
     )
 
 
+def _unanswered(at: int, request: str, sent_to: str | None) -> str:
+    return _line(
+        at,
+        'request',
+        'request is unanswered at the end of the shutdown',
+        request=request,
+        ms=1_443,
+        sent_to=sent_to,
+        waited_ms=7,
+        tries=[['d', 'not-run', 'rejected']],
+    )
+
+
 TRACE = [
     _line(1, 'coordinator', 'claimed the term', term=3),
     _line(
@@ -73,6 +86,34 @@
     _line(6, 'servers', 'server is gone', server='d', service='v'),
     _ended(7, 'late', 4003, reason='timeout', tries=[['d', 'unknown', 'x']]),
     _line(8, 'log', 'lines dropped', count=4),
+    _line(9, 'instance', 'stopping', reason='SIGTERM'),
+    _ended(10, 'shed', 3006, reason='no room', stopping=True),
+    _ended(10, 'not-taken', 3007, reason='instance is stopping', stopping=True),
+    _ended(
+        10,
+        'interrupted',
+        4001,
+        reason='instance is stopping',
+        stopping=True,
+        tries=[['c', 'unknown', 'interrupted']],
+    ),
+    _ended(
+        10,
+        'lost-in-shutdown',
+        4001,
+        reason='reset',
+        stopping=True,
+        tries=[['c', 'unknown', 'reset']],
+    ),
+    _unanswered(11, 'cut-at-server', 'c'),
+    _unanswered(11, 'cut-waiting', None),
+    _unanswered(11, 'sent-again', 'c'),
+    _line(11, 'instance', 'stopped', in_flight=3, busy_connections=3),
+    _ended(12, 'cut-at-server', None, reason='caller left'),
+    _ended(12, 'cut-waiting', None, reason='caller left'),
+    _ended(12, 'sent-again', None, reason='caller left'),
+    _ended(13, 'sent-again', 1000, reason='answered', stopping=False),
+    _ended(13, 'left', None, reason='caller left', stopping=False),
     'not a structured line',
     '{"at": broken',
 ]
@@ -104,6 +145,50 @@
     assert not_shown not in told
 
 
+@pytest.mark.parametrize(
+    ('request_id', 'cause', 'shown', 'not_shown'),
+    [
+        ('shed', explaining.Cause.OVERLOAD, 'was stopping', 'server'),
+        ('not-taken', explaining.Cause.LEAVING, 'was stopping', 'server'),
+        ('interrupted', explaining.Cause.INTERRUPTED, 'to c', 'server d'),
+        ('interrupted', explaining.Cause.INTERRUPTED, 'server c', 'server d'),
+        (
+            'lost-in-shutdown',
+            explaining.Cause.UNKNOWN_OUTCOME,
+            'was stopping',
+            'server d',
+        ),
+        (
+            'cut-at-server',
+            explaining.Cause.UNANSWERED,
+            'no answer after 1443 ms; at server c; waited 7 ms',
+            'None',
+        ),
+        (
+            'cut-at-server',
+            explaining.Cause.UNANSWERED,
+            'gone (server c',
+            'None',
+        ),
+        ('cut-waiting', explaining.Cause.UNANSWERED, 'to d: not-run', 'None'),
+        ('cut-waiting', explaining.Cause.UNANSWERED, 'waiting', 'server c'),
+        ('sent-again', explaining.Cause.ANSWERED, 'answered', 'stopping'),
+        ('left', explaining.Cause.CALLER_LEFT, 'caller left', 'stopping'),
+    ],
+)
+def test_cause_of_a_request_that_ends_in_a_shutdown(
+    request_id: str,
+    cause: explaining.Cause,
+    shown: str,
+    not_shown: str,
+) -> None:
+    found = explaining.explain(request_id, LINES)
+    told = '\n'.join(found.details)
+    assert found.cause == cause.value
+    assert shown in told
+    assert not_shown not in told
+
+
 def test_start_of_an_instance_is_not_taken_as_a_change_of_servers() -> None:
     assert 'servers listed' in {line.event for line in LINES}
     for request_id in ('lost', 'late', 'absent'):
