Write the log lines that wait before the process exits

Cause: lines wait in memory while the pipe of the standard output is full, and are written at the next line or twice a second. At the end of a shutdown one attempt was made; what the pipe had no room for was lost with the process, and so were the lines of requests that end as the event loop is closed. Change: after the event loop has ended, the process writes what waits, for up to 50 ms while the reader is slow. No request is open then, and 600 ms remain from the end of the shutdown until the process is killed. A reader that stalls or has closed the pipe does not hold up the exit.

--- a/packages/gateway/src/sycamoreferry_gateway/__main__.py
+++ b/packages/gateway/src/sycamoreferry_gateway/__main__.py
@@ -1,6 +1,7 @@
 """Start a gateway instance from the platform's settings file."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import sys
@@ -30,7 +31,10 @@
         sys.stderr.write(f'{path}: {error}\n')
         return BAD_SETTINGS_STATUS
     log = event_log.EventLog(boot_clock.BootClock())
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with (
+        contextlib.closing(log),
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
         runner.run(instance.Instance(settings, log).run())
     return 0
 
--- a/packages/gateway/src/sycamoreferry_gateway/event_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/event_log.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import select
 import typing
 
 import logbook
@@ -14,6 +15,8 @@
 # Rate limit for frequent lines, and the burst that it allows.
 _LINES_PER_SECOND = 150
 _BURST_LINES = 600
+# Limit for writing the lines that wait at the end of the process.
+_CLOSE_LIMIT_MS = 50
 _STDOUT = 1
 
 _encoder = msgspec.json.Encoder()
@@ -63,6 +66,17 @@
                 return
             self._pending.popleft()
 
+    def flush_until(self, ends_at: clock.Millis, source: clock.Clock) -> None:
+        """Write pending lines; wait for a slow reader until a given time."""
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLOUT)
+        self.flush()
+        while self._pending:
+            remaining = ends_at - source.now()
+            if remaining <= 0 or not poller.poll(remaining):
+                return
+            self.flush()
+
 
 class EventLog:
     """Log events by part; drop frequent lines above the rate and count them."""
@@ -106,6 +120,12 @@
             self._handler.dropped = 0
             self.write('log', 'lines dropped', count=dropped)
 
+    def close(self) -> None:
+        """Write what is pending before the process ends, within a limit."""
+        self.report_dropped()
+        ends_at = clock.later(self._clock.now(), _CLOSE_LIMIT_MS)
+        self._handler.flush_until(ends_at, self._clock)
+
     def _refill(self) -> None:
         now = self._clock.now()
         added = clock.seconds(now - self._refilled_at) * _LINES_PER_SECOND
