Log the wait for a server that a request did not live to end

Change: the wait is added up however it ends. Test: test_log_has_the_wait_of_a_request_whose_caller_left; it failed before, directly and with permits.

--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -209,8 +209,10 @@
     ) -> answers.FinalAnswer:
         while True:
             queued_at = self._view.clock.now()
-            found = await self._dispatcher.acquire(queued)
-            proxied.waited_ms += self._view.clock.now() - queued_at
+            try:
+                found = await self._dispatcher.acquire(queued)
+            finally:
+                proxied.waited_ms += self._view.clock.now() - queued_at
             if isinstance(found, backlogs.Rejection):
                 proxied.rejection_backlog = found.backlog
                 return self._failure_answer(
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -100,6 +100,20 @@
         call.cancel()
 
 
+async def test_log_has_the_wait_of_a_request_whose_caller_left(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY + 1)
+    await asyncio.sleep(0.1)
+    for call in calls:
+        call.cancel()
+    await busy.cluster.wait_until(
+        lambda: len(busy.lines('request ended')) > CAPACITY
+    )
+    waits = [row['waited_ms'] for row in busy.lines('request ended')]
+    assert max(waits) >= 100
+
+
 async def test_waiting_request_is_answered_before_the_shutdown_ends(
     busy: BusyInstance,
 ) -> None:
