Write the due answers before a stopping instance closes its connections

Callers would see: a closed connection without an answer, if the event loop is busy from before the answers of a shutdown are due until after its connections are to be closed. Cause: the timers that end the requests and the one that ends the shutdown then fire in the same turn of the loop, and the connections were closed before the requests could write their answers. Change: before the connections are closed, the loop runs on for up to 100 ms until no connection is busy. Test: test_due_answers_are_written_if_the_loop_is_busy_when_they_are_due; before the change it failed directly and with permits, with a busy time of 300 ms.

--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -30,6 +30,8 @@
 
 _DRAIN_HEARTBEAT_MS = 50
 _MAINTENANCE_INTERVAL_MS = 500
+_LAST_ANSWERS_MS = 100
+_LAST_ANSWERS_STEP_MS = 5
 
 
 _Work = typing.Callable[[], typing.Coroutine[None, None, None]]
@@ -263,6 +265,7 @@
                 and not self._request_handler.in_flight,
             )
         self._server.stop_listening()
+        await self._send_last_answers()
         self._request_handler.log_unanswered()
         self._log.write(
             'instance',
@@ -273,6 +276,13 @@
         self._server.close_connections()
         self._log.report_dropped()
 
+    async def _send_last_answers(self) -> None:
+        """Let due answers be written if the loop was busy until now."""
+        for _ in range(_LAST_ANSWERS_MS // _LAST_ANSWERS_STEP_MS):
+            if self._server.is_idle:
+                return
+            await asyncio.sleep(clock.seconds(_LAST_ANSWERS_STEP_MS))
+
     def _on_hangup(self) -> None:
         self._log.write(
             'instance',
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -64,6 +64,13 @@
         return [row for row in rows if row['event'] == event]
 
 
+def _status(reply: http_client.ExchangeResult) -> int:
+    """Return the status of a reply, or 0 if the connection was closed."""
+    if isinstance(reply, http_client.FailedExchange):
+        return 0
+    return reply.status
+
+
 @pytest.fixture(params=[False, True], ids=['direct', 'permits'])
 async def busy(
     cluster: typing.Any,
@@ -148,11 +155,7 @@
     calls = await busy.start_calls(CAPACITY)
     busy.stop()
     replies = await asyncio.gather(*calls)
-    statuses = [
-        0 if isinstance(reply, http_client.FailedExchange) else reply.status
-        for reply in replies
-    ]
-    assert statuses == [502] * CAPACITY
+    assert [_status(reply) for reply in replies] == [502] * CAPACITY
 
 
 async def test_answers_are_in_time_if_the_loop_is_busy_at_the_signal(
@@ -168,3 +171,14 @@
         isinstance(reply, http_client.FailedExchange) for reply in replies
     )
     assert time.monotonic() < signalled_at + GRACE_MS / 1_000
+
+
+async def test_due_answers_are_written_if_the_loop_is_busy_when_they_are_due(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY)
+    busy.stop()
+    loop = asyncio.get_running_loop()
+    loop.call_later(GRACE_MS / 1_000 * 0.82, time.sleep, 0.3)
+    replies = await asyncio.gather(*calls)
+    assert [_status(reply) for reply in replies] == [502] * CAPACITY
