Count the grace time from the first SIGTERM if there are more

Callers would see: closed connections, as the process is killed before it has answered them. Cause: a repeated SIGTERM set the start of the grace time anew, so the shutdown waited beyond the time at which the process is killed. Evidence: found by review and shown by its test. Change: the first request to stop counts. What announces the stop is a method of its own.

--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -106,7 +106,7 @@
         )
         self._status = http_server.HttpServer(self._serve_status, self._clock)
         self._stop = asyncio.Event()
-        self._stop_requested_at = clock.LONG_AGO
+        self._stop_requested_at: clock.Millis | None = None
         self._was_ready = False
 
     @property
@@ -140,13 +140,14 @@
             for work in self._work()
         ]
         await self._stop.wait()
-        await self._drain()
+        await self._drain(self._stop_requested_at or self._clock.now())
         for task in tasks:
             task.cancel()
 
     def request_stop(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Start a shutdown; the grace period begins now."""
-        self._stop_requested_at = self._clock.now()
+        """Start a shutdown; the grace period begins at the first request."""
+        if self._stop_requested_at is None:
+            self._stop_requested_at = self._clock.now()
         loop.call_soon_threadsafe(self._stop.set)
 
     def _coordination(self) -> coordinator.Coordinator:
@@ -237,16 +238,12 @@
             )
         self._dispatcher.schedule_placement()
 
-    async def _drain(self) -> None:
+    async def _drain(self, requested_at: clock.Millis) -> None:
         """Drain: announce the stop, finish requests in flight, then close."""
-        self._log.write('instance', 'stopping', reason='SIGTERM')
-        self._server.is_draining = True
-        self._exchange.is_leaving = True
-        self._coordinator.resign()
-        self._exchange.send_heartbeat()
+        self._announce_stop()
         self._request_handler.open_requests.finish_by(
             graceful_shutdown.answers_due_at(
-                self._stop_requested_at,
+                requested_at,
                 self._deployment.bounds.grace_ms,
             ),
         )
@@ -258,7 +255,7 @@
             self._exchange.send_heartbeat()
             await asyncio.sleep(clock.seconds(_DRAIN_HEARTBEAT_MS))
             phase = graceful_shutdown.shutdown_phase(
-                self._stop_requested_at,
+                requested_at,
                 self._clock.now(),
                 grace_ms=self._deployment.bounds.grace_ms,
                 is_idle=self._server.is_idle
@@ -276,6 +273,13 @@
         self._server.close_connections()
         self._log.report_dropped()
 
+    def _announce_stop(self) -> None:
+        self._log.write('instance', 'stopping', reason='SIGTERM')
+        self._server.is_draining = True
+        self._exchange.is_leaving = True
+        self._coordinator.resign()
+        self._exchange.send_heartbeat()
+
     async def _send_last_answers(self) -> None:
         """Let due answers be written if the loop was busy until now."""
         for _ in range(_LAST_ANSWERS_MS // _LAST_ANSWERS_STEP_MS):
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -182,3 +182,16 @@
     loop.call_later(GRACE_MS / 1_000 * 0.82, time.sleep, 0.3)
     replies = await asyncio.gather(*calls)
     assert [_status(reply) for reply in replies] == [502] * CAPACITY
+
+
+async def test_repeated_signal_does_not_prolong_the_shutdown(
+    busy: BusyInstance,
+) -> None:
+    calls = await busy.start_calls(CAPACITY)
+    busy.stop()
+    stopped_at = time.monotonic()
+    await asyncio.sleep(GRACE_MS / 2_000)
+    busy.stop()
+    await busy.cluster.wait_until(lambda: bool(busy.lines('stopped')))
+    assert time.monotonic() < stopped_at + GRACE_MS / 1_000
+    await asyncio.gather(*calls)
