Keep a waiting request's deadline when its instance stops

Callers would see: a request that has waited for long is rejected as soon as its instance gets SIGTERM although seconds remain; a Retry-After that is too short. Cause: the time by which a stopping instance must answer replaced the request's deadline in the queues. The share of its time that a request may wait, the order of the queue and Retry-After were all taken from the shorter span: a request 12 s old with 30 s to go had its latest start at 11.97 s, before now. Evidence: found by review, from the code; not seen in a run. Change: queues get the time of the stop beside the deadline. The latest start is then also the time of the stop less four mean durations; the rest follows the caller's deadline. Messages between instances have a new last field, which older instances ignore and need not send. Test: test_stop_of_the_instance_limits_the_wait_and_keeps_the_order and test_old_request_keeps_its_wait_if_the_stop_leaves_time; the field is new, so they can't run on the code before.

--- a/packages/core/src/sycamoreferry_core/traffic/queueing.py
+++ b/packages/core/src/sycamoreferry_core/traffic/queueing.py
@@ -16,6 +16,9 @@
 # A request that can't be sent within this share of the time between its arrival
 # and its deadline is rejected on arrival.
 _LATEST_START_SHARE = 0.7
+# An attempt takes up to this many mean durations; a stopping instance leaves
+# time for it.
+_ATTEMPT_DURATIONS = 4
 # Callers honour a retry delay of at most a third of their remaining time.
 _RETRY_AFTER_SHARE = 0.3
 _MIN_RETRY_AFTER_MS = 50
@@ -35,6 +38,8 @@
     ends_at: clock.Millis
     excluded: frozenset[ids.ServerId] = frozenset()
     has_large_answer: bool = False
+    # Set if the instance that holds the request stops before ends_at.
+    answer_by: clock.Millis | None = None
     # The data centre that received the request.
     data_centre: ids.DataCentre = ids.DataCentre('')
 
@@ -71,7 +76,11 @@
     span = request.ends_at - request.arrived
     latest_by_share = request.arrived + int(span * _LATEST_START_SHARE)
     latest_by_duration = int(request.ends_at - duration_ms)
-    return clock.Millis(min(latest_by_share, latest_by_duration))
+    latest = min(latest_by_share, latest_by_duration)
+    if request.answer_by is not None:
+        attempt_ms = int(duration_ms * _ATTEMPT_DURATIONS)
+        latest = min(latest, request.answer_by - attempt_ms)
+    return clock.Millis(latest)
 
 
 def can_be_served(
--- a/packages/core/tests/traffic/test_queueing.py
+++ b/packages/core/tests/traffic/test_queueing.py
@@ -113,3 +113,32 @@
     backlog = queueing.Backlog(ahead=60, slots=2, duration_ms=WORK_MS)
     after = queueing.retry_delay_ms(900, backlog, jitter)
     assert 50 <= after <= 300
+
+
+@pytest.mark.parametrize(
+    ('answer_by', 'expected'),
+    [
+        (None, 1_050),
+        (5_000, 1_050),
+        # Leaves time for an attempt before the instance stops.
+        (1_200, 1_200 - 4 * WORK_MS),
+    ],
+)
+def test_stop_of_the_instance_limits_the_wait_and_keeps_the_order(
+    answer_by: int | None,
+    expected: int,
+) -> None:
+    waiting = _request(0)
+    position = queueing.queue_position(waiting, WORK_MS, clock.Millis(0))
+    if answer_by is not None:
+        waiting.answer_by = clock.Millis(answer_by)
+    assert queueing.latest_start(waiting, WORK_MS) == expected
+    now = clock.Millis(0)
+    assert queueing.queue_position(waiting, WORK_MS, now) == position
+
+
+def test_old_request_keeps_its_wait_if_the_stop_leaves_time() -> None:
+    waiting = _request(0)
+    waiting.ends_at = clock.Millis(30_000)
+    waiting.answer_by = clock.Millis(17_100)
+    assert queueing.latest_start(waiting, WORK_MS) > 12_000
--- a/packages/gateway/src/sycamoreferry_gateway/open_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/open_requests.py
@@ -22,7 +22,7 @@
             return
         self.proxied.answer_by = due
         # The queues reject it as soon as it can't be sent in time.
-        self.queued.ends_at = due
+        self.queued.answer_by = due
         loop = asyncio.get_running_loop()
         self.time_limit.reschedule(loop.time() + clock.seconds(due - now))
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -113,6 +113,8 @@
     data_centre: str
     excluded: list[str]
     has_large_answer: bool
+    # Set if the instance that asks stops before the request's deadline.
+    answer_in_ms: int | None = None
 
 
 class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -235,6 +235,9 @@
         duration = self._loads.service_duration_ms(request.service)
         if owner is not None:
             duration = self._loads.duration_ms(owner)
+        answer_in_ms = None
+        if request.answer_by is not None:
+            answer_in_ms = request.answer_by - now
         return peer_messages.PermitRequest(
             instance=self._own_instance,
             number=wait.permit.number,
@@ -251,6 +254,7 @@
             data_centre=request.data_centre,
             excluded=list(request.excluded),
             has_large_answer=request.has_large_answer,
+            answer_in_ms=answer_in_ms,
         )
 
     def _end_wait(self, wait: _Wait | None) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -167,6 +167,9 @@
     asked: peer_messages.PermitRequest,
     now: clock.Millis,
 ) -> queueing.QueuedRequest:
+    answer_by = None
+    if asked.answer_in_ms is not None:
+        answer_by = clock.later(now, asked.answer_in_ms)
     return queueing.QueuedRequest(
         service=ids.ServiceName(asked.service),
         key=None,
@@ -176,6 +179,7 @@
         ends_at=clock.later(now, asked.ends_in_ms),
         excluded=frozenset(ids.ServerId(one) for one in asked.excluded),
         has_large_answer=asked.has_large_answer,
+        answer_by=answer_by,
         data_centre=ids.DataCentre(asked.data_centre),
     )
 
