Reject a request that a stopping instance has no time to send

Callers would see: 502, outcome unknown, for a request that was sent some milliseconds before its instance had to answer it; a request that may not run twice can then not be repeated. Cause: a request was sent as long as any time was left, and cut at the end of the shutdown. Evidence: found by review and shown by its test, with a body that was complete 60 ms before the answers were due.

--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -279,17 +279,19 @@
         server: servers.BackendServer,
         started_at: clock.Millis,
     ) -> proxied_requests.Attempt:
-        remaining = proxied.answer_by - started_at
-        if remaining <= 0:
+        if not self._has_time(proxied, server, started_at):
+            detail = 'no time left'
+            if started_at < proxied.ends_at:
+                detail = _STOPPING
             return proxied_requests.Attempt(
-                proxied_requests.AttemptResult.NOT_SENT, server, 'no time left'
+                proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
         payload = http_client.encode_request(
             proxied.request.method,
             proxied.request.target,
             request_headers.with_attempt_headers(
                 proxied.request.end_to_end_headers(),
-                remaining,
+                proxied.answer_by - started_at,
                 server.incarnation.server,
             ),
             proxied.request.body,
@@ -302,6 +304,19 @@
         )
         return self._classifier.classify(proxied, server, outcome)
 
+    def _has_time(
+        self,
+        proxied: proxied_requests.ProxiedRequest,
+        server: servers.BackendServer,
+        now: clock.Millis,
+    ) -> bool:
+        """Tell whether an attempt may start before the answer is due."""
+        remaining = proxied.answer_by - now
+        if proxied.answer_by < proxied.ends_at:
+            # A stop would cut a shorter attempt, and its outcome be unknown.
+            return remaining > self._loads.duration_ms(server)
+        return remaining > 0
+
     def _attempt_timeout_ms(
         self,
         proxied: proxied_requests.ProxiedRequest,
@@ -357,7 +372,8 @@
             for one in proxied.attempts
             if one.result is not proxied_requests.AttemptResult.NOT_SENT
         )
-        if len(proxied.attempts) > _MAX_SENDS or now >= proxied.answer_by:
+        has_time = self._has_time(proxied, attempt.server, now)
+        if len(proxied.attempts) > _MAX_SENDS or not has_time:
             return False
         if attempt.result is proxied_requests.AttemptResult.NOT_SENT:
             return not proxied.may_have_run or self._may_rerun(proxied)
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -195,3 +195,24 @@
     await busy.cluster.wait_until(lambda: bool(busy.lines('stopped')))
     assert time.monotonic() < stopped_at + GRACE_MS / 1_000
     await asyncio.gather(*calls)
+
+
+async def test_request_is_not_sent_if_the_stop_leaves_no_time_for_an_answer(
+    busy: BusyInstance,
+) -> None:
+    address = busy.instance._deployment.request_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    body = b'late body'
+    head = busy.cluster.encode_request('late', KEY, deadline_ms=LONG_MS)
+    length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
+    writer.write(head.removesuffix(b'\r\n') + length + body[:-1])
+    await busy.cluster.wait_until(
+        lambda: bool(busy.instance._server.busy_count)
+    )
+    busy.stop()
+    # Just before the answers are due, 1.7 s after the signal.
+    await asyncio.sleep(GRACE_MS / 1_000 * 0.82)
+    writer.write(body[-1:])
+    assert (await reader.readline()).split()[1] == b'503'
+    assert not busy.cluster.servers[0].peak_running
+    writer.close()
