Give out each port of the test systems only once

Cause: `web.free_port` drew a port at random, bound it as a check and let go of it, so two draws of one cluster could coincide: a platform's stand-in and an instance were both given port 18185, and the fixture waited its 30 s out. The gateway's tests counted up from the same port in every pytest process and checked only TCP, while an instance binds its peer port for UDP: two runs at a time took each other's ports, and the tests timed out since the error of an instance's task was not shown. Change: the range is divided into blocks. A process takes a block by keeping its first port bound, which ends with the process, and gives out each of the other ports once, if it is free for TCP and UDP. The gateway's tests use it too.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -4,10 +4,8 @@
 import base64
 import contextlib
 import dataclasses
-import itertools
 import json
 import os
-import socket
 import struct
 import typing
 from urllib import parse as url_parse
@@ -23,6 +21,7 @@
     instance,
 )
 from sycamoreferry_ports import boot_clock
+from sycamoreferry_standins import web
 
 Headers = tuple[tuple[str, str], ...]
 LAST_KEY = 65_535
@@ -312,22 +311,6 @@
     ).encode()
 
 
-# Below the ephemeral range; each pytest-xdist worker uses its own ports.
-_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
-_PORTS = itertools.count(21_000 + 1_000 * _WORKER)
-
-
-def _free_port() -> int:
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError('no port is free')
-
-
 _SETTINGS = """\
 Self.Node={deployment.instance}
 Self.Zone=here
@@ -466,7 +449,7 @@
         return _SETTINGS.format(deployment=chosen, store_port=store_port)
 
     def _deployment(self, name: str) -> deployment.Deployment:
-        ports = [_free_port() for _ in range(4)]
+        ports = [web.free_port() for _ in range(4)]
         return deployment.Deployment(
             instance=ids.InstanceId(name),
             data_centre=ids.DataCentre('here'),
--- a/packages/standins/src/sycamoreferry_standins/web.py
+++ b/packages/standins/src/sycamoreferry_standins/web.py
@@ -1,6 +1,5 @@
 """Run sanic applications beside each other on one loop."""
 
-import secrets
 import socket
 import typing
 
@@ -8,6 +7,8 @@
 from sanic import app as sanic_app
 from sanic import response
 
+from sycamoreferry_standins import port_blocks
+
 App = sanic_app.Sanic[typing.Any, typing.Any]
 
 LOOPBACK = '127.0.0.1'
@@ -15,7 +16,12 @@
 # Lies below the ports that the system gives to outgoing connections.
 _LOWEST_PORT = 12_000
 _HIGHEST_PORT = 31_999
-_PORTS = range(_LOWEST_PORT, _HIGHEST_PORT + 1)
+_BLOCK_SIZE = 200
+_BLOCKS = port_blocks.PortBlocks(
+    LOOPBACK,
+    range(_LOWEST_PORT, _HIGHEST_PORT + 1),
+    _BLOCK_SIZE,
+)
 
 
 def new_app(name: str) -> App:
@@ -36,20 +42,8 @@
 
 
 def free_port() -> int:
-    """Return a free port that no outgoing connection is given."""
-    while True:
-        port = secrets.choice(_PORTS)
-        if _is_free(port):
-            return port
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
+    """Return a free port that nobody else is given."""
+    return _BLOCKS.take()
 
 
 async def serve_app(app: App, bound: socket.socket) -> None:
