Name the process that ends at the start of a cluster

Cause: a cluster whose process ended at its start waited its 30 s out and then named only the condition that it had waited for. Change: while a cluster starts, the end of any of its processes ends the wait with ProcessEndedError, which has the process's name, its exit status and the last 20 lines of its log. A later wait for one instance ends with that instance's process.

--- a/packages/standins/src/sycamoreferry_standins/cluster.py
+++ b/packages/standins/src/sycamoreferry_standins/cluster.py
@@ -128,7 +128,7 @@
 
     async def start_platform(self) -> None:
         """Start the platform's stand-in."""
-        self.started['platform'] = await processes.start(
+        platform = await processes.start(
             'platform',
             (
                 '-m',
@@ -139,7 +139,11 @@
             ),
             self.directory,
         )
-        await wait_for(self._platform_answers, 'the platform')
+        self.started[platform.name] = platform
+        await processes.await_while_running(
+            wait_for(self._platform_answers, 'the platform'),
+            (platform,),
+        )
 
     async def start_backends(
         self,
@@ -179,7 +183,10 @@
             self.control.answers,
             f'{entry.url}/readyz',
         )
-        await wait_for(is_ready, f'{entry.name} to be ready')
+        await processes.await_while_running(
+            wait_for(is_ready, f'{entry.name} to be ready'),
+            (self.started[entry.name],),
+        )
 
     async def wait_until_granted(self) -> None:
         """Wait until each keyed service answers for many keys."""
@@ -235,12 +242,19 @@
         await self.start_platform()
         for size in self.workload.services:
             await self.start_backends(size)
-        await wait_for(self._all_listed, 'all servers to be listed')
+        await processes.await_while_running(
+            wait_for(self._all_listed, 'all servers to be listed'),
+            tuple(self.started.values()),
+        )
         for entry in self.entries:
             await self.start_entry(entry)
+        needed = tuple(self.started.values())
         for ready in self.entries:
-            await self.wait_until_ready(ready)
-        await self.wait_until_granted()
+            await processes.await_while_running(
+                self.wait_until_ready(ready),
+                needed,
+            )
+        await processes.await_while_running(self.wait_until_granted(), needed)
 
     async def _end(self) -> None:
         ends = [started.end() for started in self.started.values()]
--- a/packages/standins/src/sycamoreferry_standins/processes.py
+++ b/packages/standins/src/sycamoreferry_standins/processes.py
@@ -1,6 +1,7 @@
 """Start and end the processes of a test system."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import pathlib
@@ -9,6 +10,11 @@
 import typing
 
 END_SECONDS = 12
+LAST_LINES = 20
+
+
+class ProcessEndedError(Exception):
+    """Report a process that ended while it was needed."""
 
 
 @dataclasses.dataclass
@@ -24,6 +30,17 @@
         """Tell whether the process has not ended."""
         return self.process.returncode is None
 
+    def check_running(self) -> None:
+        """Raise ProcessEndedError with the last log lines if it has ended."""
+        if self.is_running:
+            return
+        with self.log_path.open(errors='replace') as lines:
+            last_lines = ''.join(collections.deque(lines, LAST_LINES))
+        raise ProcessEndedError(
+            f'{self.name} ended with status {self.process.returncode};'
+            f' the last lines of {self.log_path}:\n{last_lines}',
+        )
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it still runs."""
         if self.is_running:
@@ -61,3 +78,22 @@
             stderr=log_file,
         )
     return Started(name, process, log_path)
+
+
+async def await_while_running(
+    work: typing.Coroutine[typing.Any, typing.Any, None],
+    needed: typing.Sequence[Started],
+) -> None:
+    """Await work; raise ProcessEndedError once a needed process has ended."""
+    doing = asyncio.create_task(work)
+    ends = [asyncio.create_task(one.process.wait()) for one in needed]
+    tasks = (doing, *ends)
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for one in needed:
+            one.check_running()
+        await doing
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
