Answer the requests in flight before a router's shutdown ends

Cause: after shutdown_ms the instance ended its HTTP sessions and cancelled the tasks of requests that still waited for a slot, a retry, an owner or an admission, or ran at a server. All these waits were bounded by the caller's deadline only. Callers got a bare 500 of the HTTP library, without a result code or Retry-After, also for requests that no server had run. Change: time_limits bounds each wait of an admitted request, also one that has begun, by the shutdown's end less the time to send answers. Requests that still queue after a tenth of the shutdown are rejected early, as others after a tenth of their deadline; a request that was not sent is answered LEAVING with Retry-After, one that may have run OUTCOME_UNKNOWN. Deadline, retries and waits for owners take the time that is left, so servers are handed no more than that. Downloads that last longer are aborted.

--- a/packages/router/src/sycamoreferry_router/attempts.py
+++ b/packages/router/src/sycamoreferry_router/attempts.py
@@ -12,6 +12,7 @@
     outcomes,
     owner_wait,
     profiles,
+    result_codes,
     retries,
 )
 from sycamoreferry_ports import http_forward
@@ -21,10 +22,17 @@
     metrics,
     owner_watch,
     target_dispatcher,
+    time_limits,
     traces,
     view,
 )
-from sycamoreferry_router.filters import forward, resolve, select, verify
+from sycamoreferry_router.filters import (
+    admit,
+    forward,
+    resolve,
+    select,
+    verify,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +46,26 @@
     guard: crash_guard.CrashGuard
     metrics: metrics.Metrics
     rng: random.Random
+    time_limits: time_limits.TimeLimits
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Record how far a request has come."""
+
+    attempt: retries.Attempt
+    # The server of the latest attempt, unless it certainly did not run.
+    sent_to: outcomes.Destination | None = None
+
+    def failure(self) -> outcomes.Failure:
+        """Return the failure to report if the request is stopped now."""
+        if self.sent_to is None:
+            return self.attempt.final_failure(admit.leaving())
+        return outcomes.Unknown(
+            result_codes.ResultCode.OUTCOME_UNKNOWN,
+            admit.RETRY_AFTER_MS,
+            self.sent_to,
+        )
 
 
 class AttemptRunner:
@@ -50,6 +78,7 @@
             dependencies.clock,
             select.Selector(dependencies.origin.data_centre, dependencies.rng),
             dependencies.rng,
+            dependencies.time_limits,
         )
         self._owner_watch = owner_watch.OwnerWatch(
             dependencies.instance_view,
@@ -63,20 +92,33 @@
         admitted: messages.Identified,
     ) -> outcomes.Outcome:
         """Attempt the request until it is answered or retries are exhausted."""
-        attempt = retries.Attempt(0, admitted.idempotent, admitted.deadline)
+        progress = _Progress(
+            retries.Attempt(0, admitted.idempotent, admitted.deadline),
+        )
+        try:
+            async with self._dependencies.time_limits.limit():
+                return await self._run(admitted, progress)
+        except time_limits.TimeLimitError:
+            return progress.failure()
+
+    async def _run(
+        self,
+        admitted: messages.Identified,
+        progress: _Progress,
+    ) -> outcomes.Outcome:
         self._earn_retry_budget(admitted)
         tried: frozenset[ids.ServerId] = frozenset()
         while True:
-            outcome = await self._try_once(admitted, tried)
+            outcome = await self._try_once(admitted, tried, progress)
             if isinstance(outcome, outcomes.Answered):
                 self._owner_watch.record_answer(admitted, outcome)
                 return outcome
             final_failure = await self._wait_before_retry(
-                outcome, attempt, admitted
+                outcome, progress.attempt, admitted
             )
             if final_failure is not None:
                 return final_failure
-            attempt = attempt.after(outcome)
+            progress.attempt = progress.attempt.after(outcome)
             tried |= {outcome.destination.server}
 
     async def _wait_before_retry(
@@ -102,7 +144,9 @@
     ) -> outcomes.Failure | None:
         polls = 0
         while True:
-            decision = self._owner_watch.decide(admitted, failure)
+            decision = self._owner_watch.decide(
+                self._bounded(admitted), failure
+            )
             if isinstance(decision, owner_wait.RetryLater):
                 delayed = dataclasses.replace(
                     failure,
@@ -143,9 +187,10 @@
         admitted: messages.Identified,
     ) -> retries.RetryAfter | retries.GiveUp:
         service = admitted.service.service_name
+        deadline = self._dependencies.time_limits.bound(attempt.deadline)
         decision = retries.decide_retry(
             failure,
-            attempt,
+            dataclasses.replace(attempt, deadline=deadline),
             self._policy(admitted),
             self._budgets[service],
             self._dependencies.clock.now(),
@@ -159,8 +204,11 @@
         self,
         admitted: messages.Identified,
         tried: frozenset[ids.ServerId],
+        progress: _Progress,
     ) -> outcomes.Outcome:
-        resolved = resolve.resolve(admitted, self._dependencies.instance_view)
+        resolved = resolve.resolve(
+            self._bounded(admitted), self._dependencies.instance_view
+        )
         if isinstance(resolved, outcomes.NotRun):
             return resolved
         selected = await self._dispatcher.acquire(resolved, tried)
@@ -168,11 +216,14 @@
             return selected
         release = functools.partial(self._dispatcher.release, selected)
         sent_at = self._dependencies.clock.now()
+        progress.sent_to = selected.way
         try:
             outcome = await self._forward(selected)
         except BaseException:
             release()
             raise
+        if isinstance(outcome, outcomes.NotRun):
+            progress.sent_to = None
         self._dispatcher.record_outcome(selected, outcome, sent_at)
         return _release_at_end(outcome, release)
 
@@ -180,9 +231,12 @@
         self,
         selected: messages.Selected,
     ) -> outcomes.Outcome:
+        bounded = dataclasses.replace(
+            selected, identified=self._bounded(selected.identified)
+        )
         with traces.start_span('ferry.forward'):
             forwarded = await forward.forward(
-                selected,
+                bounded,
                 self._dependencies.forwarder,
                 self._dependencies.origin,
                 self._dependencies.guard,
@@ -192,6 +246,13 @@
             return forwarded
         return verify.verify(forwarded)
 
+    def _bounded(self, identified: messages.Identified) -> messages.Identified:
+        """Return the request with the deadline that the shutdown leaves it."""
+        return dataclasses.replace(
+            identified,
+            deadline=self._dependencies.time_limits.bound(identified.deadline),
+        )
+
 
 def _release_at_end(
     outcome: outcomes.Outcome,
--- a/packages/router/src/sycamoreferry_router/filters/admit.py
+++ b/packages/router/src/sycamoreferry_router/filters/admit.py
@@ -25,6 +25,11 @@
         """Record the outcome of a request that this gate admitted."""
 
 
+def leaving() -> outcomes.NotRun:
+    """Return the failure of a request that the shutdown leaves no time for."""
+    return outcomes.NotRun(result_codes.ResultCode.LEAVING, RETRY_AFTER_MS)
+
+
 class ReadinessGate:
     """Reject requests while the instance is starting or draining."""
 
@@ -38,10 +43,7 @@
     ) -> messages.Identified | outcomes.Outcome:
         """Return the request, or NotRun with the reason for rejecting it."""
         if self.draining:
-            return outcomes.NotRun(
-                result_codes.ResultCode.LEAVING,
-                RETRY_AFTER_MS,
-            )
+            return leaving()
         if not self._view.ready:
             return outcomes.NotRun(
                 result_codes.ResultCode.STARTING,
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -169,7 +169,9 @@
         download: outcomes.Download,
     ) -> None:
         try:
-            async with asyncio.timeout(download.seconds_left()):
+            async with self._pipeline.time_limits.limit(
+                download.seconds_left()
+            ):
                 await responses.send_download(request, rendered, download)
         except (outcomes.BodyTruncatedError, TimeoutError) as error:
             # Abort the connection so that the caller cannot take the truncated
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -45,6 +45,9 @@
 
 PEER_TIMEOUT_MS = 300
 LEAVE_NOTICE_MS = 500
+# The last part of the shutdown, in which the last answers are sent.
+SEND_MS = 500
+SEND_SHARE = 0.25
 ID_SUFFIX_BYTES = 4
 
 _log = logs.part_logger('instance')
@@ -259,11 +262,10 @@
 
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
-        self._pipeline.start_draining()
-        deadline = clock.later(
-            self._clock.now(),
-            self._settings.shutdown_ms,
-        )
+        shutdown_ms = self._settings.shutdown_ms
+        deadline = clock.later(self._clock.now(), shutdown_ms)
+        send_ms = min(SEND_MS, int(shutdown_ms * SEND_SHARE))
+        self._pipeline.start_draining(clock.later(deadline, -send_ms))
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
         await self._admissions.drain()
--- a/packages/router/src/sycamoreferry_router/pipeline.py
+++ b/packages/router/src/sycamoreferry_router/pipeline.py
@@ -14,6 +14,7 @@
     messages,
     metrics,
     settings,
+    time_limits,
     traces,
     view,
 )
@@ -47,6 +48,7 @@
         gates: typing.Sequence[admit.Gate] = (),
     ) -> None:
         self._dependencies = dependencies
+        self.time_limits = time_limits.TimeLimits(dependencies.clock)
         self._attempts = attempts.AttemptRunner(
             attempts.Dependencies(
                 instance_view=dependencies.instance_view,
@@ -56,6 +58,7 @@
                 guard=dependencies.guard,
                 metrics=dependencies.metrics,
                 rng=dependencies.rng,
+                time_limits=self.time_limits,
             ),
         )
         self._identify_context = identify.IdentifyContext(
@@ -74,9 +77,10 @@
         """Return True if new requests are refused because of a shutdown."""
         return self._readiness.draining
 
-    def start_draining(self) -> None:
-        """Reject new requests from now on; in-flight ones continue."""
+    def start_draining(self, ends_at: clock.Millis) -> None:
+        """Reject new requests; answer those in flight by a time."""
         self._readiness.draining = True
+        self.time_limits.end_by(ends_at)
 
     async def serve(self, incoming: messages.Incoming) -> outcomes.Outcome:
         """Run a request to its outcome and count it in the metrics."""
@@ -122,7 +126,7 @@
         if not gates:
             return await self._attempts.run(identified)
         gate, *others = gates
-        admitted = await gate.enter(identified)
+        admitted = await self._enter(gate, identified)
         if not isinstance(admitted, messages.Identified):
             return admitted
         try:
@@ -134,6 +138,17 @@
         await gate.leave(admitted, outcome)
         return outcome
 
+    async def _enter(
+        self,
+        gate: admit.Gate,
+        identified: messages.Identified,
+    ) -> messages.Identified | outcomes.Outcome:
+        try:
+            async with self.time_limits.limit():
+                return await gate.enter(identified)
+        except time_limits.TimeLimitError:
+            return admit.leaving()
+
 
 def _new_request_id() -> ids.RequestId:
     return ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
--- a/packages/router/src/sycamoreferry_router/target_dispatcher.py
+++ b/packages/router/src/sycamoreferry_router/target_dispatcher.py
@@ -15,7 +15,7 @@
     result_codes,
 )
 from sycamoreferry_ports import headers
-from sycamoreferry_router import messages, target_stats, view
+from sycamoreferry_router import messages, target_stats, time_limits, view
 from sycamoreferry_router.filters import select
 
 # Longest time in the queue, as a fraction of the time to the deadline.
@@ -56,8 +56,10 @@
         time_source: clock.Clock,
         selector: select.Selector,
         rng: random.Random,
+        limiter: time_limits.TimeLimits,
     ) -> None:
         self._view = instance_view
+        self._time_limits = limiter
         self._clock = time_source
         self._selector = selector
         self._rng = rng
@@ -155,7 +157,10 @@
         if dropped is not None:
             _grant(dropped.entry, None)
         try:
-            async with asyncio.timeout(max_wait_ms / clock.MILLIS_PER_SECOND):
+            async with self._time_limits.limit(
+                max_wait_ms / clock.MILLIS_PER_SECOND,
+                MAX_WAIT_FRACTION,
+            ):
                 selected = await request.selection
         except BaseException as error:
             self._withdraw(pool_queue, waiting)
@@ -179,10 +184,10 @@
 
     def _overloaded(self) -> outcomes.NotRun:
         jitter = int(self._rng.random() * RETRY_JITTER_MS)
-        return outcomes.NotRun(
-            result_codes.ResultCode.OVERLOADED,
-            RETRY_AFTER_MS + jitter,
-        )
+        code = result_codes.ResultCode.OVERLOADED
+        if self._time_limits.is_shutting_down:
+            code = result_codes.ResultCode.LEAVING
+        return outcomes.NotRun(code, RETRY_AFTER_MS + jitter)
 
     def _dispatch_queued(self, pool_queue: PoolQueue) -> None:
         while pool_queue.queue:
--- a/packages/router/tests/test_target_dispatcher.py
+++ b/packages/router/tests/test_target_dispatcher.py
@@ -7,7 +7,13 @@
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_ports import boot_clock, headers, http_forward, wire
-from sycamoreferry_router import messages, pipeline, target_dispatcher, view
+from sycamoreferry_router import (
+    messages,
+    pipeline,
+    target_dispatcher,
+    time_limits,
+    view,
+)
 from sycamoreferry_router.filters import resolve, select
 from sycamoreferry_standins import request_path
 
@@ -177,7 +183,11 @@
     rng = random.Random(1)
     selector = select.Selector(ids.DataCentre('north'), rng)
     dispatcher = target_dispatcher.TargetDispatcher(
-        instance_view, time_source, selector, rng
+        instance_view,
+        time_source,
+        selector,
+        rng,
+        time_limits.TimeLimits(time_source),
     )
     resolved = resolve.resolve(_identified(time_source), instance_view)
     assert isinstance(resolved, messages.Resolved)
