Bound the wait for an admission that the own partition never decides

Cause: an instance that owns the partition of a request asks itself, without a time-out as for other instances. The partition refuses overdue requests in its ticks, which stop while the view is behind the log; if the partition's log shows no new records either, nobody resolves the future. Callers of such a request got no answer, however short their deadline. Change: each ask ends at the request's deadline or after ASK_TIMEOUT_MS, and is then concluded as not run, as asks of other instances are.

--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -88,7 +88,7 @@
             target = candidates[0]
             tried.add(target)
             asked = self._new_request(identified, key)
-            answered = await self._ring.request_admission(target, asked)
+            answered = await self._ask(target, asked, ask_deadline)
             if answered is None:
                 self._conclude(key, asked.attempt, target, _Ending.NOT_RUN)
             elif answered.verdict is not _Verdict.NOT_OWNER:
@@ -110,6 +110,20 @@
             ending = _ENDINGS[outcome.kind]
             self._conclude(key, admission.attempt, admission.owner, ending)
 
+    async def _ask(
+        self,
+        target: ids.InstanceId,
+        asked: admission_events.AdmissionRequested,
+        deadline: clock.Millis,
+    ) -> admission_actions.Answer | None:
+        """Ask an instance; return None if it does not answer in time."""
+        remaining = clock.seconds(deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(remaining):
+                return await self._ring.request_admission(target, asked)
+        except TimeoutError:
+            return None
+
     def _new_request(
         self,
         identified: messages.Identified,
--- /dev/null
+++ b/packages/router/tests/test_admission_gate.py
@@ -0,0 +1,132 @@
+import asyncio
+import typing
+
+import pytest
+
+from sycamoreferry_core import (
+    admission_state,
+    clock,
+    ids,
+    outcomes,
+    records,
+    result_codes,
+    state,
+)
+from sycamoreferry_peer import admission_client
+from sycamoreferry_peer import client as peer_client
+from sycamoreferry_ports import boot_clock, headers, log_port
+from sycamoreferry_router import (
+    admission_partitions,
+    messages,
+    partition_calls,
+    partition_loop,
+    view,
+)
+from sycamoreferry_router.filters import admission_gate
+from sycamoreferry_standins import cluster, request_path
+
+OWN_ID = ids.InstanceId('own')
+DEADLINE_MS = 500
+_READ_DELAY_SECONDS = 0.01
+
+
+class _Log:
+    """Hold a stream in memory; while stale, reads show no new records."""
+
+    def __init__(self) -> None:
+        self.stale = False
+        self._visible_end = 0
+        self._payloads: list[bytes] = []
+
+    async def append(self, payload: bytes) -> log_port.AppendOutcome:
+        self._payloads.append(payload)
+        return log_port.Appended(ids.Offset(len(self._payloads) - 1))
+
+    async def read(
+        self,
+        start: ids.Offset,
+        wait_ms: int,
+    ) -> log_port.ReadOutcome:
+        await asyncio.sleep(_READ_DELAY_SECONDS)
+        if not self.stale:
+            self._visible_end = len(self._payloads)
+        end = self._visible_end
+        return log_port.Tail(
+            first_offset=ids.Offset(0),
+            end_offset=ids.Offset(end),
+            logged=tuple(
+                records.LoggedRecord(ids.Offset(offset), self._payloads[offset])
+                for offset in range(start, end)
+            ),
+        )
+
+
+class _Owner:
+    """Own the only partition, on a log that the test controls."""
+
+    def __init__(self) -> None:
+        self.log = _Log()
+        self._clock = boot_clock.BootClock()
+        self.view = view.InstanceView()
+        self.view.caught_up = True
+        own_state = state.InstanceState(
+            OWN_ID, ids.DataCentre('north'), '127.0.0.1', 9, 9
+        )
+        self.view.log_state = state.LogState(instances={OWN_ID: own_state})
+        parts = partition_calls.Dependencies(
+            OWN_ID,
+            self.view,
+            admission_client.AdmissionClient(
+                peer_client.PeerClient(DEADLINE_MS), DEADLINE_MS, DEADLINE_MS
+            ),
+            self._clock,
+            admission_state.Timing(detection_ms=50, batch_ms=5),
+            read_wait_ms=0,
+        )
+        self.loop = partition_loop.PartitionLoop(0, self.log, parts)
+        partitions = admission_partitions.AdmissionPartitions(
+            [self.loop], parts
+        )
+        self.gate = admission_gate.AdmissionGate(partitions, self._clock)
+
+    async def is_serving(self) -> bool:
+        return self.loop.current.is_serving
+
+    async def enter(
+        self, deadline_ms: int = DEADLINE_MS
+    ) -> messages.Identified | outcomes.Outcome:
+        now = self._clock.now()
+        named = {headers.IDEMPOTENCY_KEY: 'k'}
+        return await self.gate.enter(
+            messages.Identified(
+                messages.Incoming('POST', 'plain', '/a', named, b'', now),
+                ids.RequestId('r1'),
+                request_path.small_settings().services[0],
+                None,
+                None,
+                clock.later(now, deadline_ms),
+                ids.IdempotencyKey('k'),
+            )
+        )
+
+
+@pytest.fixture
+async def owner() -> typing.AsyncIterator[_Owner]:
+    """Yield the owner of a partition once it serves."""
+    owning = _Owner()
+    running = asyncio.create_task(owning.loop.run())
+    await cluster.wait_for(owning.is_serving, 'a settled claim')
+    yield owning
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_admission_that_is_never_decided_ends_with_the_deadline(
+    owner: _Owner,
+) -> None:
+    # While the view is behind, the partition refuses no overdue requests.
+    owner.view.caught_up = False
+    owner.log.stale = True
+    ended = await asyncio.wait_for(owner.enter(), 3)
+    assert isinstance(ended, outcomes.NotRun)
+    assert ended.code is result_codes.ResultCode.ADMISSION_UNAVAILABLE
