Free the key of a request that ends while its admission is asked for

Cause: a request that is cancelled during the ask, as its caller disconnected or the instance shuts down, left the admission at the owner. It runs nowhere, yet until its deadline, up to a minute, callers that repeat it under the same Idempotency-Key got ALREADY_RUNNING, also after a LEAVING that told them to send it again. Change: the attempt is concluded as not run; it was not sent to any server. Test: test_cancelled_admission_does_not_block_its_key; before, the key was not admitted within 3 s, with a deadline of 60 s.

--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -123,6 +123,10 @@
                 return await self._ring.request_admission(target, asked)
         except TimeoutError:
             return None
+        except BaseException:
+            # The owner may admit a request that is not there any more.
+            self._conclude(asked.key, asked.attempt, target, _Ending.NOT_RUN)
+            raise
 
     def _new_request(
         self,
--- a/packages/router/tests/test_admission_gate.py
+++ b/packages/router/tests/test_admission_gate.py
@@ -130,3 +130,17 @@
     ended = await asyncio.wait_for(owner.enter(), 3)
     assert isinstance(ended, outcomes.NotRun)
     assert ended.code is result_codes.ResultCode.ADMISSION_UNAVAILABLE
+
+
+async def test_cancelled_admission_does_not_block_its_key(
+    owner: _Owner,
+) -> None:
+    waiting = asyncio.create_task(owner.enter(60_000))
+    await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+    async def is_admitted() -> bool:
+        return isinstance(await owner.enter(), messages.Identified)
+
+    await cluster.wait_for(is_admitted, 'an admission of the same key', 3_000)
