Keep a router up until its answers are sent

Cause: a request counted as ended once its handler returned, before the answer was written and while its bytes waited in the process for a slow caller. The shutdown went on as soon as no handler ran, and the end of the process dropped the rest: such a caller got an answer that was cut short. Change: the server is busy while a connection's answer is due or unsent; the shutdown waits for that, until its deadline. Test: test_server_is_busy_until_its_answer_is_sent; before, the server counted as idle with most of an answer of 10 MB unsent.

--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -1,7 +1,6 @@
 """Serve callers, operators and probes over HTTP."""
 
 import asyncio
-import contextlib
 import http
 import typing
 
@@ -9,6 +8,7 @@
 from sanic import request as sanic_request
 from sanic import response
 from sanic import server as sanic_server
+from sanic.server.protocols import http_protocol
 
 from sycamoreferry_core import clock, ids, outcomes
 from sycamoreferry_router import (
@@ -33,6 +33,7 @@
 _HEADER_SLACK_BYTES = 8192
 _KEEP_ALIVE_SECONDS = 75
 _RESPONSE_TIMEOUT_SECONDS = 120
+IDLE_POLL_MS = 20
 
 _log = logs.part_logger('http')
 
@@ -55,8 +56,7 @@
         self._instance = instance
         self._clock = time_source
         self._app = self._build_app(config)
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._listening: sanic_server.AsyncioServer | None = None
         self.in_flight = 0
 
     @property
@@ -64,6 +64,12 @@
         """Return True when the instance has started and is not draining."""
         return self._view.ready and not self._pipeline.draining
 
+    @property
+    def is_idle(self) -> bool:
+        """Return True if no request is in flight and no answer is unsent."""
+        connections = self._listening.connections if self._listening else ()
+        return not self.in_flight and not any(map(_is_answering, connections))
+
     async def start(
         self,
         host: str,
@@ -81,15 +87,15 @@
         )
         if server is None:
             raise RuntimeError('sanic returned no server from create_server')
+        self._listening = server
         await server.startup()  # type: ignore[no-untyped-call]
         await server.start_serving()  # type: ignore[no-untyped-call]
         return server
 
     async def wait_until_idle(self, deadline: clock.Millis) -> None:
-        """Wait until no request is in flight, or until a deadline."""
-        remaining = clock.seconds(max(0, deadline - self._clock.now()))
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._idle.wait(), remaining)
+        """Wait until all answers are sent, or until a deadline."""
+        while not self.is_idle and self._clock.now() < deadline:  # noqa: ASYNC110
+            await asyncio.sleep(clock.seconds(IDLE_POLL_MS))
 
     def _build_app(self, config: settings.Settings) -> App:
         app: App = sanic_app.Sanic(
@@ -145,11 +151,11 @@
         request: sanic_request.Request,
         path: str,
     ) -> response.HTTPResponse | None:
-        self._request_started()
+        self.in_flight += 1
         try:
             return await self._answer_caller(request)
         finally:
-            self._request_finished()
+            self.in_flight -= 1
 
     async def _answer_caller(
         self,
@@ -184,15 +190,6 @@
         finally:
             download.close()
 
-    def _request_started(self) -> None:
-        self.in_flight += 1
-        self._idle.clear()
-
-    def _request_finished(self) -> None:
-        self.in_flight -= 1
-        if not self.in_flight:
-            self._idle.set()
-
     def _to_incoming(
         self,
         request: sanic_request.Request,
@@ -208,3 +205,12 @@
             body=request.body,
             received_at=self._clock.now(),
         )
+
+
+def _is_answering(connection: http_protocol.HttpProtocol) -> bool:
+    """Tell whether an answer is due on a connection or not sent in full."""
+    transport = connection.transport
+    if transport is None:
+        return False
+    is_unsent = transport.get_write_buffer_size() > 0
+    return is_unsent or bool(connection.http)
--- a/packages/router/tests/test_http_server.py
+++ b/packages/router/tests/test_http_server.py
@@ -6,9 +6,9 @@
 import pytest
 import yarl
 
-from sycamoreferry_core import outcomes
-from sycamoreferry_ports import headers
-from sycamoreferry_router import messages
+from sycamoreferry_core import clock, ids, outcomes
+from sycamoreferry_ports import boot_clock, headers, http_forward
+from sycamoreferry_router import http_server, messages, metrics, view
 from sycamoreferry_standins import request_path, scripted_server
 
 LONG_BODY = bytes(range(256)) * 40_000
@@ -223,3 +223,43 @@
                 with pytest.raises(aiohttp.ClientError):
                     await answer.read()
         await asyncio.wait_for(server.lost.wait(), 10)
+
+
+async def test_server_is_busy_until_its_answer_is_sent() -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(scripted_server.answer_bytes(head, LONG_BODY))
+
+    config = request_path.small_settings(whole_answer_bytes=len(LONG_BODY))
+    seen = view.InstanceView()
+    time_source = boot_clock.BootClock()
+    async with (
+        scripted_server.ScriptedServer(script) as backend,
+        http_forward.open_forwarder(len(LONG_BODY)) as forwarder,
+    ):
+        seen.replace_servers([backend.listed])
+        served = http_server.HttpServer(
+            config,
+            request_path.new_pipeline(config, forwarder, seen),
+            seen,
+            metrics.Metrics(),
+            ids.InstanceId(config.instance.name),
+            time_source,
+        )
+        port = config.listen.request_port
+        listening = await served.start('127.0.0.1', port)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, limit=1024
+        )
+        writer.write(b'GET /plain/a HTTP/1.1\r\nHost: a\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        deadline = clock.later(time_source.now(), 10_000)
+        waiting = asyncio.create_task(served.wait_until_idle(deadline))
+        done, _ = await asyncio.wait([waiting], timeout=0.3)
+        assert not done
+        assert await reader.readexactly(len(LONG_BODY)) == LONG_BODY
+        await asyncio.wait_for(waiting, 3)
+        await listening.close()  # type: ignore[no-untyped-call]
+        writer.close()
