Send requests to an owner that the instance list leaves out

Cause: the platform's list lags, and a server that it leaves out keeps its shards until they are moved. The selector looked such an owner up among the listed servers only; the KeyError became OUTCOME_UNKNOWN. Callers got 502 for each key of the owner, though their requests were not sent. Change: the statistics of an owner that is not listed are added on first use.

--- a/packages/router/src/sycamoreferry_router/filters/select.py
+++ b/packages/router/src/sycamoreferry_router/filters/select.py
@@ -32,7 +32,7 @@
         candidates = resolved.candidates
         stats.update_listed(resolved.listed, now)
         if len(candidates) == 1:
-            target = stats.targets[candidates[0].server]
+            target = stats.target_of(candidates[0].server)
             chosen = candidates[0] if target.has_capacity else None
         else:
             untried = _untried(candidates, tried)
--- a/packages/router/src/sycamoreferry_router/target_stats.py
+++ b/packages/router/src/sycamoreferry_router/target_stats.py
@@ -66,6 +66,16 @@
                 self.targets.pop(gone)
         self._last_listed = listed
 
+    def target_of(self, server: ids.ServerId) -> Target:
+        """Return a server's target, also of an owner that is not listed."""
+        target = self.targets.get(server)
+        if target is None:
+            target = Target(
+                balancing.TargetLoad(server, slow_start_at=clock.LONG_AGO)
+            )
+            self.targets[server] = target
+        return target
+
     def usable(
         self,
         servers: typing.Sequence[ids.ServerId],
--- a/packages/router/tests/test_attempts.py
+++ b/packages/router/tests/test_attempts.py
@@ -231,6 +231,21 @@
         return list(await asyncio.gather(*calls))
 
 
+async def test_owner_that_the_list_leaves_out_still_gets_its_requests() -> None:
+    servers = _Servers([])
+    seen = _FastRetryView()
+    owner = _listed(1, KEYED)
+    seen.replace_servers([owner, _listed(2, KEYED)])
+    await seen.advance(_assigned(1, owner.server))
+    seen.replace_servers([_listed(2, KEYED)])
+    config = request_path.small_settings()
+    serving = request_path.new_pipeline(config, servers, seen)
+    for number in range(2):
+        outcome = await serving.serve(_incoming('POST', number, 'k'))
+        assert outcome.kind is outcomes.Kind.ANSWERED
+    assert servers.sent_to == [owner.server] * 2
+
+
 async def test_request_waits_for_a_new_owner_that_is_due_in_time() -> None:
     servers = _Servers([])
     results = await _OwnerOutage(servers, _FastRetryView()).serve_through(
