Keep a router running when it gets SIGHUP

Cause: SIGHUP had its default effect and ended the process at once, with the requests in flight: callers got a closed connection and no answer. Operators send it to reload settings, which the gateway survives. Change: the router logs that settings take effect after a restart. Test: test_hangup_signal_cuts_no_request; before, the caller of a request at its server lost the connection, and the next connection was refused.

--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -145,6 +145,7 @@
         event_loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             event_loop.add_signal_handler(signal_number, stop_requested.set)
+        event_loop.add_signal_handler(signal.SIGHUP, _log_hangup)
         peer_server = grpc_server.Server(
             [
                 peer_service.PeerService(
@@ -272,6 +273,10 @@
         await self._membership.leave()
 
 
+def _log_hangup() -> None:
+    _log.info('got SIGHUP; settings take effect after a restart')
+
+
 async def run_instance(config: settings.Settings) -> None:
     """Run an instance with its own HTTP sessions until it has left."""
     connector = aiohttp.TCPConnector(limit=0)
--- a/packages/router/tests/test_shutdown.py
+++ b/packages/router/tests/test_shutdown.py
@@ -160,6 +160,17 @@
         assert await stopped.process.wait() == 0
 
 
+@pytest.mark.processes
+async def test_hangup_signal_cuts_no_request(tmp_path: pathlib.Path) -> None:
+    async with _Cluster(STOPPED, tmp_path, entries=1) as system:
+        caller = _Caller(system)
+        await caller.delay_answers(500)
+        call = await _start_call(caller, 'GET', 'running')
+        system.started[caller.entry.name].send(signal.SIGHUP)
+        assert (await call).status == 200
+        assert (await caller.call('GET', 'next')).status == 200
+
+
 async def _read_rest(reader: asyncio.StreamReader) -> int:
     """Return the number of bytes left, or 0 if the connection is reset."""
     try:
