Leave the time of a request to its deadline, not to the HTTP library

Cause: the HTTP library ends a handler that has been silent for 120 s and answers 503. Profiles may allow longer deadlines (longest_deadline_ms has no upper bound). Callers of such a request, also of one that is not idempotent, got a bare 503 while a server still ran it. Change: the library has no limit of its own; the filters bound each request by its deadline. Test: test_long_request_is_not_ended_by_the_http_library; before, the answer was 503 Service Unavailable.

--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import math
 import typing
 
 from sanic import app as sanic_app
@@ -32,7 +33,9 @@
 # Sanic rejects larger headers itself, before the accept filter sees them.
 _HEADER_SLACK_BYTES = 8192
 _KEEP_ALIVE_SECONDS = 75
-_RESPONSE_TIMEOUT_SECONDS = 120
+# Each request has a deadline of its own. The library would answer 503, which
+# says that a request has not run, to one that a server still runs.
+_RESPONSE_TIMEOUT_SECONDS = math.inf
 IDLE_POLL_MS = 20
 
 _log = logs.part_logger('http')
