Refuse header values that are not UTF-8 instead of failing inside

Cause: a request id, key or Idempotency-Key with other bytes raised while the request was identified, and such a caller name while its admission was asked for. The error became OUTCOME_UNKNOWN: callers got 502 and were told that a request might have run that was never sent. Change: the former are answered BAD_KEY; a caller name of any bytes is digested as it came. Test: test_header_that_is_not_utf8_is_not_reported_as_run (before: 502, 4001) and test_caller_that_is_not_utf8_is_admitted (before: UnicodeEncodeError).

--- a/packages/core/src/sycamoreferry_core/result_codes.py
+++ b/packages/core/src/sycamoreferry_core/result_codes.py
@@ -108,8 +108,8 @@
     ),
     ResultCode.BAD_KEY: CodeMeaning(
         _BAD_REQUEST,
-        'a header that names the request is empty or too long',
-        'send a shorter one that is not empty',
+        'a header that names the request is empty, too long or not UTF-8',
+        'send a shorter one that is not empty, in UTF-8',
     ),
     ResultCode.NO_OWNER: CodeMeaning(
         _SERVICE_UNAVAILABLE,
--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -202,11 +202,11 @@
 
 
 def _key_of(identified: messages.Identified) -> ids.AdmissionKey:
-    incoming = identified.incoming
+    caller = identified.incoming.headers.get(headers.CALLER, '')
     return ids.AdmissionKey(
         admission_routing.digest(
             identified.service.name,
-            incoming.headers.get(headers.CALLER, ''),
+            caller.encode(errors='surrogateescape'),
             identified.idempotency_key or '',
         ),
     )
--- a/packages/router/src/sycamoreferry_router/filters/identify.py
+++ b/packages/router/src/sycamoreferry_router/filters/identify.py
@@ -83,7 +83,18 @@
     text: str | None,
     bounds: settings.RequestBounds,
 ) -> bool:
-    return text is None or 0 < len(text.encode()) <= bounds.key_bytes
+    if text is None:
+        return True
+    return _is_text(text) and 0 < len(text.encode()) <= bounds.key_bytes
+
+
+def _is_text(text: str) -> bool:
+    """Tell whether a header was sent in UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _deadline(
--- a/packages/router/tests/test_admission_gate.py
+++ b/packages/router/tests/test_admission_gate.py
@@ -93,10 +93,10 @@
         return self.loop.current.is_serving
 
     async def enter(
-        self, deadline_ms: int = DEADLINE_MS
+        self, deadline_ms: int = DEADLINE_MS, caller: str = ''
     ) -> messages.Identified | outcomes.Outcome:
         now = self._clock.now()
-        named = {headers.IDEMPOTENCY_KEY: 'k'}
+        named = {headers.IDEMPOTENCY_KEY: 'k', headers.CALLER: caller}
         return await self.gate.enter(
             messages.Identified(
                 messages.Incoming('POST', 'plain', '/a', named, b'', now),
@@ -144,3 +144,9 @@
         return isinstance(await owner.enter(), messages.Identified)
 
     await cluster.wait_for(is_admitted, 'an admission of the same key', 3_000)
+
+
+async def test_caller_that_is_not_utf8_is_admitted(owner: _Owner) -> None:
+    assert isinstance(
+        await owner.enter(caller='caf\udce9'), messages.Identified
+    )
--- a/packages/router/tests/test_http_server.py
+++ b/packages/router/tests/test_http_server.py
@@ -228,6 +228,30 @@
         await asyncio.wait_for(server.lost.wait(), 10)
 
 
+@pytest.mark.parametrize('name', [headers.REQUEST_ID, headers.IDEMPOTENCY_KEY])
+async def test_header_that_is_not_utf8_is_not_reported_as_run(
+    name: str,
+) -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(scripted_server.answer_bytes(head))
+
+    async with _request_path(script) as (url, server, _):
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', yarl.URL(url).port
+        )
+        writer.write(
+            b'POST /plain/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+            b'%b: \xe9\r\n\r\n' % name.encode()
+        )
+        answer = await reader.read()
+        writer.close()
+    assert b'Ferry-Code: 2009' in answer
+    assert not server.heads
+
+
 @contextlib.asynccontextmanager
 async def _serve(
     script: scripted_server.Script,
