Close a caller's connection with its last answer in a router's shutdown

Cause: answers given after SIGTERM kept the connection open, so callers went on using it until the process ended; a request that crossed the end met a closed connection instead of LEAVING. Change: each answer in a shutdown has Connection: close. Test: test_kept_connection_is_closed_with_its_last_answer; before, the connection was still open 2 s after the answer.

--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -166,6 +166,8 @@
     ) -> response.HTTPResponse | None:
         outcome = await self._pipeline.serve(self._to_incoming(request))
         rendered = answer.answer(outcome, self._instance)
+        if self._pipeline.draining:
+            responses.close_after_answer(request)
         if rendered.download is None:
             return responses.buffered_response(rendered)
         await self._send_download(request, rendered, rendered.download)
--- a/packages/router/src/sycamoreferry_router/responses.py
+++ b/packages/router/src/sycamoreferry_router/responses.py
@@ -5,6 +5,7 @@
 
 from sanic import compat, response
 from sanic import request as sanic_request
+from sanic.http import http1
 
 from sycamoreferry_core import outcomes
 from sycamoreferry_router.filters import answer
@@ -47,6 +48,11 @@
     await stream.eof()
 
 
+def close_after_answer(request: sanic_request.Request) -> None:
+    """Close the connection to the caller once the response is sent."""
+    typing.cast(http1.Http, request.stream).keep_alive = False
+
+
 def abort(request: sanic_request.Request) -> None:
     """Abort the connection to the caller without a clean close."""
     typing.cast(asyncio.Transport, request.transport).abort()
--- a/packages/router/tests/test_shutdown.py
+++ b/packages/router/tests/test_shutdown.py
@@ -12,7 +12,13 @@
 
 from sycamoreferry_core import clock, ids, outcomes, result_codes
 from sycamoreferry_ports import boot_clock, headers, http_forward, wire
-from sycamoreferry_router import messages, pipeline, view
+from sycamoreferry_router import (
+    http_server,
+    messages,
+    metrics,
+    pipeline,
+    view,
+)
 from sycamoreferry_router.filters import admit
 from sycamoreferry_standins import (
     backend_server,
@@ -322,6 +328,31 @@
     assert ended.retry_after_ms
 
 
+async def test_kept_connection_is_closed_with_its_last_answer() -> None:
+    config = request_path.small_settings()
+    instance_view = view.InstanceView()
+    servers = _HeldServers()
+    serving = request_path.new_pipeline(config, servers, instance_view)
+    served = http_server.HttpServer(
+        config,
+        serving,
+        instance_view,
+        metrics.Metrics(),
+        ids.InstanceId('own'),
+        boot_clock.BootClock(),
+    )
+    port = config.listen.request_port
+    listening = await served.start('127.0.0.1', port)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    _stop(serving, _TIME_LEFT_MS)
+    writer.write(b'GET /plain/a HTTP/1.1\r\nHost: a\r\n\r\n')
+    answer = await asyncio.wait_for(reader.read(), 2)
+    assert b'503' in answer.splitlines()[0]
+    assert b'connection: close' in answer.splitlines()
+    writer.close()
+    await listening.close()  # type: ignore[no-untyped-call]
+
+
 async def test_request_in_a_silent_admission_is_rejected_in_a_shutdown() -> (
     None
 ):
