Log how requests ended before a router leaves

Cause: endings of requests are logged in batches of a second, and the shutdown waited for admissions only. An instance that owned the partition of a request and left within that second took the ending with it: the next owner takes the admission for running until its deadline, and tells a caller who was answered LEAVING and sends the request again ALREADY_RUNNING (read from the code). Change: the shutdown waits until endings have been reported, for 0.5 s at most, and until what had been decided by then is logged, endings included. New admissions for other instances no longer prolong that wait.

--- a/packages/router/src/sycamoreferry_router/admission_partitions.py
+++ b/packages/router/src/sycamoreferry_router/admission_partitions.py
@@ -91,9 +91,11 @@
         )
 
     async def drain(self) -> None:
-        """Wait up to DRAIN_TIMEOUT_MS until local admissions are logged."""
+        """Wait up to DRAIN_TIMEOUT_MS until what was decided is logged."""
+        pending = self._unjournaled()
         for _ in range(DRAIN_TIMEOUT_MS // DRAIN_POLL_MS):
-            if not any(_is_unjournaled(loop) for loop in self._loops):
+            pending &= self._unjournaled()
+            if not pending:
                 return
             await asyncio.sleep(clock.seconds(DRAIN_POLL_MS))
 
@@ -110,6 +112,9 @@
             return None
         return await self._parts.clients.admit(address, partition, request)
 
+    def _unjournaled(self) -> frozenset[ids.AttemptId]:
+        return frozenset().union(*map(_unjournaled_attempts, self._loops))
+
     def _partition_of(self, key: ids.AdmissionKey) -> int:
         return admission_routing.partition_of(key, len(self._loops))
 
@@ -118,6 +123,12 @@
         return self._parts.clock.now() < clock.later(since, UNRESPONSIVE_MS)
 
 
-def _is_unjournaled(loop: _Loop) -> bool:
+def _unjournaled_attempts(loop: _Loop) -> typing.Iterator[ids.AttemptId]:
+    """Yield the attempts whose admission or ending is not logged."""
     owner = loop.current.owner
-    return bool(owner.queued or owner.in_flight)
+    yield from (admitted.attempt for admitted in owner.queued)
+    yield from (concluded.attempt for concluded in owner.conclusions)
+    if owner.in_flight is not None:
+        batch = owner.in_flight
+        yield from (admitted.attempt for admitted in batch.admitted)
+        yield from (concluded.attempt for concluded in batch.concluded)
--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -23,6 +23,7 @@
 CONCLUDE_RETRY_DELAY_MS = 500
 RETRY_AFTER_MS = 1000
 ASK_TIMEOUT_MS = 1500
+DRAIN_TIMEOUT_MS = 500
 
 _Code = result_codes.ResultCode
 _Ending = admission_records.Ending
@@ -110,6 +111,13 @@
             ending = _ENDINGS[outcome.kind]
             self._conclude(key, admission.attempt, admission.owner, ending)
 
+    async def drain(self) -> None:
+        """Wait up to DRAIN_TIMEOUT_MS until endings have been reported."""
+        if self._tasks:
+            await asyncio.wait(
+                self._tasks, timeout=clock.seconds(DRAIN_TIMEOUT_MS)
+            )
+
     async def _ask(
         self,
         target: ids.InstanceId,
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -107,6 +107,9 @@
             session,
             self._clock,
         )
+        self._admission_gate = admission_gate.AdmissionGate(
+            self._admissions, self._clock
+        )
         self._pipeline = pipeline.Pipeline(
             pipeline.Dependencies(
                 config=config,
@@ -126,7 +129,7 @@
                 rng=random.Random(),
             ),
             gates=(
-                admission_gate.AdmissionGate(self._admissions, self._clock),
+                self._admission_gate,
                 self._load_loop.counter,
             ),
         )
@@ -269,6 +272,7 @@
         self._pipeline.start_draining(clock.later(deadline, -send_ms))
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
+        await self._admission_gate.drain()
         await self._admissions.drain()
         await self._membership.leave()
 
--- a/packages/router/tests/test_admission_gate.py
+++ b/packages/router/tests/test_admission_gate.py
@@ -84,10 +84,10 @@
             read_wait_ms=0,
         )
         self.loop = partition_loop.PartitionLoop(0, self.log, parts)
-        partitions = admission_partitions.AdmissionPartitions(
+        self.partitions = admission_partitions.AdmissionPartitions(
             [self.loop], parts
         )
-        self.gate = admission_gate.AdmissionGate(partitions, self._clock)
+        self.gate = admission_gate.AdmissionGate(self.partitions, self._clock)
 
     async def is_serving(self) -> bool:
         return self.loop.current.is_serving
@@ -150,3 +150,16 @@
     assert isinstance(
         await owner.enter(caller='caf\udce9'), messages.Identified
     )
+
+
+async def test_endings_are_logged_before_the_instance_leaves(
+    owner: _Owner,
+) -> None:
+    admitted = await owner.enter()
+    assert isinstance(admitted, messages.Identified)
+    rejected = outcomes.NotRun(result_codes.ResultCode.LEAVING)
+    await owner.gate.leave(admitted, rejected)
+    await owner.gate.drain()
+    await owner.partitions.drain()
+    window = owner.loop.current.journal.window
+    assert not window.size
