--- a/packages/router/src/sycamoreferry_router/filters/admission_gate.py
+++ b/packages/router/src/sycamoreferry_router/filters/admission_gate.py
@@ -23,6 +23,7 @@
 CONCLUDE_RETRY_DELAY_MS = 500
 RETRY_AFTER_MS = 1000
 ASK_TIMEOUT_MS = 1500
+DRAIN_TIMEOUT_MS = 500
 
 _Code = result_codes.ResultCode
 _Ending = admission_records.Ending
@@ -88,7 +89,7 @@
             target = candidates[0]
             tried.add(target)
             asked = self._new_request(identified, key)
-            answered = await self._ring.request_admission(target, asked)
+            answered = await self._ask(target, asked, ask_deadline)
             if answered is None:
                 self._conclude(key, asked.attempt, target, _Ending.NOT_RUN)
             elif answered.verdict is not _Verdict.NOT_OWNER:
@@ -110,6 +111,31 @@
             ending = _ENDINGS[outcome.kind]
             self._conclude(key, admission.attempt, admission.owner, ending)
 
+    async def drain(self) -> None:
+        """Wait up to DRAIN_TIMEOUT_MS until endings have been reported."""
+        if self._tasks:
+            await asyncio.wait(
+                self._tasks, timeout=clock.seconds(DRAIN_TIMEOUT_MS)
+            )
+
+    async def _ask(
+        self,
+        target: ids.InstanceId,
+        asked: admission_events.AdmissionRequested,
+        deadline: clock.Millis,
+    ) -> admission_actions.Answer | None:
+        """Ask an instance; return None if it does not answer in time."""
+        remaining = clock.seconds(deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(remaining):
+                return await self._ring.request_admission(target, asked)
+        except TimeoutError:
+            return None
+        except BaseException:
+            # The owner may admit a request that is not there any more.
+            self._conclude(asked.key, asked.attempt, target, _Ending.NOT_RUN)
+            raise
+
     def _new_request(
         self,
         identified: messages.Identified,
@@ -184,11 +210,11 @@
 
 
 def _key_of(identified: messages.Identified) -> ids.AdmissionKey:
-    incoming = identified.incoming
+    caller = identified.incoming.headers.get(headers.CALLER, '')
     return ids.AdmissionKey(
         admission_routing.digest(
             identified.service.name,
-            incoming.headers.get(headers.CALLER, ''),
+            caller.encode(errors='surrogateescape'),
             identified.idempotency_key or '',
         ),
     )
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -45,6 +45,9 @@
 
 PEER_TIMEOUT_MS = 300
 LEAVE_NOTICE_MS = 500
+# The last part of the shutdown, in which the last answers are sent.
+SEND_MS = 500
+SEND_SHARE = 0.25
 ID_SUFFIX_BYTES = 4
 
 _log = logs.part_logger('instance')
@@ -104,6 +107,9 @@
             session,
             self._clock,
         )
+        self._admission_gate = admission_gate.AdmissionGate(
+            self._admissions, self._clock
+        )
         self._pipeline = pipeline.Pipeline(
             pipeline.Dependencies(
                 config=config,
@@ -123,7 +129,7 @@
                 rng=random.Random(),
             ),
             gates=(
-                admission_gate.AdmissionGate(self._admissions, self._clock),
+                self._admission_gate,
                 self._load_loop.counter,
             ),
         )
@@ -142,6 +148,7 @@
         event_loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             event_loop.add_signal_handler(signal_number, stop_requested.set)
+        event_loop.add_signal_handler(signal.SIGHUP, _log_hangup)
         peer_server = grpc_server.Server(
             [
                 peer_service.PeerService(
@@ -259,17 +266,21 @@
 
     async def _leave(self) -> None:
         _log.info('leaving; {} requests in flight', self._server.in_flight)
-        self._pipeline.start_draining()
-        deadline = clock.later(
-            self._clock.now(),
-            self._settings.shutdown_ms,
-        )
+        shutdown_ms = self._settings.shutdown_ms
+        deadline = clock.later(self._clock.now(), shutdown_ms)
+        send_ms = min(SEND_MS, int(shutdown_ms * SEND_SHARE))
+        self._pipeline.start_draining(clock.later(deadline, -send_ms))
         await asyncio.sleep(clock.seconds(LEAVE_NOTICE_MS))
         await self._server.wait_until_idle(deadline)
+        await self._admission_gate.drain()
         await self._admissions.drain()
         await self._membership.leave()
 
 
+def _log_hangup() -> None:
+    _log.info('got SIGHUP; settings take effect after a restart')
+
+
 async def run_instance(config: settings.Settings) -> None:
     """Run an instance with its own HTTP sessions until it has left."""
     connector = aiohttp.TCPConnector(limit=0)
