--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -270,6 +270,13 @@
     assert request_headers.parse_key(text) is None
 
 
+@pytest.mark.parametrize('text', ['9' * 5_000, '\u00b2'])
+def test_number_that_is_too_long_or_not_ascii_is_ignored(text: str) -> None:
+    assert request_headers.parse_key(text) is None
+    assert request_headers.parse_deadline(text) is None
+    assert request_headers.parse_load(f'{text},1,1') is None
+
+
 @hypothesis.given(strategies.text(max_size=12))
 def test_any_load_header_is_parsed_or_ignored(text: str) -> None:
     load = request_headers.parse_load(text)
