Answer a request whose handling fails inside the instance

Callers saw: no answer until they gave up, on a connection that then counted as idle. Cause: an exception in the handling of a request ended its task, and nobody wrote an answer. Change: the error is logged and the request is answered 502, code 4001, which leaves open whether it has run. Test: test_request_that_fails_inside_is_answered; it failed before.

--- a/packages/gateway/src/sycamoreferry_gateway/answers.py
+++ b/packages/gateway/src/sycamoreferry_gateway/answers.py
@@ -72,3 +72,14 @@
         code,
         reason,
     )
+
+
+def internal_failure() -> FinalAnswer:
+    """Return a result that leaves open whether the request has run."""
+    code = result_codes.ResultCode.OUTCOME_UNKNOWN
+    reason = 'internal failure'
+    return FinalAnswer(
+        instance_answer(http.HTTPStatus.BAD_GATEWAY, code, reason),
+        code,
+        reason,
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -117,6 +117,9 @@
         except asyncio.CancelledError:
             self._log_end(request, proxied, arrived, 'caller left', None)
             raise
+        except Exception as error:
+            self._log.write('request', 'request failed', error=repr(error))
+            final = answers.internal_failure()
         finally:
             self.in_flight -= 1
         self._log_end(request, proxied, arrived, final.reason, final)
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import pytest
+
 from sycamoreferry_core.keyspace import owners, placement
 from sycamoreferry_gateway import http_client
 from sycamoreferry_ports import boot_clock
@@ -69,6 +71,18 @@
     assert b'3011' in body
 
 
+async def test_request_that_fails_inside_is_answered(
+    cluster: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await _start(cluster)
+    chosen = cluster.instances[0]._dispatcher
+    # Not awaitable, so the request's task raises TypeError.
+    monkeypatch.setattr(chosen, 'acquire', len)
+    status, body = await _call(cluster)
+    assert status == 502
+    assert b'4001' in body
+
+
 async def test_configuration_applies_within_a_second_and_never_reverts(
     cluster: typing.Any,
     encode_configuration: typing.Any,
