Count a request as run when a stand-in server begins it

Cause: the stand-in server of the gateway's tests noted a request as run only after its processing time. One that was broken off midway did not count, so a test could not see a request that ran twice, or that ran and was answered 503; it also stayed in the count of running ones. Change: keys are checked and the run is noted before the processing time, as the protocol defines a run; a run that is broken off no longer counts as running.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -220,11 +220,7 @@
             return await self._grant(json.loads(request.body))
         if request.path == '/release':
             return self._release(json.loads(request.body))
-        self.running += 1
-        self.peak_running = max(self.peak_running, self.running)
-        await asyncio.sleep(self.processing_time_s)
-        self.running -= 1
-        return self._run(request)
+        return await self._run(request)
 
     async def _grant(
         self,
@@ -259,7 +255,7 @@
         self.granted = kept
         return _answer(200, headers=(('Handover', f'from-{self.name}'),))
 
-    def _run(
+    async def _run(
         self,
         request: http_server.CallerRequest,
     ) -> http_server.CallerAnswer:
@@ -270,6 +266,12 @@
         if self.is_keyed and not self.holds(key):
             return _answer(421, headers=(('Not-Executed', '1'),))
         self.ran.append((request_id, key))
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        try:
+            await asyncio.sleep(self.processing_time_s)
+        finally:
+            self.running -= 1
         if self.drops:
             self.drops -= 1
             self.stop()
