Test planned stops of busy instances with real processes

Change: a test of planned stops alone, directly and with permits: four processes get SIGTERM, two in turn and then two or three at the same moment, while 60 callers keep their connections to two servers of two slots, one of which outlasts the grace time. No connection may end without an answer once a server runs the request, or 200 ms or more after it was sent; no request runs twice or in spite of a 503; others serve meanwhile; each process exits by itself within its grace time, with status 0. What the soak can share is in conftest.py.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -2,17 +2,22 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import dataclasses
 import json
 import os
+import pathlib
+import signal
 import struct
+import subprocess
+import sys
 import typing
 from urllib import parse as url_parse
 
 import pytest
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import http_messages, ids
 from sycamoreferry_core.fleet import deployment
 from sycamoreferry_gateway import (
     event_log,
@@ -25,6 +30,10 @@
 
 Headers = tuple[tuple[str, str], ...]
 LAST_KEY = 65_535
+# The platform's LossSlack.
+LOSS_SLACK_S = 0.2
+# A request may stay unanswered this long after its deadline.
+LATE_MS = 500
 
 
 def _answer(
@@ -286,6 +295,7 @@
     version: int,
     kind: str = 'safe',
     timeout_ms: int = 1_500,
+    objective_ms: int = 500,
 ) -> bytes:
     """Encode an operator's configuration with one route."""
     path = {
@@ -293,7 +303,7 @@
         'PathPrefix': '/k/',
         'Kind': kind,
         'Timeout': f'{timeout_ms}ms',
-        'Slo': '500ms',
+        'Slo': f'{objective_ms}ms',
         'Priority': 1,
         'Service': 'keys',
         'MaxAttempts': 2,
@@ -335,6 +345,65 @@
 """
 
 
+# Makes few instances ask for permits as many would.
+_WITH_PERMITS = """
+from sycamoreferry_core.fleet import message_intervals
+from sycamoreferry_gateway import __main__
+message_intervals._MAX_MESH_PEERS = -1
+raise SystemExit(__main__.main())
+"""
+
+
+@dataclasses.dataclass
+class InstanceProcess:
+    """Start, signal and kill an instance that runs as a process."""
+
+    deployment: deployment.Deployment
+    settings: pathlib.Path
+    with_permits: bool = False
+    process: subprocess.Popen[bytes] | None = None
+    # Processes that were paused or killed.
+    disrupted: set[int] = dataclasses.field(default_factory=set)
+
+    @property
+    def pid(self) -> int:
+        return 0 if self.process is None else self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        program = ('-m', 'sycamoreferry_gateway')
+        if self.with_permits:
+            program = ('-c', _WITH_PERMITS)
+        with self.settings.with_suffix('.log').open('ab') as log:
+            self.process = subprocess.Popen(
+                (sys.executable, *program),
+                env={
+                    **os.environ,
+                    'SYCAMOREFERRY_CONFIG': str(self.settings),
+                    'SYCAMOREFERRY_METRICS_PORT': str(
+                        self.deployment.metrics_port
+                    ),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is None or not self.is_running:
+            return
+        if number in {signal.SIGSTOP, signal.SIGKILL}:
+            self.disrupted.add(self.pid)
+        self.process.send_signal(number)
+
+    def end(self) -> None:
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+
 class Cluster:
     """Run a store, servers and instances on one event loop."""
 
@@ -342,6 +411,7 @@
         self.store = StoreStandIn()
         self.servers: list[ServerStandIn] = []
         self.instances: list[instance.Instance] = []
+        self.processes: list[InstanceProcess] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(
@@ -384,12 +454,31 @@
         self._tasks.append(asyncio.create_task(added.run()))
         return added
 
+    def start_process(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store_port: int,
+        *,
+        with_permits: bool = False,
+    ) -> InstanceProcess:
+        """Start an instance as a process whose output goes to a file."""
+        chosen = self._deployment(name)
+        settings = folder / f'{name}.conf'
+        settings.write_text(self.settings_text(chosen, store_port))
+        started = InstanceProcess(chosen, settings, with_permits)
+        started.start()
+        self.processes.append(started)
+        return started
+
     async def kill(self, number: int) -> None:
         self._tasks[number].cancel()
         self.instances[number]._exchange.close()
         await asyncio.gather(self._tasks[number], return_exceptions=True)
 
     async def stop(self) -> None:
+        for process in self.processes:
+            process.end()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -476,6 +565,101 @@
         )
 
 
+class CheckedCalls:
+    """Call instances that run as processes; record violated guarantees."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.violations: list[str] = []
+        self.answered_count = 0
+        self.in_flight: dict[str, InstanceProcess] = {}
+        self._cluster = cluster
+        self._request_number = 0
+        self._not_run: list[str] = []
+
+    async def call(
+        self,
+        pool: http_client.ConnectionPool,
+        instance: InstanceProcess,
+        key: int,
+        deadline_ms: int,
+    ) -> http_client.ExchangeResult:
+        self._request_number += 1
+        name = f'r{self._request_number}'
+        payload = self._cluster.encode_request(
+            name, key, deadline_ms=deadline_ms, method='POST'
+        )
+        address = instance.deployment.request_address
+        pid = instance.pid
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.in_flight[name] = instance
+        reply = await pool.exchange(address, payload, deadline_ms + LATE_MS)
+        self.in_flight.pop(name)
+        if not isinstance(reply, http_client.FailedExchange):
+            self._check_reply(name, reply)
+        elif pid not in instance.disrupted:
+            self._check_failure(name, reply, loop.time() - sent_at)
+        return reply
+
+    def check_runs(self) -> None:
+        """Check that no request ran twice, or in spite of a 503 answer."""
+        runs = collections.Counter(
+            name for server in self._cluster.servers for name, _ in server.ran
+        )
+        self.violations.extend(
+            f'{name} ran {count} times'
+            for name, count in runs.items()
+            if count > 1
+        )
+        self.violations.extend(
+            f'{name} ran although its caller got a 503'
+            for name in self._not_run
+            if name in runs
+        )
+
+    def _check_reply(
+        self,
+        name: str,
+        reply: http_messages.HttpResponse,
+    ) -> None:
+        if reply.status == 503:
+            self._not_run.append(name)
+        if reply.status != 200:
+            return
+        self.answered_count += 1
+        if [reply.body.decode()] != self._ran_at(name):
+            self.violations.append(
+                f'{name} was not answered by the server that ran it'
+            )
+
+    def _check_failure(
+        self,
+        name: str,
+        failed: http_client.FailedExchange,
+        elapsed_s: float,
+    ) -> None:
+        """Check that a connection didn't end without an owed answer.
+
+        A request that crosses the close of its connection needs no answer.
+        """
+        has_timed_out = failed.failure is http_client.ExchangeFailure.TIMEOUT
+        if has_timed_out or not failed.was_sent:
+            return
+        ran_at = self._ran_at(name)
+        if ran_at or elapsed_s >= LOSS_SLACK_S:
+            self.violations.append(
+                f'{name} has no answer: {failed.failure.value} after '
+                f'{elapsed_s:.3f} s, ran at {ran_at}'
+            )
+
+    def _ran_at(self, name: str) -> list[str]:
+        return [
+            server.name
+            for server in self._cluster.servers
+            if any(ran == name for ran, _ in server.ran)
+        ]
+
+
 @pytest.fixture
 def sample_deployment() -> deployment.Deployment:
     """Return a deployment with free ports."""
@@ -499,6 +683,12 @@
     await made.stop()
 
 
+@pytest.fixture
+def checked_calls(cluster: Cluster) -> CheckedCalls:
+    """Return calls to the processes of the environment."""
+    return CheckedCalls(cluster)
+
+
 @pytest.fixture(scope='session')
 def encode_configuration() -> typing.Callable[..., bytes]:
     """Return the function that encodes a configuration."""
