Check in the soak that no connection ends without an answer that is due

Cause: the soak ignored callers whose connection ended without an answer. Change: such an end is recorded unless the process was paused or killed before. No other fault of the soak ends a caller's connection: a broken server link or store is answered. A caller that gives up after its deadline is not counted. The processes and the checks are those of test_planned_stops.py.

--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -6,15 +6,11 @@
 """
 
 import asyncio
-import collections
-import dataclasses
 import enum
 import os
 import pathlib
 import random
 import signal
-import subprocess
-import sys
 import typing
 
 import pytest
@@ -33,6 +29,7 @@
 # Faults of this many concurrent series overlap.
 SERIES = 2
 PROCESSING_TIME_S = 0.06
+DEADLINE_MS = 1_000
 KEYS = tuple(range(0, 65_536, 4_096))
 
 
@@ -126,49 +123,17 @@
         return self.link_state is LinkState.DROPPING
 
 
-@dataclasses.dataclass
-class InstanceProcess:
-    """Start, signal and kill an instance that runs as a process."""
-
-    deployment: typing.Any
-    settings: pathlib.Path
-    store: Proxy
-    process: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        self.process = subprocess.Popen(
-            (sys.executable, '-m', 'sycamoreferry_gateway'),
-            env={
-                **os.environ,
-                'SYCAMOREFERRY_CONFIG': str(self.settings),
-                'SYCAMOREFERRY_METRICS_PORT': str(self.deployment.metrics_port),
-            },
-            stdout=self.settings.with_suffix('.log').open('ab'),
-        )
-
-    def signal(self, number: signal.Signals) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def end(self) -> None:
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-
-
 class Soak:
     """Inject the faults of a seed and record violated guarantees."""
 
-    def __init__(self, cluster: typing.Any, seed: int) -> None:
+    def __init__(
+        self, cluster: typing.Any, calls: typing.Any, seed: int
+    ) -> None:
         self.cluster = cluster
-        self.violations: list[str] = []
-        self.answered_count = 0
-        self.instances: list[InstanceProcess] = []
+        self.calls = calls
         self.proxies: list[Proxy] = []
         self._random = random.Random(seed)
-        self._request_number = 0
         self._resumed_at = 0.0
-        self._not_run: list[str] = []
 
     async def start(self, folder: pathlib.Path) -> None:
         cluster = self.cluster
@@ -179,17 +144,11 @@
             server.processing_time_s = PROCESSING_TIME_S
             server.register()
         for number in range(INSTANCES):
-            chosen = cluster._deployment(f'i{number}')
             proxy = await self._proxy(cluster.store.port)
-            settings = folder / f'i{number}.conf'
-            settings.write_text(cluster.settings_text(chosen, proxy.port))
-            self.instances.append(InstanceProcess(chosen, settings, proxy))
-            self.instances[-1].start()
+            cluster.start_process(f'i{number}', folder, proxy.port)
         await cluster.wait_until(cluster.is_covered, limit_s=20)
 
     def stop(self) -> None:
-        for instance in self.instances:
-            instance.end()
         for proxy in self.proxies:
             proxy.stop()
 
@@ -204,19 +163,19 @@
         try:
             await self.cluster.wait_until(self.cluster.is_covered, limit_s=25)
         except TimeoutError:
-            self.violations.append(
+            self.calls.violations.append(
                 'keys without exactly one owner 25 s after the faults ended'
             )
-        before = self.answered_count
+        before = self.calls.answered_count
         await asyncio.sleep(1)
-        if self.answered_count == before:
-            self.violations.append(
+        if self.calls.answered_count == before:
+            self.calls.violations.append(
                 'no request got a 200 in 1 s after the faults ended'
             )
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self.check_runs()
+        self.calls.check_runs()
 
     async def _inject_faults(self, duration_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -230,30 +189,14 @@
             server.register()
         for proxy in self.proxies:
             proxy.change(LinkState.HEALTHY)
-        for instance in self.instances:
+        for instance in self.cluster.processes:
             instance.signal(signal.SIGCONT)
-            if instance.process is None or instance.process.poll() is not None:
+            if not instance.is_running:
                 instance.start()
         self._resumed_at = asyncio.get_running_loop().time()
 
-    def check_runs(self) -> None:
-        """Check that no request ran twice, or in spite of a 503 answer."""
-        runs = collections.Counter(
-            name for server in self.cluster.servers for name, _ in server.ran
-        )
-        self.violations.extend(
-            f'{name} ran {count} times'
-            for name, count in runs.items()
-            if count > 1
-        )
-        self.violations.extend(
-            f'{name} ran although its caller got a 503'
-            for name in self._not_run
-            if name in runs
-        )
-
     async def degrade_store_links(self) -> None:
-        proxies = [instance.store for instance in self.instances]
+        proxies = self.proxies[SERVERS:]
         count = self._random.choice((1, 1, INSTANCES))
         await self._degrade(self._random.sample(proxies, count), 3)
 
@@ -262,21 +205,21 @@
         await self._degrade([self._random.choice(server_proxies)], 1)
 
     async def pause(self) -> None:
-        instance = self._random.choice(self.instances)
+        instance = self._random.choice(self.cluster.processes)
         instance.signal(signal.SIGSTOP)
         await asyncio.sleep(self._random.uniform(0.2, 2.5))
         instance.signal(signal.SIGCONT)
         self._resumed_at = asyncio.get_running_loop().time()
 
     async def kill(self) -> None:
-        instance = self._random.choice(self.instances)
+        instance = self._random.choice(self.cluster.processes)
         instance.signal(signal.SIGKILL)
         await asyncio.sleep(self._random.uniform(0.1, 1))
         instance.end()
         instance.start()
 
     async def restart(self) -> None:
-        instance = self._random.choice(self.instances)
+        instance = self._random.choice(self.cluster.processes)
         instance.signal(signal.SIGTERM)
         await asyncio.sleep(3.2)
         instance.end()
@@ -321,37 +264,11 @@
         """Send requests one after another, over reused connections."""
         pool = http_client.ConnectionPool(boot_clock.BootClock())
         while True:
-            instance = self._random.choice(self.instances)
-            self._request_number += 1
-            name = f'r{self._request_number}'
-            payload = self.cluster.encode_request(
-                name,
-                self._random.choice(KEYS),
-                deadline_ms=1_000,
-                method='POST',
-            )
-            address = instance.deployment.request_address
-            reply = await pool.exchange(address, payload, 1_500)
-            if not isinstance(reply, http_client.FailedExchange):
-                self._check_reply(name, reply)
+            instance = self._random.choice(self.cluster.processes)
+            key = self._random.choice(KEYS)
+            await self.calls.call(pool, instance, key, DEADLINE_MS)
             await asyncio.sleep(0.02)
 
-    def _check_reply(self, name: str, reply: typing.Any) -> None:
-        if reply.status == 503:
-            self._not_run.append(name)
-        if reply.status != 200:
-            return
-        self.answered_count += 1
-        ran_at = [
-            server.name
-            for server in self.cluster.servers
-            if any(ran == name for ran, _ in server.ran)
-        ]
-        if [reply.body.decode()] != ran_at:
-            self.violations.append(
-                f'{name} was not answered by the server that ran it'
-            )
-
     async def _watch_owners(self) -> None:
         """Record keys that two servers hold for longer than half a second."""
         since: dict[int, float] = {}
@@ -363,7 +280,9 @@
                 if len(owners) < 2:
                     since.pop(key, None)
                 elif (now - since.setdefault(key, now)) * 2 > 1:
-                    self.violations.append(f'key {key} is held by {owners}')
+                    self.calls.violations.append(
+                        f'key {key} is held by {owners}'
+                    )
 
 
 _FAULTS = (
@@ -389,14 +308,15 @@
 @pytest.mark.parametrize('seed', _seeds())
 async def test_promises_hold_under_faults(
     cluster: typing.Any,
+    checked_calls: typing.Any,
     tmp_path: pathlib.Path,
     seed: int,
 ) -> None:
-    soak = Soak(cluster, seed)
+    soak = Soak(cluster, checked_calls, seed)
     try:
         await soak.start(tmp_path)
         await soak.run(float(os.environ.get('FERRY_SOAK_S', '8')))
     finally:
         soak.stop()
-    assert not soak.violations, f'seed {seed}; logs in {tmp_path}'
-    assert soak.answered_count > 50
+    assert not soak.calls.violations, f'seed {seed}; logs in {tmp_path}'
+    assert soak.calls.answered_count > 50
