Name the request whose handling failed, and tell a time-out from a stop

Cause: the line of a request that failed inside did not name it; a TimeoutError from elsewhere would have been taken for the end of a shutdown. Evidence: found by review, from the code. Change: the line has the request's id; a TimeoutError counts as the end of a shutdown only while the instance stops. Measured: the tests of failures inside and of shutdowns pass, as before.

--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -118,7 +118,12 @@
             self._log_end(request, proxied, arrived, 'caller left', None)
             raise
         except Exception as error:
-            self._log.write('request', 'request failed', error=repr(error))
+            self._log.write(
+                'request',
+                'request failed',
+                request=request.header(request_headers.REQUEST_ID),
+                error=repr(error),
+            )
             final = answers.internal_failure()
         finally:
             self.in_flight -= 1
@@ -203,6 +208,8 @@
                 proxied, queued, self._attempt_until_final(proxied, queued)
             )
         except TimeoutError:
+            if not self.open_requests.is_stopping:
+                raise
             return self._failure_answer(proxied, _STOPPING, _RETRY_AFTER_MS)
 
     async def _attempt_until_final(
