Test two ways in which a request that was read ends without an answer

Callers see: a closed connection, if the request behind theirs on the connection is malformed, or if theirs is behind another one when the instance stops. Cause: a malformed request closes the connection at once; an answer with Connection: close ends the connection with whole requests still queued.

--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -101,6 +101,32 @@
     writer.close()
 
 
+async def test_request_in_flight_is_answered_if_the_next_one_is_malformed(
+    recorder: RecordingServer,
+) -> None:
+    reader, writer = await recorder.connect()
+    recorder.may_answer.clear()
+    writer.write(GET + b'GARBAGE\r\n\r\n')
+    await asyncio.sleep(0.05)
+    recorder.may_answer.set()
+    assert b' 200 ' in await _read_answer(reader)
+    writer.close()
+
+
+async def test_pipelined_request_read_before_a_stop_is_answered(
+    recorder: RecordingServer,
+) -> None:
+    reader, writer = await recorder.connect()
+    recorder.may_answer.clear()
+    writer.write(GET + GET)
+    await asyncio.sleep(0.05)
+    recorder.server.is_draining = True
+    recorder.may_answer.set()
+    await _read_answer(reader)
+    await _read_answer(reader)
+    writer.close()
+
+
 async def test_pipelined_requests_are_all_served(
     recorder: RecordingServer,
 ) -> None:
