Log the rate limits that backend servers name in their answers

Callers and operators see: nothing of Server-Limit in logs or metrics, so that an instance that never reads it cannot be told from one that exceeds it. Change: answers are read for the header; each change is logged as 'server changed its rate limit', and ferry_gateway_servers_limited counts the limited servers. An answer lifts a limit only if its request was sent after the limit was named. No decision depends on it yet. Measured: new tests of rate_limits and of the header pass.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -62,6 +62,11 @@
         """Return the servers by id, including those due for removal."""
         return self._servers
 
+    @property
+    def incarnations(self) -> set[ServerIncarnation]:
+        """Return the current incarnation of each server."""
+        return {server.incarnation for server in self._servers.values()}
+
     def get(self, server: ids.ServerId) -> BackendServer | None:
         """Return a server; None if it is unknown."""
         return self._servers.get(server)
--- /dev/null
+++ b/packages/core/tests/traffic/test_rate_limits.py
@@ -0,0 +1,47 @@
+"""Check what is known of the rate limits that servers name."""
+
+import pytest
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import rate_limits
+
+SERVER = servers.ServerIncarnation(
+    ids.ServerId('s'), servers.IncarnationNumber(1)
+)
+
+
+def _at(moment: int) -> clock.Millis:
+    return clock.Millis(moment)
+
+
+def test_only_changes_of_a_limit_are_reported_as_new() -> None:
+    limits = rate_limits.RateLimits()
+    assert limits.record_limit(SERVER, 2.5, _at(0))
+    assert not limits.record_limit(SERVER, 2.5, _at(10))
+    assert limits.record_limit(SERVER, 4, _at(20))
+    assert limits.get(SERVER) == 4
+    assert limits.limited_count == 1
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'is_lifted'), [(99, False), (100, True), (150, True)]
+)
+def test_answer_sent_before_a_limit_does_not_lift_it(
+    sent_at: int, is_lifted: bool
+) -> None:
+    limits = rate_limits.RateLimits()
+    limits.record_limit(SERVER, 2.5, _at(100))
+    assert limits.record_no_limit(SERVER, _at(sent_at)) == is_lifted
+    assert (limits.get(SERVER) is None) == is_lifted
+
+
+def test_new_incarnation_has_no_limit() -> None:
+    limits = rate_limits.RateLimits()
+    limits.record_limit(SERVER, 2.5, _at(0))
+    fresh = servers.ServerIncarnation(
+        SERVER.server, servers.IncarnationNumber(2)
+    )
+    assert limits.get(fresh) is None
+    limits.keep_only({fresh})
+    assert limits.get(SERVER) is None
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -3,7 +3,7 @@
 import http
 
 from sycamoreferry_adapter import request_headers
-from sycamoreferry_core import clock
+from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import servers
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
@@ -39,11 +39,15 @@
         proxied: proxied_requests.ProxiedRequest,
         server: servers.BackendServer,
         outcome: http_client.ExchangeResult,
+        started_at: clock.Millis,
     ) -> proxied_requests.Attempt:
         """Return the result of an attempt; record it for the server."""
         now = self._view.clock.now()
         if isinstance(outcome, http_client.FailedExchange):
             return self._classify_failure(proxied, server, outcome, now)
+        if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+            # A 421 may come from another server at the same address.
+            self._record_rate_limit(server, outcome, started_at, now)
         load = request_headers.parse_load(
             outcome.header(request_headers.LOAD),
         )
@@ -83,6 +87,29 @@
             proxied_requests.AttemptResult.ANSWERED, server, 'answered', outcome
         )
 
+    def _record_rate_limit(
+        self,
+        server: servers.BackendServer,
+        reply: http_messages.HttpResponse,
+        started_at: clock.Millis,
+        now: clock.Millis,
+    ) -> None:
+        named = reply.header(request_headers.RATE_LIMIT)
+        limit = request_headers.parse_rate_limit(named)
+        limits = self._loads.rate_limits
+        is_new = False
+        if limit is not None:
+            is_new = limits.record_limit(server.incarnation, limit, now)
+        elif named is None and answers.is_intact(reply):
+            is_new = limits.record_no_limit(server.incarnation, started_at)
+        if is_new:
+            self._log.write_rate_limited(
+                'servers',
+                'server changed its rate limit',
+                server=server.incarnation.server,
+                requests_per_s=limit,
+            )
+
     def _classify_failure(
         self,
         proxied: proxied_requests.ProxiedRequest,
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -218,6 +218,7 @@
             'permits_waiting': self._permit_service.waiting_count,
             'config_version': 0 if config is None else config.version,
             'servers_known': len(self._view.fleet.servers),
+            'servers_limited': self._loads.rate_limits.limited_count,
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
             'is_coordinating': int(self._coordinator.has_authority),
@@ -300,6 +301,7 @@
             self._pool.close_expired()
             self._loads.peers.drop_silent(self._clock.now())
             self._loads.keep_only(self._view.fleet.servers)
+            self._loads.rate_limits.keep_only(self._view.fleet.incarnations)
             self._view.crashes.prune(self._clock.now())
             self._log.report_dropped()
             self._apply_view_change()
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -312,7 +312,7 @@
             self._attempt_timeout_ms(proxied, server, started_at),
             lambda reply: answers.matches_request(reply, proxied.request_id),
         )
-        return self._classifier.classify(proxied, server, outcome)
+        return self._classifier.classify(proxied, server, outcome, started_at)
 
     def _has_time(
         self,
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -283,6 +283,28 @@
     assert load is None or load.running >= 0
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        ('4.7', 4.7),
+        ('12', 12),
+        ('0', 0),
+        ('', None),
+        ('-1', None),
+        ('1e3', None),
+        ('nan', None),
+        ('.5', None),
+        ('٣', None),
+        ('1' * 19, None),
+        (None, None),
+    ],
+)
+def test_rate_limit_is_a_decimal_number(
+    text: str | None, limit: float | None
+) -> None:
+    assert request_headers.parse_rate_limit(text) == limit
+
+
 def test_hop_headers_sent_by_a_caller_are_replaced() -> None:
     headers = request_headers.with_attempt_headers(
         [('Deadline-Ms', '9'), ('expect-instance', 'x'), ('A', 'b')],
