Test that a server gets no more requests than the limit it names

Four instances send twenty requests a second to two servers, one of which limits itself to 2 a second, with keys and without, in a full mesh and with permits.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -178,6 +178,9 @@
         self.name = name
         self.born = 1
         self.ran: list[tuple[str, int]] = []
+        self.arrived_at: list[int] = []
+        # The value of the rate limit header of its answers; '' for none.
+        self.rate_limit = ''
         self.granted: list[HeldGrant] = []
         self.highest: dict[int, int] = {}
         self.is_keyed = True
@@ -229,7 +232,12 @@
             return await self._grant(json.loads(request.body))
         if request.path == '/release':
             return self._release(json.loads(request.body))
-        return await self._run(request)
+        self.arrived_at.append(self.clock.now())
+        answer = await self._run(request)
+        if not self.rate_limit:
+            return answer
+        headers = (*answer.headers, ('Server-Limit', self.rate_limit))
+        return dataclasses.replace(answer, headers=headers)
 
     async def _grant(
         self,
@@ -296,6 +304,8 @@
     kind: str = 'safe',
     timeout_ms: int = 1_500,
     objective_ms: int = 500,
+    *,
+    is_keyed: bool = True,
 ) -> bytes:
     """Encode an operator's configuration with one route."""
     path = {
@@ -311,7 +321,9 @@
     return json.dumps(
         {
             'Version': f'r{version}',
-            'Services': [{'Name': 'keys', 'MaxConns': 100, 'Sharded': True}],
+            'Services': [
+                {'Name': 'keys', 'MaxConns': 100, 'Sharded': is_keyed}
+            ],
             'Limits': {
                 'MaxHeaderBytes': 16_384,
                 'MaxBodyBytes': 1_000_000,
@@ -419,11 +431,15 @@
         servers: int,
         instances: int,
         kind: str = 'safe',
+        *,
+        is_keyed: bool = True,
     ) -> None:
         await self.store.start()
-        self.store.put('keyed.op', 'config', configuration(1, kind))
+        configured = configuration(1, kind, is_keyed=is_keyed)
+        self.store.put('keyed.op', 'config', configured)
         for number in range(servers):
             server = ServerStandIn(f's{number}', self.store)
+            server.is_keyed = is_keyed
             await server.start()
             server.register()
             self.servers.append(server)
