Keep the rate limits that backend servers name

Cause: the header was not read, and among few instances each one decides alone, so that nobody could have kept a bound that holds for all together. Class: a limit over all instances that no single place counts. Change: instances tell each other the limits, by age and newest first, in heartbeats and returned permits. A request that may go to a limited server needs a permit, in a full mesh too; the instance that counts for the server spaces its permits and rejects at once what would wait too long. Requests that wait when a limit becomes known are handed over. Choosing a server by known loads and skipping instances that do not answer became modules of their own. Why it works: one counter grants all requests to a server; its spacing allows at most the limit and what was unused in 250 ms.

--- a/packages/core/src/sycamoreferry_core/traffic/permits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/permits.py
@@ -49,11 +49,15 @@
     number: PermitNumber
 
 
+def _ignore_grant(_server: ids.ServerId) -> None:
+    """Ignore grants where no server limits its rate."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Supply:
     """Describe the combined capacity of the servers of a queue."""
 
-    slots: int
+    slots: float
     capacity: int
     duration_ms: float
     # Chooses a server by the requests in flight at each; None if all are full.
@@ -61,6 +65,8 @@
         [queueing.QueuedRequest, typing.Mapping[ids.ServerId, int]],
         ids.ServerId | None,
     ]
+    # Counts a granted request against the rate limit of its server.
+    record_grant: typing.Callable[[ids.ServerId], None] = _ignore_grant
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -224,6 +230,7 @@
             else:
                 ends_at = _expires_at(asked.request, duration, now)
                 queue.held[permit] = _Permit(server, ends_at)
+                queue.supply.record_grant(server)
                 decided.append(_granted(permit, queue, server))
         return decided
 
--- a/packages/core/src/sycamoreferry_core/traffic/queueing.py
+++ b/packages/core/src/sycamoreferry_core/traffic/queueing.py
@@ -48,14 +48,14 @@
 class Backlog:
     """Describe the requests ahead of one in a queue and their service rate."""
 
-    ahead: int
+    ahead: float
     slots: float
     duration_ms: float
 
     @property
     def wait_ms(self) -> float:
         """Return the expected wait in milliseconds."""
-        return self.ahead * self.duration_ms / max(self.slots, 1)
+        return self.ahead * self.duration_ms / (self.slots or 1)
 
 
 def queue_position(
--- a/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
@@ -11,6 +11,11 @@
 from sycamoreferry_core import clock
 from sycamoreferry_core.fleet import servers
 
+# A request now and then shows whether a server still takes none.
+_MIN_REQUESTS_PER_S = 0.25
+# How long instances tell each other that a limit is over.
+_LIFTED_REPORT_MS = 5_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateStatement:
@@ -37,7 +42,26 @@
     def get(self, server: servers.ServerIncarnation) -> float | None:
         """Return the requests a second of a limited server, else None."""
         statement = self._statements.get(server)
-        return None if statement is None else statement.requests_per_s
+        if statement is None or statement.requests_per_s is None:
+            return None
+        return max(statement.requests_per_s, _MIN_REQUESTS_PER_S)
+
+    def statement(
+        self, server: servers.ServerIncarnation
+    ) -> RateStatement | None:
+        """Return what a server said last about its limit, if anything."""
+        return self._statements.get(server)
+
+    def recent(
+        self, now: clock.Millis
+    ) -> dict[servers.ServerIncarnation, RateStatement]:
+        """Return the limits in force and those that were lifted recently."""
+        return {
+            server: statement
+            for server, statement in self._statements.items()
+            if statement.requests_per_s is not None
+            or now - statement.stated_at < _LIFTED_REPORT_MS
+        }
 
     def record_limit(
         self,
@@ -46,9 +70,9 @@
         now: clock.Millis,
     ) -> bool:
         """Record a limit that an answer names; return whether it is new."""
-        is_new = self.get(server) != requests_per_s
+        known = self._statements.get(server)
         self._statements[server] = RateStatement(requests_per_s, now)
-        return is_new
+        return known is None or known.requests_per_s != requests_per_s
 
     def record_no_limit(
         self,
@@ -68,6 +92,14 @@
         self._statements[server] = RateStatement(None, sent_at)
         return True
 
+    def merge(
+        self, server: servers.ServerIncarnation, statement: RateStatement
+    ) -> None:
+        """Apply a statement that another instance heard, if it is newer."""
+        known = self._statements.get(server)
+        if known is None or known.stated_at < statement.stated_at:
+            self._statements[server] = statement
+
     def keep_only(
         self, known: typing.Container[servers.ServerIncarnation]
     ) -> None:
--- a/packages/core/src/sycamoreferry_core/traffic/server_choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_choice.py
@@ -44,6 +44,18 @@
     return slots + max(1, slots // _SLOTS_PER_QUEUED)
 
 
+def usable_slots(
+    server: servers.BackendServer,
+    loads: server_load.ServerLoads,
+) -> float:
+    """Return the slots that a server's rate limit lets it keep busy."""
+    limit = loads.rate_limits.get(server.incarnation)
+    if limit is None:
+        return server.slots
+    busy = limit * loads.duration_ms(server) / clock.MILLIS_PER_SECOND
+    return min(server.slots, busy)
+
+
 def has_room(
     server: servers.BackendServer,
     loads: server_load.ServerLoads,
--- a/packages/core/tests/traffic/test_rate_limits.py
+++ b/packages/core/tests/traffic/test_rate_limits.py
@@ -45,3 +45,31 @@
     assert limits.get(fresh) is None
     limits.keep_only({fresh})
     assert limits.get(SERVER) is None
+
+
+def test_newest_statement_holds() -> None:
+    limits = rate_limits.RateLimits()
+    limits.merge(SERVER, rate_limits.RateStatement(2, _at(100)))
+    limits.merge(SERVER, rate_limits.RateStatement(None, _at(50)))
+    assert limits.get(SERVER) == 2
+    limits.merge(SERVER, rate_limits.RateStatement(None, _at(150)))
+    assert limits.get(SERVER) is None
+    limits.merge(SERVER, rate_limits.RateStatement(2, _at(120)))
+    assert limits.get(SERVER) is None
+
+
+def test_lifted_limit_is_reported_for_a_while() -> None:
+    limits = rate_limits.RateLimits()
+    limits.record_limit(SERVER, 2, _at(0))
+    limits.record_no_limit(SERVER, _at(100))
+    assert limits.recent(_at(200))[SERVER].requests_per_s is None
+    assert not limits.recent(_at(60_000))
+
+
+def test_server_that_takes_nothing_still_gets_a_request_now_and_then() -> None:
+    limits = rate_limits.RateLimits()
+    limits.record_limit(SERVER, 0, _at(0))
+    limit = limits.get(SERVER)
+    # The platform allows five requests in any 4 s besides the limit.
+    assert limit is not None
+    assert 0 < limit * 4 < 5
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -6,8 +6,13 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import queueing, server_choice, server_load
-from sycamoreferry_gateway import backlogs, permit_client, view
+from sycamoreferry_core.traffic import queueing, server_load
+from sycamoreferry_gateway import (
+    backlogs,
+    permit_client,
+    server_selector,
+    view,
+)
 
 # Capacity can become free without an event here, such as when a reported load
 # expires, so waiting requests are also retried at this interval.
@@ -18,7 +23,8 @@
 @dataclasses.dataclass(slots=True, eq=False)
 class _QueuedRequest:
     request: queueing.QueuedRequest
-    result: asyncio.Future[servers.BackendServer | backlogs.Rejection]
+    # None if the request needs a permit, since a server has named a limit.
+    result: asyncio.Future[permit_client.Placement | None]
 
 
 class Dispatcher:
@@ -37,6 +43,9 @@
         self._backlogs = backlogs.BacklogEstimator(
             cluster_view, loads, self._random
         )
+        self._selector = server_selector.ServerSelector(
+            cluster_view, loads, self._backlogs, self._random
+        )
         self.permits = permit_client.PermitClient(
             cluster_view,
             loads,
@@ -58,27 +67,10 @@
 
         The caller must release the server when the request has ended.
         """
-        if self.permits.is_in_use:
-            return await self._acquire_by_permit(request)
-        queue = self._queues.get(request.service)
-        if not queue:
-            server = self._place(request)
-            if server is not None:
-                return server
-        rejected = self._reject_on_arrival(request)
-        if rejected is not None:
-            return rejected
-        queued = _QueuedRequest(
-            request, asyncio.get_running_loop().create_future()
-        )
-        self._queues.setdefault(request.service, []).append(queued)
-        if queue:
-            self.place_waiting()
-        try:
-            return await queued.result
-        except asyncio.CancelledError:
-            self._withdraw(queued)
-            raise
+        found = None
+        if not self.permits.is_needed(request):
+            found = await self._acquire_directly(request)
+        return found or await self._acquire_by_permit(request)
 
     def release(
         self,
@@ -114,6 +106,30 @@
             self._place_service(service, queue, now)
         self._report_waiting()
 
+    async def _acquire_directly(
+        self,
+        request: queueing.QueuedRequest,
+    ) -> permit_client.Placement | None:
+        queue = self._queues.get(request.service)
+        if not queue:
+            server = self._place(request)
+            if server is not None:
+                return server
+        rejected = self._reject_on_arrival(request)
+        if rejected is not None:
+            return rejected
+        queued = _QueuedRequest(
+            request, asyncio.get_running_loop().create_future()
+        )
+        self._queues.setdefault(request.service, []).append(queued)
+        if queue:
+            self.place_waiting()
+        try:
+            return await queued.result
+        except asyncio.CancelledError:
+            self._withdraw(queued)
+            raise
+
     async def _acquire_by_permit(
         self,
         request: queueing.QueuedRequest,
@@ -131,6 +147,7 @@
         queue: list[_QueuedRequest],
         now: clock.Millis,
     ) -> None:
+        self._hand_over_to_permits(queue)
         duration = self._loads.service_duration_ms(service)
         in_turn = queueing.sort_queue(
             queue,
@@ -154,6 +171,12 @@
         else:
             self._queues.pop(service, None)
 
+    def _hand_over_to_permits(self, queue: list[_QueuedRequest]) -> None:
+        for queued in queue:
+            needs_permit = self.permits.is_needed(queued.request)
+            if needs_permit and not queued.result.done():
+                queued.result.set_result(None)
+
     def _assign(
         self,
         queued: _QueuedRequest,
@@ -201,51 +224,11 @@
         self,
         request: queueing.QueuedRequest,
     ) -> servers.BackendServer | None:
-        now = self._view.clock.now()
-        if request.key is None:
-            server = self._choose_server(request, now)
-        else:
-            server = self._owner_with_capacity(request, now)
+        server = self._selector.select(request)
         if server is not None:
             self._loads.start(server.incarnation.server)
         return server
 
-    def _choose_server(
-        self,
-        request: queueing.QueuedRequest,
-        now: clock.Millis,
-    ) -> servers.BackendServer | None:
-        choosing = server_choice.ChoiceInputs(
-            self._view.deployment.data_centre,
-            request.excluded,
-            now,
-            request.has_large_answer,
-        )
-        candidates = self._view.servers_of(request.service)
-        if len(candidates) > server_choice.MAX_CANDIDATES:
-            candidates = self._random.sample(
-                list(candidates),
-                server_choice.MAX_CANDIDATES,
-            )
-        return server_choice.choose_server(
-            candidates,
-            self._loads,
-            choosing,
-            self._random.random,
-        )
-
-    def _owner_with_capacity(
-        self,
-        request: queueing.QueuedRequest,
-        now: clock.Millis,
-    ) -> servers.BackendServer | None:
-        server = self._backlogs.owner_server(request)
-        if server is None or not server_choice.has_room(
-            server, self._loads, now
-        ):
-            return None
-        return server
-
     def _reject_on_arrival(
         self,
         request: queueing.QueuedRequest,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -16,6 +16,7 @@
     peer_message_handler,
     peer_messages,
     peer_socket,
+    rate_limit_reports,
     store_client,
     store_sync,
     view,
@@ -215,6 +216,7 @@
         self,
         loads: list[peer_messages.LoadRow] | None,
     ) -> peer_messages.Heartbeat:
+        now = self._clock.now()
         given_up_term, leases_ms = self._get_coordinator().last_given_up()
         return peer_messages.Heartbeat(
             instance=self._view.deployment.instance,
@@ -235,6 +237,9 @@
                 )
                 for crash in self._view.crashes.known_crashes()
             ],
+            rate_limits=rate_limit_reports.build_rows(
+                self._loads.rate_limits.recent(now), now
+            ),
         )
 
     def _report_demand(self) -> None:
@@ -273,6 +278,7 @@
             heartbeat.has_authority,
             heartbeat.ends,
             heartbeat.loads,
+            [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
         )
         if (
             state == self._sent_state
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -12,6 +12,7 @@
     peer_messages,
     permit_client,
     permit_service,
+    rate_limit_reports,
     store_client,
     store_sync,
     view,
@@ -87,6 +88,9 @@
         if heartbeat.loads is not None:
             rows = _reports(heartbeat.loads)
             self._loads.peers.replace_report(instance, rows, now)
+        rate_limit_reports.merge_rows(
+            self._loads.rate_limits, heartbeat.rate_limits, now
+        )
         for crash in heartbeat.crashes:
             life = servers.ServerIncarnation(
                 ids.ServerId(crash.server),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -28,6 +28,15 @@
     born: int
 
 
+class RateLimitRow(msgspec.Struct, array_like=True):
+    """Report the limit that a server named; None if it names none any more."""
+
+    server: str
+    born: int
+    requests_per_s: float | None
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag='heartbeat'):
     """Report that the sender is alive, its read offsets, role and load."""
 
@@ -47,6 +56,7 @@
     # None where the sender reports its load to the coordinator alone.
     loads: list[LoadRow] | None
     crashes: list[CrashRow]
+    rate_limits: list[RateLimitRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
@@ -123,7 +133,7 @@
     number: int
     verdict: str
     server: str
-    ahead: int
+    ahead: float
     slots: float
     duration_ms: float
 
@@ -137,6 +147,8 @@
     # The server that failed or answered the request, if one did.
     failed: str
     answered: str
+    # What the server said last about its rate limit.
+    rate_limits: list[RateLimitRow] = []
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -13,18 +13,18 @@
 from sycamoreferry_gateway import (
     backlogs,
     event_log,
+    issuer_health,
     peer_messages,
     permit_returns,
+    rate_limit_reports,
     view,
 )
 
 # An answer takes one round trip between data centres; an unanswered permit
 # request is sent again, as datagrams can be lost.
 _RESEND_INTERVAL_MS = 120
-# An instance that leaves this many permit requests unanswered is skipped for
-# a while.
+# An instance that leaves this many permit requests unanswered is skipped.
 _MAX_UNANSWERED = 3
-_SKIP_MS = 2_000
 # Interval at which counting instances are chosen again from those alive.
 _HOMES_REFRESH_MS = 200
 # Interval at which a request whose key has no owner looks for one.
@@ -57,6 +57,9 @@
     # The server that answered the request or failed, where one is known.
     answered_server: ids.ServerId | None = None
     failed_server: ids.ServerId | None = None
+    rate_limits: list[peer_messages.RateLimitRow] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class PermitClient:
@@ -82,8 +85,7 @@
         self._waits: dict[permits.PermitNumber, _Wait] = {}
         self._granted: dict[queueing.QueuedRequest, _Wait] = {}
         self.returns = permit_returns.PermitReturns()
-        self._last_answer_at: dict[ids.InstanceId, clock.Millis] = {}
-        self._skipped_until: dict[ids.InstanceId, clock.Millis] = {}
+        self._issuer_health = issuer_health.IssuerHealth()
 
     @property
     def is_in_use(self) -> bool:
@@ -91,6 +93,26 @@
         peers = len(self._view.peer_addresses)
         return not message_intervals.choose_intervals(peers).is_mesh
 
+    def is_needed(self, request: queueing.QueuedRequest) -> bool:
+        """Tell whether a request needs a permit.
+
+        Only the instance that counts for a server can keep a rate that holds
+        for all instances together.
+        """
+        if self.is_in_use:
+            return True
+        limits = self._loads.rate_limits
+        if not limits.limited_count:
+            return False
+        if request.key is None:
+            possible = self._view.servers_of(request.service)
+        else:
+            owner = self._backlogs.owner_server(request)
+            possible = () if owner is None else (owner,)
+        return any(
+            limits.get(server.incarnation) is not None for server in possible
+        )
+
     @property
     def waiting_count(self) -> int:
         """Return how many requests of this instance wait for a permit."""
@@ -127,6 +149,11 @@
         if has_answered is not None:
             granted.answered_server = server if has_answered else None
             granted.failed_server = None if has_answered else server
+        granted.rate_limits = rate_limit_reports.build_server_rows(
+            self._loads.rate_limits,
+            self._view.fleet.get(server),
+            self._clock.now(),
+        )
         self._end_wait(granted)
 
     def handle_answer(self, answer: peer_messages.PermitAnswer) -> None:
@@ -135,7 +162,7 @@
         if wait is None:
             return
         wait.last_answer_at = self._clock.now()
-        self._last_answer_at[wait.target.home] = wait.last_answer_at
+        self._issuer_health.record_answer(wait.target.home, self._clock.now())
         verdict = permits.PermitVerdict(answer.verdict)
         if verdict is permits.PermitVerdict.QUEUED or wait.answer.done():
             return
@@ -268,6 +295,7 @@
             wait.target.line,
             wait.failed_server or '',
             wait.answered_server or '',
+            wait.rate_limits,
         )
         self.returns.start(wait.target.home, message)
 
@@ -283,12 +311,8 @@
             or home == self._own_instance
         ):
             return
-        now = self._clock.now()
-        if not self._others_answer(home, now):
-            # No other instance answers either, so the overloaded link of this
-            # instance is the likely cause.
+        if not self._issuer_health.skip(home, self._clock.now()):
             return
-        self._skipped_until[home] = clock.later(now, _SKIP_MS)
         self._homes_at = clock.LONG_AGO
         self._log.write_rate_limited(
             'permits',
@@ -297,14 +321,6 @@
             unanswered=wait.unanswered_count,
         )
 
-    def _others_answer(self, home: ids.InstanceId, now: clock.Millis) -> bool:
-        answered_at = [
-            at for name, at in self._last_answer_at.items() if name != home
-        ]
-        return (
-            max(answered_at, default=clock.LONG_AGO) > now - _RESEND_INTERVAL_MS
-        )
-
     def _target_of(
         self,
         request: queueing.QueuedRequest,
@@ -342,7 +358,7 @@
             peer.instance: peer.counting_weight
             for peer in self._view.peers.alive(now)
             if not peer.is_leaving
-            and self._skipped_until.get(peer.instance, clock.LONG_AGO) <= now
+            and not self._issuer_health.is_skipped(peer.instance, now)
         }
         weights[self._own_instance] = self._view.deployment.counting_weight
         return weights
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -10,10 +10,15 @@
 from sycamoreferry_core.traffic import (
     permits,
     queueing,
+    request_pacer,
     server_choice,
     server_load,
 )
-from sycamoreferry_gateway import peer_messages, view
+from sycamoreferry_gateway import (
+    peer_messages,
+    rate_limit_reports,
+    view,
+)
 
 # Interval at which expired permits are freed and late requests rejected.
 _SWEEP_INTERVAL_MS = 50
@@ -36,6 +41,7 @@
         self._post = post
         self._desk = permits.PermitIssuer()
         self._random = random.Random()
+        self._pacer = request_pacer.RequestPacer()
 
     @property
     def waiting_count(self) -> int:
@@ -47,6 +53,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_SWEEP_INTERVAL_MS))
             self._send_decisions(self._desk.decide_due(self._clock.now()))
+            self._pacer.keep_only(self._view.fleet.servers)
 
     def handle_request(self, asked: peer_messages.PermitRequest) -> None:
         """Grant a permit, queue the request, or reject it."""
@@ -68,6 +75,9 @@
     def handle_return(self, returned: peer_messages.PermitReturn) -> None:
         """Take a permit back, confirm it, and grant the next in turn."""
         now = self._clock.now()
+        rate_limit_reports.merge_rows(
+            self._loads.rate_limits, returned.rate_limits, now
+        )
         if returned.failed:
             self._loads.record_failure(ids.ServerId(returned.failed), now)
         if returned.answered:
@@ -96,9 +106,18 @@
         if self._loads.is_suspended(server_id, self._clock.now()):
             # The server is probably down; one request at a time probes it.
             capacity = 1
-        choose = functools.partial(_owner_with_capacity, server_id, capacity)
-        slots = min(asked.slots, capacity)
-        return permits.Supply(slots, capacity, duration, choose)
+        slots: float = min(asked.slots, capacity)
+        if server is not None:
+            slots = min(slots, server_choice.usable_slots(server, self._loads))
+        return permits.Supply(
+            slots=slots,
+            capacity=capacity,
+            duration_ms=duration,
+            record_grant=self._record_grant,
+            choose=functools.partial(
+                self._owner_with_capacity, server_id, capacity
+            ),
+        )
 
     def _pool_supply(
         self, asked: peer_messages.PermitRequest
@@ -113,11 +132,17 @@
             if permit_issuers.pool_of(server.incarnation.server, pools)
             == asked.pool % pools
         ]
-        ready = [server.slots for server in members if server.is_ready]
+        ready = [server for server in members if server.is_ready]
         return permits.Supply(
-            slots=sum(ready),
-            capacity=sum(server_choice.capacity_of(slots) for slots in ready),
+            slots=sum(
+                server_choice.usable_slots(server, self._loads)
+                for server in ready
+            ),
+            capacity=sum(
+                server_choice.capacity_of(server.slots) for server in ready
+            ),
             duration_ms=self._loads.service_duration_ms(service),
+            record_grant=self._record_grant,
             choose=functools.partial(self._choose_server, members),
         )
 
@@ -127,13 +152,19 @@
         request: queueing.QueuedRequest,
         counted: typing.Mapping[ids.ServerId, int],
     ) -> ids.ServerId | None:
+        now = self._clock.now()
+        due = [
+            server
+            for server in members
+            if self._may_send(server.incarnation.server, now)
+        ]
         chosen = server_choice.choose_server(
-            members,
+            due,
             self._loads,
             server_choice.ChoiceInputs(
                 request.data_centre,
                 request.excluded,
-                self._clock.now(),
+                now,
                 request.has_large_answer,
                 counted,
             ),
@@ -141,6 +172,33 @@
         )
         return None if chosen is None else chosen.incarnation.server
 
+    def _owner_with_capacity(
+        self,
+        owner: ids.ServerId,
+        capacity: int,
+        _request: queueing.QueuedRequest,
+        counted: typing.Mapping[ids.ServerId, int],
+    ) -> ids.ServerId | None:
+        if counted.get(owner, 0) >= capacity:
+            return None
+        return owner if self._may_send(owner, self._clock.now()) else None
+
+    def _may_send(self, server: ids.ServerId, now: clock.Millis) -> bool:
+        """Tell whether a server's rate limit allows a request now."""
+        limit = self._rate_limit(server)
+        return limit is None or self._pacer.is_due(server, now)
+
+    def _record_grant(self, server: ids.ServerId) -> None:
+        limit = self._rate_limit(server)
+        if limit is not None:
+            self._pacer.record_request(server, limit, self._clock.now())
+
+    def _rate_limit(self, server: ids.ServerId) -> float | None:
+        known = self._view.fleet.get(server)
+        if known is None:
+            return None
+        return self._loads.rate_limits.get(known.incarnation)
+
     def _send_decisions(self, decided: list[permits.PermitDecision]) -> None:
         for decision in decided:
             answer = peer_messages.PermitAnswer(
@@ -154,15 +212,6 @@
             self._post(decision.permit.instance, answer)
 
 
-def _owner_with_capacity(
-    owner: ids.ServerId,
-    capacity: int,
-    _request: queueing.QueuedRequest,
-    counted: typing.Mapping[ids.ServerId, int],
-) -> ids.ServerId | None:
-    return owner if counted.get(owner, 0) < capacity else None
-
-
 def _request_of(
     asked: peer_messages.PermitRequest,
     now: clock.Millis,
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/rate_limit_reports.py
@@ -0,0 +1,59 @@
+"""Report the rate limits that servers named to other instances."""
+
+import typing
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import rate_limits
+from sycamoreferry_gateway import peer_messages
+
+
+def build_rows(
+    statements: typing.Mapping[
+        servers.ServerIncarnation, rate_limits.RateStatement
+    ],
+    now: clock.Millis,
+) -> list[peer_messages.RateLimitRow]:
+    """Return the rows that report statements; clocks differ, so by age."""
+    return [
+        peer_messages.RateLimitRow(
+            server.server,
+            server.born,
+            statement.requests_per_s,
+            now - statement.stated_at,
+        )
+        for server, statement in statements.items()
+    ]
+
+
+def build_server_rows(
+    limits: rate_limits.RateLimits,
+    server: servers.BackendServer | None,
+    now: clock.Millis,
+) -> list[peer_messages.RateLimitRow]:
+    """Return what one server said last; no rows if it said nothing."""
+    if server is None:
+        return []
+    statement = limits.statement(server.incarnation)
+    if statement is None:
+        return []
+    return build_rows({server.incarnation: statement}, now)
+
+
+def merge_rows(
+    limits: rate_limits.RateLimits,
+    rows: typing.Iterable[peer_messages.RateLimitRow],
+    now: clock.Millis,
+) -> None:
+    """Apply the statements that a peer reports."""
+    for row in rows:
+        server = servers.ServerIncarnation(
+            ids.ServerId(row.server),
+            servers.IncarnationNumber(row.born),
+        )
+        limits.merge(
+            server,
+            rate_limits.RateStatement(
+                row.requests_per_s, clock.later(now, -row.age_ms)
+            ),
+        )
--- a/packages/gateway/tests/test_rate_limits.py
+++ b/packages/gateway/tests/test_rate_limits.py
@@ -80,7 +80,9 @@
     limited = await _start(cluster, is_keyed=is_keyed)
     limited.rate_limit = str(LIMIT_PER_S)
     named_at = limited.clock.now()
-    await _load(cluster, LOAD_S)
+    results = await _load(cluster, LOAD_S)
     most = _most_in_window(limited.arrived_at, named_at + STABILITY_MS)
     # The platform allows half as much again, and five requests.
     assert most <= 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5
+    if not is_keyed:
+        assert set(results) == {200}
