Move keys off servers that limit their rate

Callers see: keys of a server that names a rate limit are rejected for as long as it does, while other servers have room. Cause: the capacity of a server, by which keys are placed, is its slots and speed; a rate limit did not change it. Change: the capacity is at most what the rate limit keeps busy.

--- a/packages/core/src/sycamoreferry_core/keyspace/capacities.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/capacities.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from sycamoreferry_core.fleet import servers
@@ -32,6 +33,8 @@
     incarnation: servers.ServerIncarnation
     slots: int
     speed: float
+    # What the rate limit of the server leaves, in slots of standard speed.
+    max_slots: float = math.inf
 
 
 def weight_capacities(
@@ -51,7 +54,10 @@
     # Scaling keeps the total capacity equal to what the servers can run.
     scale = total / sum(weights.values())
     return [
-        placement.Capacity(row.incarnation, weights[row.incarnation] * scale)
+        placement.Capacity(
+            row.incarnation,
+            min(weights[row.incarnation] * scale, row.max_slots),
+        )
         for row in known
     ]
 
--- a/packages/core/tests/keyspace/test_capacities.py
+++ b/packages/core/tests/keyspace/test_capacities.py
@@ -77,3 +77,10 @@
 
 def test_no_servers_give_no_capacities() -> None:
     assert not capacities.weight_capacities([], 1)
+
+
+def test_rate_limit_bounds_the_capacity_of_its_server_only() -> None:
+    limited = capacities.ServerSpeed(_incarnation(0), SLOTS, 1, 0.3)
+    other = capacities.ServerSpeed(_incarnation(1), SLOTS, 1)
+    weighed = capacities.weight_capacities([limited, other], 1)
+    assert [capacity.slots for capacity in weighed] == [0.3, SLOTS]
--- a/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
@@ -1,5 +1,6 @@
 """Estimate the load of keys and the capacity of servers."""
 
+import math
 import typing
 
 from sycamoreferry_core import clock, ids
@@ -46,6 +47,7 @@
                 server.incarnation,
                 server.slots,
                 mean / max(1, self._loads.duration_ms(server)),
+                self._max_slots(server, mean),
             )
             for server in self._view.servers_of(service)
             if self._is_usable(server.incarnation)
@@ -61,3 +63,11 @@
         seconds = clock.seconds(1) * self._loads.service_duration_ms(service)
         rates = known.rates(self._clock.now())
         return {key: rate * seconds for key, rate in rates.items()}
+
+    def _max_slots(
+        self, server: servers.BackendServer, mean_ms: float
+    ) -> float:
+        limit = self._loads.rate_limits.get(server.incarnation)
+        if limit is None:
+            return math.inf
+        return limit * mean_ms / clock.MILLIS_PER_SECOND
--- a/packages/gateway/tests/test_rate_limits.py
+++ b/packages/gateway/tests/test_rate_limits.py
@@ -86,3 +86,16 @@
     assert most <= 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5
     if not is_keyed:
         assert set(results) == {200}
+
+
+async def test_keys_of_a_limited_server_are_served_by_others(
+    cluster: typing.Any,
+) -> None:
+    limited = await _start(cluster, is_keyed=True)
+    for server in cluster.servers:
+        server.processing_time_s = 0.05
+    limited.rate_limit = str(LIMIT_PER_S)
+    # Service for each key is to be back within this time after a loss.
+    await _load(cluster, STABILITY_MS / 1_000)
+    results = await _load(cluster, LOAD_S - STABILITY_MS / 1_000)
+    assert results.count(200) >= 0.95 * len(results)
