Serve more of the keys of servers that limit their rate

Change: keys are placed for 0.7 of a limit, move to a limited server only if all are limited, and count on a limit only for 10 s after it was last named; what was unused in the last second may be made up for.

--- a/packages/core/src/sycamoreferry_core/keyspace/capacities.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/capacities.py
@@ -57,6 +57,7 @@
         placement.Capacity(
             row.incarnation,
             min(weights[row.incarnation] * scale, row.max_slots),
+            is_limited=row.max_slots < math.inf,
         )
         for row in known
     ]
--- a/packages/core/src/sycamoreferry_core/keyspace/placement.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/placement.py
@@ -42,6 +42,8 @@
 
     incarnation: servers.ServerIncarnation
     slots: float
+    # Keys move to a server with a rate limit only if all have one.
+    is_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +67,7 @@
         self.capacity = {
             cap.incarnation: max(cap.slots, 0.1) for cap in capacities
         }
+        self.limited = {cap.incarnation for cap in capacities if cap.is_limited}
         self.load = dict.fromkeys(self.capacity, float(0))
         self.counts = dict.fromkeys(self.capacity, 0)
         self.held: dict[servers.ServerIncarnation, list[owners.KeyRange]] = {}
@@ -95,6 +98,11 @@
             ),
         )
 
+    def destinations(self) -> list[servers.ServerIncarnation]:
+        """Return the servers to which keys may move."""
+        unlimited = [one for one in self.load if one not in self.limited]
+        return unlimited or list(self.load)
+
     def add(
         self, incarnation: servers.ServerIncarnation, keys: owners.KeyRange
     ) -> None:
@@ -172,10 +180,13 @@
     weight, key, held = max(heaviest)
 
     after_move = {
-        incarnation: (load + weight) / plan.capacity[incarnation]
-        for incarnation, load in plan.load.items()
+        incarnation: (plan.load[incarnation] + weight)
+        / plan.capacity[incarnation]
+        for incarnation in plan.destinations()
         if incarnation != busiest
     }
+    if not after_move:
+        return None
     best = min(after_move, key=after_move.__getitem__)
     if after_move[best] > highest * policy.hot_key_utilisation_ratio:
         return None
@@ -192,7 +203,7 @@
     mean: float,
     policy: PlacementPolicy,
 ) -> Move | None:
-    least_utilised = min(plan.load, key=plan.utilisation)
+    least_utilised = min(plan.destinations(), key=plan.utilisation)
     headroom = mean * plan.capacity[least_utilised] - plan.load[least_utilised]
     excess = plan.load[busiest] - mean * plan.capacity[busiest]
     wanted = min(headroom, excess)
--- a/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
@@ -13,6 +13,8 @@
 
 # A request now and then shows whether a server still takes none.
 _MIN_REQUESTS_PER_S = 0.25
+# A server that gets no requests can't say that its limit is over.
+_CONFIRMED_MS = 10_000
 # How long instances tell each other that a limit is over.
 _LIFTED_REPORT_MS = 5_000
 
@@ -46,6 +48,15 @@
             return None
         return max(statement.requests_per_s, _MIN_REQUESTS_PER_S)
 
+    def get_confirmed(
+        self, server: servers.ServerIncarnation, now: clock.Millis
+    ) -> float | None:
+        """Return the limit of a server that has named it recently."""
+        statement = self._statements.get(server)
+        if statement is None or now - statement.stated_at > _CONFIRMED_MS:
+            return None
+        return self.get(server)
+
     def statement(
         self, server: servers.ServerIncarnation
     ) -> RateStatement | None:
--- a/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
+++ b/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
@@ -10,7 +10,7 @@
 from sycamoreferry_core import clock, ids
 
 # Requests that were due this long ago may still be sent in a burst.
-_BURST_MS = 250
+_BURST_MS = 1_000
 
 
 class RequestPacer:
--- a/packages/core/tests/keyspace/test_placement.py
+++ b/packages/core/tests/keyspace/test_placement.py
@@ -175,3 +175,39 @@
         CAPACITIES[:2],
     )
     assert chosen[0][1] == INCARNATIONS[1]
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_limited_servers_are_relieved_and_get_no_keys(seed: int) -> None:
+    limited = INCARNATIONS[::2]
+    capacities = [
+        placement.Capacity(
+            one, 0.3 if one in limited else SLOTS, is_limited=one in limited
+        )
+        for one in INCARNATIONS
+    ]
+    work = _hot_neighbours(seed, 200, 2)
+    table = _even_table()
+    for _ in range(10):
+        for move in placement.plan_moves(table.rows, work, capacities):
+            assert move.destination not in limited
+            table = table.replace(
+                owners.Ownership(move.keys, move.destination, ids.Fence(2))
+            )
+    load = _load(table, work)
+    assert max(load[one] for one in limited) <= 0.3 * FULL
+
+
+def test_keys_move_among_servers_that_are_all_limited() -> None:
+    capacities = [
+        placement.Capacity(one, slots, is_limited=True)
+        for one, slots in zip(INCARNATIONS, (0.2, 1), strict=False)
+    ]
+    half = owners.split_evenly(2)
+    rows = [
+        owners.Ownership(keys, one, ids.Fence(1))
+        for keys, one in zip(half, INCARNATIONS, strict=False)
+    ]
+    work = {owners.Key(number): 0.1 for number in range(0, 50_000, 10_000)}
+    moves = placement.plan_moves(rows, work, capacities)
+    assert {move.destination for move in moves} == {INCARNATIONS[1]}
--- a/packages/core/tests/traffic/test_rate_limits.py
+++ b/packages/core/tests/traffic/test_rate_limits.py
@@ -73,3 +73,11 @@
     # The platform allows five requests in any 4 s besides the limit.
     assert limit is not None
     assert 0 < limit * 4 < 5
+
+
+def test_limit_of_a_server_without_requests_is_confirmed_for_a_while() -> None:
+    limits = rate_limits.RateLimits()
+    limits.record_limit(SERVER, 2, _at(0))
+    assert limits.get_confirmed(SERVER, _at(1_000)) == 2
+    assert limits.get_confirmed(SERVER, _at(60_000)) is None
+    assert limits.get(SERVER) == 2
--- a/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
@@ -10,6 +10,9 @@
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import view
 
+# Requests arrive irregularly, and a rate limit leaves no slack for bursts.
+_LIMIT_SHARE = 0.7
+
 
 class LoadEstimator:
     """Estimate the load of each key and the capacity of each server."""
@@ -67,7 +70,10 @@
     def _max_slots(
         self, server: servers.BackendServer, mean_ms: float
     ) -> float:
-        limit = self._loads.rate_limits.get(server.incarnation)
+        limit = self._loads.rate_limits.get_confirmed(
+            server.incarnation, self._clock.now()
+        )
         if limit is None:
             return math.inf
-        return limit * mean_ms / clock.MILLIS_PER_SECOND
+        share = limit * _LIMIT_SHARE
+        return share * mean_ms / clock.MILLIS_PER_SECOND
