Log when an instance reaches no backend server

Operators see: an instance without links to the servers writes many failed attempts, from which it must be inferred; nothing says when the links are lost or back. Change: three failures of two servers within 2 s (no connection, no answer) lead to a probe, new connections to up to four servers; if none can be opened the instance logs 'no server can be reached', sets ferry_gateway_reaches_no_server and probes until one can. No decision depends on it yet.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -294,6 +294,14 @@
             self._idle.setdefault(address, []).append(connection)
         return outcome
 
+    async def can_connect(self, address: deployment.Address) -> bool:
+        """Tell whether a new connection can be opened; close it again."""
+        opened = await self._open(address, CONNECT_TIMEOUT_MS)
+        if isinstance(opened, FailedExchange):
+            return False
+        opened.close()
+        return True
+
     def close_expired(self) -> None:
         """Close idle connections that are too old to be reused."""
         now = self._clock.now()
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -10,7 +10,7 @@
     deployment,
     graceful_shutdown,
 )
-from sycamoreferry_core.traffic import server_load
+from sycamoreferry_core.traffic import reachability, server_load
 from sycamoreferry_gateway import (
     coordinator,
     dispatcher,
@@ -19,6 +19,7 @@
     http_server,
     peer_exchange,
     permit_service,
+    reachability_monitor,
     request_handler,
     status_pages,
     store_client,
@@ -51,7 +52,11 @@
         self._incarnation = time.time_ns()
         self._view = view.View(settings, self._clock, log)
         self._loads = server_load.ServerLoads()
+        self._links = reachability.Reachability()
         self._pool = http_client.ConnectionPool(self._clock)
+        self._monitor = reachability_monitor.ReachabilityMonitor(
+            self._view, self._links, self._pool, log
+        )
         self._store = store_client.StoreClient(
             settings.store_address,
             self._clock,
@@ -64,6 +69,7 @@
             self._loads,
             self._dispatcher,
             self._pool,
+            self._links,
             log,
             self._telemetry,
         )
@@ -98,6 +104,7 @@
             self._store,
             http_client.ConnectionPool(self._clock),
             self._loads,
+            self._links,
             log,
             self._exchange.announce,
         )
@@ -160,6 +167,7 @@
             self._sync.follow_instances,
             self._sync.load_owners,
             self._sync.register,
+            self._monitor.watch_forever,
             self._coordinator.run,
             self._coordinator.prove_forever,
             self._dispatcher.tick_forever,
@@ -218,6 +226,7 @@
             'permits_waiting': self._permit_service.waiting_count,
             'config_version': 0 if config is None else config.version,
             'servers_known': len(self._view.fleet.servers),
+            'reaches_no_server': int(self._links.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -6,6 +6,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import deployment, servers
 from sycamoreferry_core.keyspace import leases, owners
+from sycamoreferry_core.traffic import reachability
 from sycamoreferry_gateway import http_client
 
 # Servers answer a grant at once; on a timeout the connection is reset.
@@ -28,9 +29,11 @@
         self,
         pool: http_client.ConnectionPool,
         book: leases.LeaseBook,
+        links: reachability.Reachability,
         time_source: clock.Clock,
     ) -> None:
         self._pool = pool
+        self._links = links
         self._book = book
         self._clock = time_source
 
@@ -66,6 +69,7 @@
             GRANT_TIMEOUT_MS,
         )
         if isinstance(outcome, http_client.FailedExchange):
+            self._links.record_failure(row.owner.server, self._clock.now())
             if not outcome.was_sent:
                 self._record_answered(row, earlier)
             return outcome
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/reachability_monitor.py
@@ -0,0 +1,66 @@
+"""Probe servers when many fail, to find out whether any can be reached."""
+
+import asyncio
+import random
+
+from sycamoreferry_core import clock
+from sycamoreferry_core.fleet import deployment, servers
+from sycamoreferry_core.traffic import reachability
+from sycamoreferry_gateway import event_log, http_client, view
+
+_CHECK_INTERVAL_MS = 50
+# Some servers may be down while the links of this instance work.
+_SERVERS_PER_PROBE = 4
+
+
+class ReachabilityMonitor:
+    """Keep up to date whether this instance reaches any server."""
+
+    def __init__(
+        self,
+        cluster_view: view.View,
+        links: reachability.Reachability,
+        pool: http_client.ConnectionPool,
+        log: event_log.EventLog,
+    ) -> None:
+        self._view = cluster_view
+        self._clock = cluster_view.clock
+        self._links = links
+        self._pool = pool
+        self._log = log
+        self._random = random.Random()
+
+    async def watch_forever(self) -> None:
+        """Probe servers while they fail, or while none can be reached."""
+        while True:
+            await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
+            ready = self._ready_servers()
+            if self._links.should_probe(len(ready), self._clock.now()):
+                await self._probe(ready)
+
+    def _ready_servers(self) -> list[servers.BackendServer]:
+        known = self._view.fleet.servers.values()
+        return [server for server in known if server.is_ready]
+
+    async def _probe(self, ready: list[servers.BackendServer]) -> None:
+        count = min(_SERVERS_PER_PROBE, len(ready))
+        chosen = self._random.sample(ready, count)
+        reached = await asyncio.gather(
+            *(
+                self._pool.can_connect(
+                    deployment.Address(server.host, server.port)
+                )
+                for server in chosen
+            )
+        )
+        is_changed = self._links.record_probe(
+            self._clock.now(), has_reached=any(reached)
+        )
+        if is_changed:
+            self._log.write(
+                'servers',
+                'servers can be reached again'
+                if any(reached)
+                else 'no server can be reached',
+                probed=[server.incarnation.server for server in chosen],
+            )
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -11,6 +11,7 @@
 from sycamoreferry_core.traffic import (
     crashes,
     queueing,
+    reachability,
     retry_budget,
     routes,
     server_load,
@@ -49,6 +50,7 @@
         loads: server_load.ServerLoads,
         placement: dispatcher.Dispatcher,
         pool: http_client.ConnectionPool,
+        links: reachability.Reachability,
         log: event_log.EventLog,
         metrics: telemetry.Telemetry,
     ) -> None:
@@ -77,7 +79,9 @@
             loads,
             placement,
             pool,
-            attempt_classifier.AttemptClassifier(cluster_view, loads, log),
+            attempt_classifier.AttemptClassifier(
+                cluster_view, loads, links, log
+            ),
             self._policy,
         )
         self.in_flight = 0
