Relay requests to a peer while an instance reaches no backend server

Cause: an instance had no way to a server but its own links; it went on trying them and the load balancer went on choosing it. Class: a component that depends on one path while another instance's path works. Change: an instance that its probes find cut off says so in its heartbeats, and relays requests to peers that are not, over TCP at the peer port. Runs are counted across both instances, a relay without an answer counts as one. Preparing a request became a module of its own. Why it works: peers reach each other by other paths than the servers, and the condition ends with the first connection that can be opened.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -27,6 +27,8 @@
     store_age_ms: int
     has_authority: bool
     counting_weight: float
+    # Whether it reaches no backend server.
+    is_cut_off: bool = False
 
 
 class Peers:
@@ -64,6 +66,14 @@
             if now - peer.received_at < self.peer_timeout_ms
         ]
 
+    def reaching_servers(self, now: clock.Millis) -> list[PeerStatus]:
+        """Return the peers alive that stay and reach backend servers."""
+        return [
+            peer
+            for peer in self.alive(now)
+            if not peer.is_leaving and not peer.is_cut_off
+        ]
+
     def count(self, now: clock.Millis) -> int:
         """Return the number of instances alive, this one included."""
         return 1 + len(self.alive(now))
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -5,7 +5,7 @@
 from sycamoreferry_adapter import request_headers
 from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import reachability, server_load
+from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     answers,
     event_log,
@@ -34,12 +34,10 @@
         self,
         cluster_view: view.View,
         loads: server_load.ServerLoads,
-        links: reachability.Reachability,
         log: event_log.EventLog,
     ) -> None:
         self._view = cluster_view
         self._loads = loads
-        self._links = links
         self._log = log
 
     def classify(
@@ -127,7 +125,9 @@
     ) -> proxied_requests.Attempt:
         self._record_failure(server, now, failed.failure.value)
         if failed.failure in LINK_FAILURES:
-            self._links.record_failure(server.incarnation.server, now)
+            self._loads.reachability.record_failure(
+                server.incarnation.server, now
+            )
         detail = failed.failure.value
         if not failed.was_sent:
             return proxied_requests.Attempt(
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -10,6 +10,7 @@
     answers,
     attempt_classifier,
     dispatcher,
+    event_log,
     http_client,
     proxied_requests,
     retry_policy,
@@ -32,15 +33,17 @@
         loads: server_load.ServerLoads,
         placement: dispatcher.Dispatcher,
         pool: http_client.ConnectionPool,
-        classifier: attempt_classifier.AttemptClassifier,
         policy: retry_policy.RetryPolicy,
+        log: event_log.EventLog,
     ) -> None:
         self._view = cluster_view
         self._loads = loads
         self._dispatcher = placement
         self._pool = pool
-        self._classifier = classifier
         self._policy = policy
+        self._classifier = attempt_classifier.AttemptClassifier(
+            cluster_view, loads, log
+        )
 
     async def run(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -5,7 +5,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import instances
 from sycamoreferry_core.keyspace import leases, owners
-from sycamoreferry_core.traffic import reachability, server_load
+from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     background,
     event_log,
@@ -33,7 +33,6 @@
         client: store_client.StoreClient,
         pool: http_client.ConnectionPool,
         loads: server_load.ServerLoads,
-        links: reachability.Reachability,
         log: event_log.EventLog,
         announce: term_manager.Announce,
     ) -> None:
@@ -42,7 +41,7 @@
         self._orders = order_sender.OrderSender(
             pool,
             leases.LeaseBook(),
-            links,
+            loads.reachability,
             cluster_view.clock,
         )
         self._tasks = background.BackgroundTasks('coordinator', log)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -10,7 +10,7 @@
     deployment,
     graceful_shutdown,
 )
-from sycamoreferry_core.traffic import reachability, server_load
+from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
     dispatcher,
@@ -20,6 +20,7 @@
     peer_exchange,
     permit_service,
     reachability_monitor,
+    relay_service,
     request_handler,
     status_pages,
     store_client,
@@ -52,10 +53,9 @@
         self._incarnation = time.time_ns()
         self._view = view.View(settings, self._clock, log)
         self._loads = server_load.ServerLoads()
-        self._links = reachability.Reachability()
         self._pool = http_client.ConnectionPool(self._clock)
         self._monitor = reachability_monitor.ReachabilityMonitor(
-            self._view, self._links, self._pool, log
+            self._view, self._loads, self._pool, log
         )
         self._store = store_client.StoreClient(
             settings.store_address,
@@ -69,7 +69,6 @@
             self._loads,
             self._dispatcher,
             self._pool,
-            self._links,
             log,
             self._telemetry,
         )
@@ -79,7 +78,7 @@
             self._store,
             log,
             self._incarnation,
-            self._request_handler.drain_demand,
+            self._request_handler.preparer.drain_demand,
             self._coordination,
         )
         self._sync = store_sync.StoreSync(
@@ -104,13 +103,18 @@
             self._store,
             http_client.ConnectionPool(self._clock),
             self._loads,
-            self._links,
             log,
             self._exchange.announce,
         )
         self._server = http_server.HttpServer(
             self._request_handler.serve, self._clock
         )
+        self._relay_server = http_server.HttpServer(
+            relay_service.RelayService(
+                self._request_handler.serve_relayed
+            ).serve,
+            self._clock,
+        )
         self._status = http_server.HttpServer(self._serve_status, self._clock)
         self._stop = asyncio.Event()
         self._stop_requested_at: clock.Millis | None = None
@@ -203,6 +207,7 @@
             settings.request_address.host,
             settings.request_address.port,
         )
+        await self._relay_server.listen(settings.host, settings.peer_port)
         await self._status.listen(
             settings.readiness_address.host,
             settings.readiness_address.port,
@@ -226,7 +231,7 @@
             'permits_waiting': self._permit_service.waiting_count,
             'config_version': 0 if config is None else config.version,
             'servers_known': len(self._view.fleet.servers),
-            'reaches_no_server': int(self._links.is_cut_off),
+            'reaches_no_server': int(self._loads.reachability.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
@@ -260,8 +265,9 @@
         phase = graceful_shutdown.ShutdownPhase.ACCEPTING
         while phase is not graceful_shutdown.ShutdownPhase.DONE:
             if phase is graceful_shutdown.ShutdownPhase.FINISHING:
-                self._server.stop_listening()
+                self._stop_listening()
                 self._server.close_idle()
+                self._relay_server.close_idle()
             self._exchange.send_heartbeat()
             await asyncio.sleep(clock.seconds(_DRAIN_HEARTBEAT_MS))
             phase = graceful_shutdown.shutdown_phase(
@@ -271,7 +277,7 @@
                 is_idle=self._server.is_idle
                 and not self._request_handler.in_flight,
             )
-        self._server.stop_listening()
+        self._stop_listening()
         await self._send_last_answers()
         self._request_handler.request_log.log_unanswered()
         self._log.write(
@@ -280,12 +286,18 @@
             in_flight=self._request_handler.in_flight,
             busy_connections=self._server.busy_count,
         )
-        self._server.close_connections()
+        for server in (self._server, self._relay_server):
+            server.close_connections()
         self._log.report_dropped()
 
+    def _stop_listening(self) -> None:
+        self._server.stop_listening()
+        self._relay_server.stop_listening()
+
     def _announce_stop(self) -> None:
         self._log.write('instance', 'stopping', reason='SIGTERM')
         self._server.is_draining = True
+        self._relay_server.is_draining = True
         self._exchange.is_leaving = True
         self._coordinator.resign()
         self._exchange.send_heartbeat()
@@ -293,7 +305,7 @@
     async def _send_last_answers(self) -> None:
         """Let due answers be written if the loop was busy until now."""
         for _ in range(_LAST_ANSWERS_MS // _LAST_ANSWERS_STEP_MS):
-            if self._server.is_idle:
+            if self._server.is_idle and self._relay_server.is_idle:
                 return
             await asyncio.sleep(clock.seconds(_LAST_ANSWERS_STEP_MS))
 
@@ -308,6 +320,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_MAINTENANCE_INTERVAL_MS))
             self._pool.close_expired()
+            self._request_handler.relay.pool.close_expired()
             self._loads.peers.drop_silent(self._clock.now())
             self._loads.keep_only(self._view.fleet.servers)
             self._loads.rate_limits.keep_only(self._view.fleet.incarnations)
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -176,6 +176,7 @@
             heartbeat.is_leaving,
             heartbeat.has_authority,
             heartbeat.given_up_term,
+            heartbeat.is_cut_off,
         )
         if state != self._sent_state or now - self._sent_at >= interval_ms:
             self._sent_state = state
@@ -240,6 +241,7 @@
             rate_limits=rate_limit_reports.build_rows(
                 self._loads.rate_limits.recent(now), now
             ),
+            is_cut_off=self._loads.reachability.is_cut_off,
         )
 
     def _report_demand(self) -> None:
@@ -276,6 +278,7 @@
         state = (
             heartbeat.is_leaving,
             heartbeat.has_authority,
+            heartbeat.is_cut_off,
             heartbeat.ends,
             heartbeat.loads,
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -78,6 +78,7 @@
                 heartbeat.store_age_ms,
                 heartbeat.has_authority,
                 heartbeat.counting_weight,
+                heartbeat.is_cut_off,
             ),
         )
         if heartbeat.given_up_term:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -57,6 +57,8 @@
     loads: list[LoadRow] | None
     crashes: list[CrashRow]
     rate_limits: list[RateLimitRow] = []
+    # Whether the sender reaches no backend server.
+    is_cut_off: bool = False
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -50,13 +50,19 @@
     waited_ms: int = 0
     # The server of the attempt in progress; None while waiting for one.
     current_server: ids.ServerId | None = None
+    # Set if another instance received the request and relayed it here.
+    is_relayed: bool = False
+    # Attempts of other instances that may have run it.
+    earlier_runs: int = 0
+    # The instances to which this one relayed it.
+    relays: list[ids.InstanceId] = dataclasses.field(default_factory=list)
     # The backlog ahead of the request when it was rejected.
     rejection_backlog: queueing.Backlog | None = None
 
     @property
     def may_have_run(self) -> bool:
         """Tell whether a server may have run it; errors count as run."""
-        return any(
+        return self.earlier_runs > 0 or any(
             one.result in {AttemptResult.UNKNOWN, AttemptResult.SERVER_ERROR}
             for one in self.attempts
         )
--- a/packages/gateway/src/sycamoreferry_gateway/reachability_monitor.py
+++ b/packages/gateway/src/sycamoreferry_gateway/reachability_monitor.py
@@ -5,7 +5,7 @@
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.fleet import deployment, servers
-from sycamoreferry_core.traffic import reachability
+from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import event_log, http_client, view
 
 _CHECK_INTERVAL_MS = 50
@@ -19,13 +19,13 @@
     def __init__(
         self,
         cluster_view: view.View,
-        links: reachability.Reachability,
+        loads: server_load.ServerLoads,
         pool: http_client.ConnectionPool,
         log: event_log.EventLog,
     ) -> None:
         self._view = cluster_view
+        self._loads = loads
         self._clock = cluster_view.clock
-        self._links = links
         self._pool = pool
         self._log = log
         self._random = random.Random()
@@ -35,7 +35,9 @@
         while True:
             await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
             ready = self._ready_servers()
-            if self._links.should_probe(len(ready), self._clock.now()):
+            if self._loads.reachability.should_probe(
+                len(ready), self._clock.now()
+            ):
                 await self._probe(ready)
 
     def _ready_servers(self) -> list[servers.BackendServer]:
@@ -53,7 +55,7 @@
                 for server in chosen
             )
         )
-        is_changed = self._links.record_probe(
+        is_changed = self._loads.reachability.record_probe(
             self._clock.now(), has_reached=any(reached)
         )
         if is_changed:
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -0,0 +1,59 @@
+"""Serve the requests that other instances relay."""
+
+import http
+import typing
+
+import msgspec
+
+from sycamoreferry_gateway import answers, http_server, relay_messages
+
+ServeRelayed = typing.Callable[
+    [http_server.CallerRequest, relay_messages.RelayedRequest],
+    typing.Coroutine[typing.Any, typing.Any, answers.FinalAnswer],
+]
+
+
+class RelayService:
+    """Decode relayed requests and encode their answers."""
+
+    def __init__(self, serve_relayed: ServeRelayed) -> None:
+        self._serve_relayed = serve_relayed
+
+    async def serve(
+        self, envelope: http_server.CallerRequest
+    ) -> http_server.CallerAnswer:
+        """Answer a relayed request; reject a malformed one with 400."""
+        if envelope.path != relay_messages.RELAY_PATH:
+            return _empty(http.HTTPStatus.NOT_FOUND)
+        try:
+            relayed = relay_messages.decode_request(envelope.body)
+        except msgspec.MsgspecError:
+            return _empty(http.HTTPStatus.BAD_REQUEST)
+        final = await self._serve_relayed(_request_of(relayed), relayed)
+        answer = relay_messages.RelayedAnswer(
+            final.answer.status,
+            list(final.answer.headers),
+            final.answer.body,
+            int(final.code),
+            final.reason,
+        )
+        return http_server.CallerAnswer(
+            int(http.HTTPStatus.OK), (), relay_messages.encode(answer)
+        )
+
+
+def _request_of(
+    relayed: relay_messages.RelayedRequest,
+) -> http_server.CallerRequest:
+    return http_server.CallerRequest(
+        relayed.method,
+        relayed.target,
+        relayed.headers,
+        relayed.body,
+        relayed.caller,
+        keep_alive=True,
+    )
+
+
+def _empty(status: http.HTTPStatus) -> http_server.CallerAnswer:
+    return http_server.CallerAnswer(int(status), (), b'')
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -3,22 +3,16 @@
 import asyncio
 import http
 
-import xxhash
-
 from sycamoreferry_adapter import request_headers
-from sycamoreferry_core import clock, ids, result_codes
-from sycamoreferry_core.keyspace import owners
+from sycamoreferry_core import clock, result_codes
 from sycamoreferry_core.traffic import (
-    crashes,
     queueing,
-    reachability,
     retry_budget,
     routes,
     server_load,
 )
 from sycamoreferry_gateway import (
     answers,
-    attempt_classifier,
     attempt_runner,
     backlogs,
     dispatcher,
@@ -27,7 +21,10 @@
     http_server,
     open_requests,
     proxied_requests,
+    relay_messages,
     request_log,
+    request_preparation,
+    request_relay,
     retry_policy,
     telemetry,
     view,
@@ -37,7 +34,6 @@
 
 # Delay before a request is sent again to the owner that has just rejected it.
 _REJECTION_BACKOFF_MS = 40
-_STARTING_RETRY_AFTER_MS = 500
 _RETRY_AFTER_MS = 300
 
 
@@ -50,15 +46,12 @@
         loads: server_load.ServerLoads,
         placement: dispatcher.Dispatcher,
         pool: http_client.ConnectionPool,
-        links: reachability.Reachability,
         log: event_log.EventLog,
         metrics: telemetry.Telemetry,
     ) -> None:
         self._view = cluster_view
         self._dispatcher = placement
         self._log = log
-        self._route_splits = routes.WeightedRoundRobin()
-        self._demand: dict[tuple[ids.ServiceName, owners.Key], int] = {}
         bounds = cluster_view.deployment.bounds
         self.retry_budget = retry_budget.RetryBudget(
             retry_budget.RetryAllowance(
@@ -67,6 +60,9 @@
                 bounds.retry_extra,
             ),
         )
+        self.preparer = request_preparation.RequestPreparer(
+            cluster_view, self.retry_budget
+        )
         self.open_requests = open_requests.OpenRequests(cluster_view.clock)
         self.request_log = request_log.RequestLog(
             cluster_view, self.open_requests, log, metrics
@@ -74,34 +70,47 @@
         self._policy = retry_policy.RetryPolicy(
             cluster_view, loads, self.retry_budget
         )
+        self.relay = request_relay.RequestRelay(
+            cluster_view, loads, self._policy
+        )
         self._attempts = attempt_runner.AttemptRunner(
             cluster_view,
             loads,
             placement,
             pool,
-            attempt_classifier.AttemptClassifier(
-                cluster_view, loads, links, log
-            ),
             self._policy,
+            log,
         )
         self.in_flight = 0
 
-    def drain_demand(self) -> dict[tuple[ids.ServiceName, owners.Key], int]:
-        """Return the request counts by key since the last call, and reset."""
-        demand = self._demand
-        self._demand = {}
-        return demand
-
     async def serve(
         self,
         request: http_server.CallerRequest,
     ) -> http_server.CallerAnswer:
-        """Return the answer to a request; log and count how it ended."""
-        arrived = self._view.clock.now()
+        """Return the answer to a request of a caller."""
+        final = await self._serve(request, self._view.clock.now())
+        return final.answer
+
+    async def serve_relayed(
+        self,
+        request: http_server.CallerRequest,
+        relayed: relay_messages.RelayedRequest,
+    ) -> answers.FinalAnswer:
+        """Return the answer to a request that another instance received."""
+        arrived = clock.later(self._view.clock.now(), -relayed.elapsed_ms)
+        return await self._serve(request, arrived, relayed)
+
+    async def _serve(
+        self,
+        request: http_server.CallerRequest,
+        arrived: clock.Millis,
+        relayed: relay_messages.RelayedRequest | None = None,
+    ) -> answers.FinalAnswer:
+        """Serve a request; log and count how it ended."""
         self.in_flight += 1
         proxied: proxied_requests.ProxiedRequest | None = None
         try:
-            prepared = self._prepare(request, arrived)
+            prepared = self.preparer.prepare(request, arrived, relayed)
             if isinstance(prepared, answers.FinalAnswer):
                 final = prepared
             else:
@@ -123,55 +132,7 @@
         finally:
             self.in_flight -= 1
         self.request_log.log_end(request, proxied, arrived, final.reason, final)
-        return final.answer
-
-    def _prepare(
-        self,
-        request: http_server.CallerRequest,
-        arrived: clock.Millis,
-    ) -> proxied_requests.ProxiedRequest | answers.FinalAnswer:
-        config = self._view.config
-        table = self._view.route_table
-        if config is None or table is None:
-            return answers.refusal(
-                _Code.STARTING,
-                'no configuration known',
-                _STARTING_RETRY_AFTER_MS,
-            )
-        route = table.match(request.header('host') or '', request.path)
-        if route is None:
-            return answers.refusal(_Code.UNKNOWN_SERVICE, 'no route matches')
-        request_id = request.header(request_headers.REQUEST_ID) or ''
-        service = self._route_splits.choose(route)
-        policy = config.services[service]
-        key = request_headers.parse_key(request.header(request_headers.KEY))
-        if policy.is_keyed and key is None:
-            return answers.refusal(
-                _Code.KEY_REQUIRED, 'key is missing or malformed'
-            )
-        if not policy.is_keyed:
-            key = None
-        self.retry_budget.count_request(service, arrived)
-        if key is not None:
-            counted = self._demand.get((service, key), 0)
-            self._demand[service, key] = counted + 1
-        caller_timeout_ms = request_headers.parse_deadline(
-            request.header(request_headers.DEADLINE),
-        )
-        allowed_ms = route.timeout_ms
-        if caller_timeout_ms is not None:
-            allowed_ms = min(allowed_ms, caller_timeout_ms)
-        return proxied_requests.ProxiedRequest(
-            request=request,
-            request_id=request_id,
-            arrived=arrived,
-            ends_at=clock.later(arrived, allowed_ms),
-            answer_by=clock.later(arrived, allowed_ms),
-            route=route,
-            service=service,
-            key=key,
-            signature=_signature(request),
-        )
+        return final
 
     async def _forward(
         self, proxied: proxied_requests.ProxiedRequest
@@ -215,6 +176,9 @@
         queued: queueing.QueuedRequest,
     ) -> answers.FinalAnswer:
         while True:
+            relayed = await self._relay_while_needed(proxied)
+            if relayed is not None:
+                return relayed
             queued_at = self._view.clock.now()
             try:
                 found = await self._dispatcher.acquire(queued)
@@ -237,6 +201,23 @@
             elif attempt.result is proxied_requests.AttemptResult.NOT_RUN:
                 await asyncio.sleep(clock.seconds(_REJECTION_BACKOFF_MS))
 
+    async def _relay_while_needed(
+        self, proxied: proxied_requests.ProxiedRequest
+    ) -> answers.FinalAnswer | None:
+        """Return the final answer if other instances are to run a request."""
+        while self.relay.is_needed(proxied):
+            relayed = await self.relay.forward(proxied)
+            if isinstance(relayed, answers.FinalAnswer):
+                return relayed
+            has_unknown_outcome = relayed is request_relay.RelayFailure.UNKNOWN
+            if has_unknown_outcome and not self._policy.may_relay_again(
+                proxied
+            ):
+                return self._failure_answer(
+                    proxied, 'relayed request was not answered', _RETRY_AFTER_MS
+                )
+        return None
+
     def _final_answer(
         self,
         proxied: proxied_requests.ProxiedRequest,
@@ -280,12 +261,3 @@
         return answers.FinalAnswer(
             answers.instance_answer(status, code, reason), code, reason
         )
-
-
-def _signature(request: http_server.CallerRequest) -> crashes.Signature:
-    digest = xxhash.xxh3_64()
-    for part in (request.method, request.target, request.caller):
-        digest.update(part.encode('latin-1', 'replace'))
-        digest.update(b'\0')
-    digest.update(request.body)
-    return crashes.Signature(digest.intdigest())
--- a/packages/gateway/src/sycamoreferry_gateway/request_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_log.py
@@ -82,6 +82,10 @@
                 for one in proxied.attempts
             ],
         }
+        if proxied.is_relayed:
+            described['relayed'] = True
+        if proxied.relays:
+            described['relayed_to'] = proxied.relays
         if proxied.rejection_backlog is not None:
             described['ahead'] = proxied.rejection_backlog.ahead
             described['slots'] = proxied.rejection_backlog.slots
--- a/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
+++ b/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
@@ -41,7 +41,8 @@
         """Tell whether the route allows one more attempt after this one."""
         if not proxied.route.kind.is_retryable:
             return False
-        return len(proxied.attempts) + 1 < proxied.route.max_attempts
+        attempts = proxied.earlier_runs + len(proxied.attempts)
+        return attempts + 1 < proxied.route.max_attempts
 
     def should_retry(
         self,
@@ -76,9 +77,18 @@
             now,
         )
 
+    def may_relay_again(self, proxied: proxied_requests.ProxiedRequest) -> bool:
+        """Tell whether to go on after a relay whose outcome is unknown."""
+        now = self._view.clock.now()
+        if now >= proxied.answer_by or not self.may_rerun(proxied):
+            return False
+        return self._budget.spend(
+            proxied.service, self._view.peers.count(now), now
+        )
+
     def may_rerun(self, proxied: proxied_requests.ProxiedRequest) -> bool:
         """Tell whether a request that may have run may run once more."""
-        runs = sum(
+        runs = proxied.earlier_runs + sum(
             1
             for one in proxied.attempts
             if one.result
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -490,6 +490,7 @@
     async def kill(self, number: int) -> None:
         self._tasks[number].cancel()
         self.instances[number]._exchange.close()
+        self.instances[number]._relay_server.stop_listening()
         await asyncio.gather(self._tasks[number], return_exceptions=True)
 
     async def stop(self) -> None:
@@ -500,6 +501,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for one in self.instances:
             one._exchange.close()
+            one._relay_server.stop_listening()
         for server in self.servers:
             server.stop()
         self.store.stop()
