Hand the term over if the coordinator reaches no backend server

Cause: a coordinator keeps its term as long as the store confirms it, whether or not it reaches any server to grant keys to; it then takes all servers for lost and moves their keys. Class: authority that is proved by one dependency and used on another. Change: a coordinator that is cut off gives the term up while a peer alive reaches servers; peers then claim as after a planned stop; instances that are cut off claim only if all are, and rank behind the others. Why it works: the next claim writes a new fence for all keys, which servers take at once; leases of the term given up are reported as in other resignations.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -88,7 +88,8 @@
         eligible = [
             (-peer.counting_weight, peer.instance)
             for peer in self.alive(now)
-            if not peer.is_leaving and peer.store_age_ms < _STORE_FRESH_MS
+            if not (peer.is_leaving or peer.is_cut_off)
+            and peer.store_age_ms < _STORE_FRESH_MS
         ]
         return sum(1 for candidate in eligible if candidate < own)
 
@@ -107,6 +108,8 @@
     is_own_earlier_term: bool
     # When this instance began to follow the coordinator or to look for one.
     since: clock.Millis
+    # Whether this instance reaches no backend server.
+    is_cut_off: bool = False
 
 
 def should_claim(
@@ -115,6 +118,9 @@
     now: clock.Millis,
 ) -> bool:
     """Return whether this instance should claim coordination now."""
+    if view.is_cut_off and peers.reaching_servers(now):
+        # It could grant no keys.
+        return False
     if view.is_own_earlier_term:
         return True
     wait = _rank_wait(peers, now, _RANK_STEP_MS)
@@ -125,7 +131,8 @@
         # Not heard from since this instance began to listen.
         wait = _rank_wait(peers, now, _START_RANK_STEP_MS)
         return now - view.since > _START_GRACE_MS + wait
-    if status.is_leaving:
+    has_no_servers = status.is_cut_off and not status.has_authority
+    if status.is_leaving or (has_no_servers and not view.is_cut_off):
         return now - status.received_at > 0 and wait < now - view.since
     silent_ms = now - max(status.received_at, view.since)
     if silent_ms > PEER_TIMEOUT_MS + wait:
--- a/packages/core/tests/fleet/test_instances.py
+++ b/packages/core/tests/fleet/test_instances.py
@@ -17,6 +17,7 @@
     store_age_ms: int = 0,
     has_authority: bool = True,
     counting_weight: float = 1,
+    is_cut_off: bool = False,
 ) -> instances.PeerStatus:
     return instances.PeerStatus(
         name,
@@ -26,12 +27,15 @@
         store_age_ms,
         has_authority,
         counting_weight=counting_weight,
+        is_cut_off=is_cut_off,
     )
 
 
-def _view(*, is_own: bool = False) -> instances.CoordinatorView:
+def _view(
+    *, is_own: bool = False, is_cut_off: bool = False
+) -> instances.CoordinatorView:
     return instances.CoordinatorView(
-        OWN if is_own else COORDINATOR, is_own, START
+        OWN if is_own else COORDINATOR, is_own, START, is_cut_off
     )
 
 
@@ -140,3 +144,29 @@
     status = peers.status(COORDINATOR)
     assert status is not None
     assert not status.is_leaving
+
+
+def test_coordinator_that_gave_up_without_servers_is_replaced_at_once() -> None:
+    peers = instances.Peers(OWN, 1)
+    peers.update(
+        _status(COORDINATOR, START, has_authority=False, is_cut_off=True)
+    )
+    claimed = _claim_delay_ms(_view(), peers)
+    assert claimed is not None
+    assert claimed <= 300
+
+
+def test_instance_without_servers_claims_only_if_no_peer_reaches_any() -> None:
+    peers = instances.Peers(OWN, 1)
+    peers.update(_status(OTHER, START, is_cut_off=True))
+    for is_own in (True, False):
+        view = _view(is_own=is_own, is_cut_off=True)
+        assert _claim_delay_ms(view, peers) is None
+    alone = _view(is_own=True, is_cut_off=True)
+    assert instances.should_claim(alone, instances.Peers(OWN, 1), START)
+
+
+def test_instance_without_servers_ranks_behind_all_that_reach_them() -> None:
+    peers = instances.Peers(OWN, 1)
+    peers.update(_status(COORDINATOR, START, is_cut_off=True))
+    assert peers.rank(START) == 0
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -38,10 +38,11 @@
     ) -> None:
         self._view = cluster_view
         self._clock = cluster_view.clock
+        self._links = loads.reachability
         self._orders = order_sender.OrderSender(
             pool,
             leases.LeaseBook(),
-            loads.reachability,
+            self._links,
             cluster_view.clock,
         )
         self._tasks = background.BackgroundTasks('coordinator', log)
@@ -109,7 +110,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_INTERVAL_MS))
             if self.has_authority:
-                self._coordinate()
+                self._coordinate_or_hand_over()
             elif self.is_coordinating:
                 self._give_up('the store did not confirm the term in time')
             else:
@@ -128,6 +129,14 @@
         if self.is_coordinating:
             self._give_up('this instance is shutting down')
 
+    def _coordinate_or_hand_over(self) -> None:
+        now = self._clock.now()
+        others = self._view.peers.reaching_servers(now)
+        if self._links.is_cut_off and others:
+            self._give_up('this instance reaches no server, others do')
+        else:
+            self._coordinate()
+
     def _give_up(self, reason: str) -> None:
         self._tasks.cancel_all()
         self._terms.give_up(reason)
@@ -143,6 +152,7 @@
             holder,
             holder == self._view.deployment.instance,
             self._view.coordinator_since,
+            self._links.is_cut_off,
         )
         now = self._clock.now()
         if not instances.should_claim(coordinator_view, self._view.peers, now):
