Close idle relay connections and send relayed answers before a stop

Peers see: a connection of an instance that lost power stays open at the one that it relayed to, and a stop may close a relay with its answer unsent. Cause: the server for relays had no limits, so that nothing is swept, and the wait for sent answers looked at callers' connections only.

--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -109,11 +109,8 @@
         self._server = http_server.HttpServer(
             self._request_handler.serve, self._clock
         )
-        self._relay_server = http_server.HttpServer(
-            relay_service.RelayService(
-                self._request_handler.serve_relayed
-            ).serve,
-            self._clock,
+        self._relay_server = relay_service.build_server(
+            self._request_handler.serve_relayed, self._clock
         )
         self._status = http_server.HttpServer(self._serve_status, self._clock)
         self._stop = asyncio.Event()
@@ -178,6 +175,7 @@
             self._permit_service.sweep_forever,
             self._dispatcher.permits.returns.repeat_forever,
             self._server.sweep_forever,
+            self._relay_server.sweep_forever,
             self._exchange.send_forever,
             self._keep_house,
         ]
@@ -274,7 +272,7 @@
                 requested_at,
                 self._clock.now(),
                 grace_ms=self._deployment.bounds.grace_ms,
-                is_idle=self._server.is_idle
+                is_idle=self._has_sent_answers()
                 and not self._request_handler.in_flight,
             )
         self._stop_listening()
@@ -290,6 +288,9 @@
             server.close_connections()
         self._log.report_dropped()
 
+    def _has_sent_answers(self) -> bool:
+        return self._server.is_idle and self._relay_server.is_idle
+
     def _stop_listening(self) -> None:
         self._server.stop_listening()
         self._relay_server.stop_listening()
@@ -305,7 +306,7 @@
     async def _send_last_answers(self) -> None:
         """Let due answers be written if the loop was busy until now."""
         for _ in range(_LAST_ANSWERS_MS // _LAST_ANSWERS_STEP_MS):
-            if self._server.is_idle and self._relay_server.is_idle:
+            if self._has_sent_answers():
                 return
             await asyncio.sleep(clock.seconds(_LAST_ANSWERS_STEP_MS))
 
--- a/packages/gateway/src/sycamoreferry_gateway/relay_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -1,18 +1,42 @@
 """Serve the requests that other instances relay."""
 
 import http
+import sys
 import typing
 
 import msgspec
 
+from sycamoreferry_core import clock
+from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import answers, http_server, relay_messages
 
+_HEADER_BYTES = 8_192
+_READ_TIMEOUT_MS = 3_000
+# Longer than the first instance keeps an idle connection.
+_IDLE_TIMEOUT_MS = 10_000
+# The first instance has checked the request against the operator's limits.
+_LIMITS = routes.CallerLimits(
+    header_bytes=_HEADER_BYTES,
+    body_bytes=sys.maxsize,
+    header_timeout_ms=_READ_TIMEOUT_MS,
+    idle_timeout_ms=_IDLE_TIMEOUT_MS,
+)
+
 ServeRelayed = typing.Callable[
     [http_server.CallerRequest, relay_messages.RelayedRequest],
     typing.Coroutine[typing.Any, typing.Any, answers.FinalAnswer],
 ]
 
 
+def build_server(
+    serve_relayed: ServeRelayed, source: clock.Clock
+) -> http_server.HttpServer:
+    """Return a server that answers relayed requests with a function."""
+    server = http_server.HttpServer(RelayService(serve_relayed).serve, source)
+    server.limits = _LIMITS
+    return server
+
+
 class RelayService:
     """Decode relayed requests and encode their answers."""
 
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Check requests that an instance without links to servers relays to others."""
 
+import asyncio
 import typing
 
 import pytest
@@ -63,6 +64,36 @@
     assert _ran(cluster) == ['r1']
 
 
+async def test_relayed_request_is_answered_if_its_peer_stops_meanwhile(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster, 'unsafe', instances=2)
+    for server in cluster.servers:
+        server.processing_time_s = 0.5
+    payload = cluster.encode_request('r1', KEY, method='POST')
+    call = asyncio.create_task(_exchange(cluster, payload))
+    await cluster.wait_until(lambda: bool(_ran(cluster)))
+    cluster.instances[1].request_stop(asyncio.get_running_loop())
+    assert (await call).status == 200
+
+
+async def test_relayed_request_is_ended_if_its_caller_leaves(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster, 'safe')
+    for server in cluster.servers:
+        server.processing_time_s = 5
+    payload = cluster.encode_request('r1', KEY)
+    call = asyncio.create_task(_exchange(cluster, payload))
+    await cluster.wait_until(lambda: bool(_ran(cluster)))
+    call.cancel()
+    # The platform allows a server half a second more.
+    await cluster.wait_until(
+        lambda: not any(server.running for server in cluster.servers),
+        limit_s=0.5,
+    )
+
+
 class _LossyPool:
     """Lose relayed requests, before or after they were sent."""
 
