Answer requests that were read before a malformed one

Callers see: if a request behind theirs on the connection is malformed, too large or has too large headers, the connection is closed and theirs is cancelled without an answer. Cause: a rejection closes the connection at once, whatever is in flight on it. Change: the connection reads nothing more, answers what it has read in order, then the rejection, and closes. A new test has two requests in flight and one behind the malformed one, which is not served.

--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -106,6 +106,9 @@
         self._idle_since = server.clock.now()
         self._queue: list[CallerRequest] = []
         self._task: asyncio.Task[None] | None = None
+        # The status of a request that was rejected while it was read; it is
+        # answered after those before it, and nothing is read any more.
+        self._rejected: http.HTTPStatus | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -135,6 +138,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; answer malformed ones with 400."""
+        if self._rejected is not None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -176,6 +181,8 @@
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         self._reading_since = None
+        if self._rejected is not None:
+            return
         request = CallerRequest(
             self._parser.get_method().decode('ascii'),
             self._target.decode('latin-1'),
@@ -229,16 +236,20 @@
         )
         if closes:
             self.close()
-        else:
+        elif self._queue:
             self._serve_next()
+        elif self._rejected is not None:
+            _write(self._transport, _encode_rejection(self._rejected))
+            self.close()
 
     def _reject(self, status: http.HTTPStatus) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._rejected is not None:
             return
+        self._rejected = status
+        self._reading_since = None
         if self._task is None:
-            answer = CallerAnswer(int(status), (), b'')
-            _write(self._transport, _encode_answer(answer, 'GET', closes=True))
-        self.close()
+            _write(self._transport, _encode_rejection(status))
+            self.close()
 
 
 class HttpServer:
@@ -303,6 +314,11 @@
         transport.write(payload)
 
 
+def _encode_rejection(status: http.HTTPStatus) -> bytes:
+    answer = CallerAnswer(int(status), (), b'')
+    return _encode_answer(answer, 'GET', closes=True)
+
+
 def _encode_answer(answer: CallerAnswer, method: str, *, closes: bool) -> bytes:
     phrase = _PHRASES.get(answer.status, 'Unknown')
     lines = [f'HTTP/1.1 {answer.status} {phrase}']
--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -113,6 +113,21 @@
     writer.close()
 
 
+async def test_rejection_follows_the_answers_to_earlier_requests(
+    recorder: RecordingServer,
+) -> None:
+    reader, writer = await recorder.connect()
+    recorder.may_answer.clear()
+    writer.write(GET + GET + b'GARBAGE\r\n\r\n' + GET)
+    await asyncio.sleep(0.05)
+    recorder.may_answer.set()
+    for status in (b' 200 ', b' 200 ', b' 400 '):
+        assert status in await _read_answer(reader)
+    assert not await reader.read(1)
+    assert len(recorder.requests) == 2
+    writer.close()
+
+
 async def test_pipelined_request_read_before_a_stop_is_answered(
     recorder: RecordingServer,
 ) -> None:
