Answer all requests that were read before an instance stops

Callers see: a request that was read behind another on its connection gets no answer once the instance stops. Cause: each answer of a stopping instance closes its connection, also with requests still queued on it. Change: only the answer to the last request that was read closes it.

--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -229,7 +229,9 @@
         finally:
             self._task = None
             self._idle_since = self._server.clock.now()
-        closes = not request.keep_alive or self._server.is_draining
+        # Requests that were read before a stop are answered.
+        is_last = self._server.is_draining and not self._queue
+        closes = not request.keep_alive or is_last
         _write(
             self._transport,
             _encode_answer(answer, request.method, closes=closes),
