Cut instances off from all servers and limit servers in a soak of its own

The soak degraded the links of a server to all instances, never those of one instance to all servers, and its servers named no rate limit.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -357,6 +357,52 @@
 """
 
 
+# Toggles on SIGUSR1 whether the ports in FERRY_TEST_CUT_PORTS are reachable.
+_WITH_PARTITIONS = """
+import asyncio
+import os
+import signal
+
+from sycamoreferry_gateway import __main__, http_client
+
+ports = [int(port) for port in os.environ['FERRY_TEST_CUT_PORTS'].split(',')]
+is_cut = False
+
+
+def toggle(*_):
+    global is_cut
+    is_cut = not is_cut
+
+
+async def open_connection(pool, address, timeout_ms):
+    if is_cut and address.port in ports:
+        limit_ms = min(timeout_ms, http_client.CONNECT_TIMEOUT_MS)
+        await asyncio.sleep(limit_ms / 1_000)
+        return http_client.FailedExchange(
+            http_client.ExchangeFailure.CONNECT, was_sent=False
+        )
+    return await opened(pool, address, timeout_ms)
+
+
+def take_idle(pool, address):
+    connection = taken(pool, address)
+    if connection is not None and is_cut and address.port in ports:
+        connection.exchange = hang
+    return connection
+
+
+async def hang(*_):
+    await asyncio.Event().wait()
+
+
+opened = http_client.ConnectionPool._open
+taken = http_client.ConnectionPool._take_idle
+http_client.ConnectionPool._open = open_connection
+http_client.ConnectionPool._take_idle = take_idle
+signal.signal(signal.SIGUSR1, toggle)
+__main__.run()
+"""
+
 # Makes few instances ask for permits as many would.
 _WITH_PERMITS = """
 from sycamoreferry_core.fleet import message_intervals
@@ -373,6 +419,8 @@
     deployment: deployment.Deployment
     settings: pathlib.Path
     with_permits: bool = False
+    # Ports that SIGUSR1 cuts off; none if it is not used.
+    cut_ports: tuple[int, ...] = ()
     process: subprocess.Popen[bytes] | None = None
     # Processes that were paused or killed.
     disrupted: set[int] = dataclasses.field(default_factory=set)
@@ -389,6 +437,8 @@
         program = ('-m', 'sycamoreferry_gateway')
         if self.with_permits:
             program = ('-c', _WITH_PERMITS)
+        elif self.cut_ports:
+            program = ('-c', _WITH_PARTITIONS)
         with self.settings.with_suffix('.log').open('ab') as log:
             self.process = subprocess.Popen(
                 (sys.executable, *program),
@@ -398,6 +448,7 @@
                     'SYCAMOREFERRY_METRICS_PORT': str(
                         self.deployment.metrics_port
                     ),
+                    'FERRY_TEST_CUT_PORTS': ','.join(map(str, self.cut_ports)),
                 },
                 stdout=log,
                 stderr=log,
@@ -477,12 +528,13 @@
         store_port: int,
         *,
         with_permits: bool = False,
+        cut_ports: tuple[int, ...] = (),
     ) -> InstanceProcess:
         """Start an instance as a process whose output goes to a file."""
         chosen = self._deployment(name)
         settings = folder / f'{name}.conf'
         settings.write_text(self.settings_text(chosen, store_port))
-        started = InstanceProcess(chosen, settings, with_permits)
+        started = InstanceProcess(chosen, settings, with_permits, cut_ports)
         started.start()
         self.processes.append(started)
         return started
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -131,8 +131,14 @@
     """Inject the faults of a seed and record violated guarantees."""
 
     def __init__(
-        self, cluster: typing.Any, calls: typing.Any, seed: int
+        self,
+        cluster: typing.Any,
+        calls: typing.Any,
+        seed: int,
+        *,
+        has_partitions: bool = False,
     ) -> None:
+        self._has_partitions = has_partitions
         self.cluster = cluster
         self.calls = calls
         self.proxies: list[Proxy] = []
@@ -149,7 +155,9 @@
             server.register()
         for number in range(INSTANCES):
             proxy = await self._proxy(cluster.store.port)
-            cluster.start_process(f'i{number}', folder, proxy.port)
+            cluster.start_process(
+                f'i{number}', folder, proxy.port, cut_ports=self._cut_ports()
+            )
         await cluster.wait_until(cluster.is_covered, limit_s=20)
 
     def stop(self) -> None:
@@ -185,7 +193,7 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + duration_s
         while loop.time() < ends_at:
-            await self._random.choice(_FAULTS)(self)
+            await self._random.choice(self._faults())(self)
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
 
     def end_faults(self) -> None:
@@ -243,6 +251,35 @@
     async def restart_server(self) -> None:
         self._random.choice(self.cluster.servers).restart()
 
+    async def cut_off_instances(self) -> None:
+        """Cut some instances off from all servers, but not from each other."""
+        count = self._random.choice((1, 1, INSTANCES - 1))
+        cut = self._random.sample(self.cluster.processes, count)
+        pids = {instance.pid for instance in cut}
+        for instance in cut:
+            instance.signal(signal.SIGUSR1)
+        await asyncio.sleep(self._random.uniform(1, 4))
+        for instance in cut:
+            # One that was started again meanwhile is not cut off any more.
+            if instance.pid in pids:
+                instance.signal(signal.SIGUSR1)
+
+    async def limit_rate(self) -> None:
+        server = self._random.choice(self.cluster.servers)
+        server.rate_limit = str(self._random.choice((1, 3, 8)))
+        await asyncio.sleep(self._random.uniform(1, 4))
+        server.rate_limit = ''
+
+    def _cut_ports(self) -> tuple[int, ...]:
+        if not self._has_partitions:
+            return ()
+        return tuple(proxy.port for proxy in self.proxies[:SERVERS])
+
+    def _faults(self) -> typing.Sequence[typing.Any]:
+        if self._has_partitions:
+            return (*_FAULTS, Soak.cut_off_instances, Soak.limit_rate)
+        return _FAULTS
+
     async def _proxy(self, port: int) -> Proxy:
         proxy = Proxy(port)
         await proxy.start()
@@ -307,6 +344,12 @@
     return [*SHORT_SEEDS, *REGRESSION_SEEDS]
 
 
+def _partition_seeds() -> list[int]:
+    if os.environ.get('FERRY_SOAK_SEEDS'):
+        return _seeds()
+    return list(SHORT_SEEDS)
+
+
 @pytest.mark.processes
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize('seed', _seeds())
@@ -324,3 +367,22 @@
         soak.stop()
     assert not soak.calls.violations, f'seed {seed}; logs in {tmp_path}'
     assert soak.calls.answered_count > 50
+
+
+@pytest.mark.processes
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', _partition_seeds())
+async def test_promises_hold_under_partitions_and_rate_limits(
+    cluster: typing.Any,
+    checked_calls: typing.Any,
+    tmp_path: pathlib.Path,
+    seed: int,
+) -> None:
+    soak = Soak(cluster, checked_calls, seed, has_partitions=True)
+    try:
+        await soak.start(tmp_path)
+        await soak.run(float(os.environ.get('FERRY_SOAK_S', '8')))
+    finally:
+        soak.stop()
+    assert not soak.calls.violations, f'seed {seed}; logs in {tmp_path}'
+    assert soak.calls.answered_count > 50
