--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -93,6 +93,11 @@
         peers = len(self._view.peer_addresses)
         return not message_intervals.choose_intervals(peers).is_mesh
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests of this instance wait for a permit."""
+        return len(self._waits)
+
     def is_needed(self, request: queueing.QueuedRequest) -> bool:
         """Tell whether a request needs a permit.
 
@@ -113,11 +118,6 @@
             limits.get(server.incarnation) is not None for server in possible
         )
 
-    @property
-    def waiting_count(self) -> int:
-        """Return how many requests of this instance wait for a permit."""
-        return len(self._waits)
-
     async def acquire(self, request: queueing.QueuedRequest) -> Placement:
         """Wait for a permit at the key's owner, or at any server of a pool."""
         wait: _Wait | None = None
