Explain requests that were relayed by the lines of both instances

Operators see: of a relayed request, ferryctl explain shows the line that was written last, which may be that of either instance, and not that it was relayed. Change: the line of the instance that the caller called counts; the other's follows.

--- a/packages/ctl/src/sycamoreferry_ctl/explaining.py
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -86,6 +86,8 @@
     end = lines[index]
     cause = _cause(end)
     details = [_describe_end(end), *_describe_tries(end)]
+    if end.relayed_to:
+        details.extend(_describe_relays(request, lines))
     if cause is Cause.NO_OWNER:
         details.extend(_key_history(end, lines[:index]))
     if cause in _SERVER_CAUSES:
@@ -103,6 +105,8 @@
         for index, line in enumerate(lines)
         if line.event in _END_EVENTS and line.request == request
     ]
+    # The instance that the caller called says what the caller got.
+    ends = [index for index in ends if not lines[index].relayed] or ends
     if not ends:
         return None
     # A shutdown that closes a connection is then logged as a caller that left.
@@ -126,6 +130,8 @@
     parts = _describe_outcome(end)
     if end.stopping:
         parts.append('the instance was stopping')
+    if end.relayed_to:
+        parts.append(f'relayed to {", ".join(end.relayed_to)}')
     if end.waited_ms:
         parts.append(f'waited {end.waited_ms} ms for a server')
     if end.key is not None:
@@ -161,6 +167,18 @@
     ]
 
 
+def _describe_relays(
+    request: str, lines: typing.Sequence[log_lines.LogLine]
+) -> list[str]:
+    """Return what the instances logged to which a request was relayed."""
+    details = []
+    for line in lines:
+        if line.relayed and line.request == request:
+            details.append(f'relayed request at {_describe_end(line)}')
+            details.extend(_describe_tries(line))
+    return details
+
+
 def _key_history(
     end: log_lines.LogLine,
     earlier: typing.Sequence[log_lines.LogLine],
--- a/packages/ctl/src/sycamoreferry_ctl/log_lines.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_lines.py
@@ -24,6 +24,9 @@
     tries: list[list[str]] = []
     sent_to: str | None = None
     stopping: bool = False
+    # Set at the instance to which another one relayed the request.
+    relayed: bool = False
+    relayed_to: list[str] = []
     key: int | None = None
     owner: str | None = None
     fence: int | None = None
--- a/packages/ctl/tests/test_explaining.py
+++ b/packages/ctl/tests/test_explaining.py
@@ -205,3 +205,23 @@
     assert 'key had no owner' in found.output
     absent = runner.invoke(cli.app, ['explain', 'absent', str(path)])
     assert absent.exit_code == 1
+
+
+def test_relayed_request_is_explained_by_both_instances() -> None:
+    texts = [
+        _ended(1, 'r', 3006, reason='no room', relayed_to=['e2']),
+        _ended(
+            2,
+            'r',
+            3006,
+            reason='no room',
+            relayed=True,
+            tries=[['b', 'not sent', 'connect']],
+        ),
+    ]
+    lines = [log_lines.parse_line(text) for text in texts]
+    explained = explaining.explain('r', [line for line in lines if line])
+    assert explained.cause == 'rejected under load'
+    assert 'relayed to e2' in explained.details[0]
+    assert 'relayed request at 2026-09-02T07:00:02' in explained.details[1]
+    assert explained.details[2] == 'sent to b: not sent (connect)'
