--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -138,6 +138,7 @@
         *,
         has_partitions: bool = False,
     ) -> None:
+        self.seed = seed
         self._has_partitions = has_partitions
         self.cluster = cluster
         self.calls = calls
@@ -350,6 +351,16 @@
     return list(SHORT_SEEDS)
 
 
+async def _play(soak: Soak, folder: pathlib.Path) -> None:
+    try:
+        await soak.start(folder)
+        await soak.run(float(os.environ.get('FERRY_SOAK_S', '8')))
+    finally:
+        soak.stop()
+    assert not soak.calls.violations, f'seed {soak.seed}; logs in {folder}'
+    assert soak.calls.answered_count > 50
+
+
 @pytest.mark.processes
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize('seed', _seeds())
@@ -359,14 +370,7 @@
     tmp_path: pathlib.Path,
     seed: int,
 ) -> None:
-    soak = Soak(cluster, checked_calls, seed)
-    try:
-        await soak.start(tmp_path)
-        await soak.run(float(os.environ.get('FERRY_SOAK_S', '8')))
-    finally:
-        soak.stop()
-    assert not soak.calls.violations, f'seed {seed}; logs in {tmp_path}'
-    assert soak.calls.answered_count > 50
+    await _play(Soak(cluster, checked_calls, seed), tmp_path)
 
 
 @pytest.mark.processes
@@ -379,10 +383,4 @@
     seed: int,
 ) -> None:
     soak = Soak(cluster, checked_calls, seed, has_partitions=True)
-    try:
-        await soak.start(tmp_path)
-        await soak.run(float(os.environ.get('FERRY_SOAK_S', '8')))
-    finally:
-        soak.stop()
-    assert not soak.calls.violations, f'seed {seed}; logs in {tmp_path}'
-    assert soak.calls.answered_count > 50
+    await _play(soak, tmp_path)
