--- a/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/rate_limits.py
@@ -1,8 +1,8 @@
 """Keep the request rates to which backend servers limit all instances together.
 
-Load pattern: a server in need names in its answers the rate that it takes from
-all callers, as long as the need lasts. Instances hear of it at different times,
-and from answers that may have been sent before the rate changed.
+Load pattern: an overloaded server advertises in its responses the request rate
+that it accepts from all clients, for as long as the overload lasts. Instances
+learn of it at different times, and from responses that may predate a change.
 """
 
 import dataclasses
@@ -13,7 +13,7 @@
 
 # A request now and then shows whether a server still takes none.
 _MIN_REQUESTS_PER_S = 0.25
-# A server that gets no requests can't say that its limit is over.
+# A server without requests cannot withdraw its limit.
 _CONFIRMED_MS = 10_000
 # How long instances tell each other that a limit is over.
 _LIFTED_REPORT_MS = 5_000
--- a/packages/core/src/sycamoreferry_core/traffic/reachability.py
+++ b/packages/core/src/sycamoreferry_core/traffic/reachability.py
@@ -1,9 +1,9 @@
 """Detect that this instance reaches no backend server.
 
-Load pattern: an instance loses its links to all servers for seconds, while
-callers, peers and the store still reach it. Open connections may hang or go on
-working, so failures of several servers only raise a suspicion; whether a new
-connection can be opened to any of some servers decides.
+Load pattern: a network partition separates an instance from all servers, but
+not from callers, peers and the store. Established connections may hang or still
+work, so failures at several servers only raise a suspicion; probes with new
+connections decide.
 """
 
 import collections
--- a/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
+++ b/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
@@ -1,7 +1,8 @@
 """Space the requests to servers that limit their rate.
 
-A server's next request is due one interval after the last. Part of the time
-that nobody used is made up for, so that irregular arrivals reach the full rate.
+A generic cell rate algorithm: a request is due one interval after the last,
+and a bounded burst makes up for idle time, so that irregular arrivals reach the
+full rate.
 """
 
 import math
