Test that lost links of an instance are not blamed on servers

Callers see: an instance that is cut off from all servers takes its own broken connections for crashes of servers, and as the one that counts for a server it suspends that server for all instances. Cause: failures are recorded for servers whether or not the instance reaches any.

--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -193,6 +193,23 @@
     assert verdicts == ['granted', 'queued']
 
 
+async def test_links_lost_by_the_counting_instance_limit_no_other_instance(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    counting = cluster.instances[0]
+    verdicts: list[str] = []
+    counting._permit_service._post = _VerdictRecorder(verdicts)
+    name = _owner(cluster).name
+    now = counting._clock.now()
+    counting._loads.reachability.record_probe(now, has_reached=False)
+    for _ in range(3):
+        counting._loads.record_failure(name, now)
+    for number in (1, 2):
+        counting._permit_service.handle_request(_ask(name, number))
+    assert verdicts == ['granted', 'granted']
+
+
 def _ask(name: str, number: int) -> peer_messages.PermitRequest:
     return peer_messages.PermitRequest(
         instance='asking',
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -179,3 +179,18 @@
     peer_port = cluster.instances[0]._deployment.peer_port
     reply = await _exchange(cluster, envelope, peer_port)
     assert reply.status == status
+
+
+async def test_links_lost_by_an_instance_count_as_no_crash_of_a_server(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster, 'unsafe', instances=1)
+    instance = cluster.instances[0]
+    instance._pool.exchange = _LossyPool(
+        instance._pool, was_sent=True, losses=1
+    ).exchange
+    payload = cluster.encode_request('r1', KEY, method='POST')
+    assert (await _exchange(cluster, payload)).status == 502
+    now = instance._clock.now()
+    for life in instance._view.fleet.incarnations:
+        assert not instance._view.crashes.confirm_crashes(life, now)
