Show that fences and owners repeat after the store lost records

The stand-in store gets what the users' platform has: Store-Era in all answers, an older copy to which it returns, what the operator and the servers wrote since written again, and 410 for an offset that it doesn't have. It notes each grant that a server accepts under a fence not above another server's. Servers refuse a fence below any that they have seen, as those of the platform do, not only below those that they hold.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -71,11 +71,19 @@
 
 
 class StoreStandIn(LoopbackServer):
-    """Store keyed topics; can lose the reply to an append or fail with 503."""
+    """Store keyed topics; can fail, lose replies or return to an older copy."""
 
     def __init__(self) -> None:
         super().__init__()
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        # When each record of a topic was written.
+        self.written_at: dict[str, list[int]] = {}
+        # Grants of all servers, and those whose fence was not above the one
+        # with which another server had a key.
+        self.grants: set[AcceptedGrant] = set()
+        self.low_fences: list[tuple[AcceptedGrant, AcceptedGrant]] = []
+        # Rises by one each time the store returns to an older copy.
+        self.era = 1
         self.is_down = False
         self.rejects_appends = False
         self.append_replies_to_lose = 0
@@ -85,18 +93,72 @@
     def put(self, topic: str, key: str, content: bytes) -> int:
         rows = self.topics.setdefault(topic, [])
         rows.append((key, content))
+        self.written_at.setdefault(topic, []).append(self.clock.now())
         self._record_added.set()
         self._record_added = asyncio.Event()
         return len(rows) - 1
 
+    async def restore(
+        self,
+        copy_age_ms: int,
+        away_s: float = 0,
+        rewrite_delay_s: float = 0,
+    ) -> None:
+        """Be away for a time, and come back from a copy of some age.
+
+        What the operator and the servers wrote since is written again.
+        """
+        self.is_down = True
+        await asyncio.sleep(away_s)
+        lost = self.return_to_copy(self.clock.now() - copy_age_ms)
+        self.is_down = False
+        await asyncio.sleep(rewrite_delay_s)
+        for topic, key, content in lost:
+            if topic in {'keyed.op', 'keyed.servers'}:
+                self.put(topic, key, content)
+
+    def record_grant(self, grant: 'AcceptedGrant') -> None:
+        """Record a grant that a server accepted, and compare its fence."""
+        if grant in self.grants:
+            return
+        self.low_fences.extend(
+            (grant, known)
+            for known in self.grants
+            if known.server != grant.server
+            and known.fence >= grant.fence
+            and known.overlaps(grant)
+        )
+        self.grants.add(grant)
+
+    def return_to_copy(self, taken_at: int) -> list[tuple[str, str, bytes]]:
+        """Return to a copy and return the records that it lacks."""
+        lost = []
+        for topic, rows in self.topics.items():
+            times = self.written_at[topic]
+            while times and times[-1] > taken_at:
+                times.pop()
+                lost.append((topic, *rows.pop()))
+        lost.reverse()
+        self.era += 1
+        return lost
+
     async def handle(
         self,
         request: http_server.CallerRequest,
+    ) -> http_server.CallerAnswer:
+        answer = await self._answer(request)
+        headers = (*answer.headers, ('Store-Era', str(self.era)))
+        return dataclasses.replace(answer, headers=headers)
+
+    async def _answer(
+        self,
+        request: http_server.CallerRequest,
     ) -> http_server.CallerAnswer:
         if self.is_down:
             return _answer(503)
         query = dict(url_parse.parse_qsl(request.target.partition('?')[2]))
         topic = self.topics.setdefault(query['Topic'], [])
+        self.written_at.setdefault(query['Topic'], [])
         if request.path == '/log-newest':
             return self._newest(topic)
         if request.path == '/log-read':
@@ -132,6 +194,8 @@
         topic = self.topics[query['Topic']]
         start = int(query['From'])
         wait_ms = int(query.get('WaitMs', 0))
+        if start > len(topic):
+            return _answer(410, {'FirstOffset': 0})
         if start >= len(topic) and wait_ms:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_ms / 1_000):
@@ -151,13 +215,23 @@
         topic = self.topics[query['Topic']]
         if 'At' in query and int(query['At']) != len(topic):
             return _answer(412, {'EndOffset': len(topic)})
-        length = body[4]
-        key = body[5 : 5 + length].decode()
-        offset = self.put(query['Topic'], key, body[5 + length :])
+        offset = len(topic)
+        for key, content in _split_records(body):
+            self.put(query['Topic'], key, content)
         if self.append_replies_to_lose:
             self.append_replies_to_lose -= 1
             await asyncio.sleep(30)
-        return _answer(200, {'Offset': offset, 'EndOffset': offset + 1})
+        return _answer(200, {'Offset': offset, 'EndOffset': len(topic)})
+
+
+def _split_records(body: bytes) -> typing.Iterator[tuple[str, bytes]]:
+    position = 0
+    while position < len(body):
+        (length,) = struct.unpack_from('>I', body, position)
+        start = position + 4
+        position = start + length
+        content = start + 1 + body[start]
+        yield body[start + 1 : content].decode(), body[content:position]
 
 
 @dataclasses.dataclass
@@ -170,6 +244,19 @@
     expires_at_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AcceptedGrant:
+    """Record that a server accepted a grant."""
+
+    server: str
+    first: int
+    last: int
+    fence: int
+
+    def overlaps(self, other: 'AcceptedGrant') -> bool:
+        return self.first <= other.last and other.first <= self.last
+
+
 class ServerStandIn(LoopbackServer):
     """Accept grants of keys and run requests for keys that it holds."""
 
@@ -182,7 +269,8 @@
         # The value of the rate limit header of its answers; '' for none.
         self.rate_limit = ''
         self.granted: list[HeldGrant] = []
-        self.highest: dict[int, int] = {}
+        # The grants that this life of the server accepted.
+        self.accepted: set[AcceptedGrant] = set()
         self.is_keyed = True
         self.drops = 0
         self.sequence = 0
@@ -214,7 +302,7 @@
     def restart(self) -> None:
         self.born += 1
         self.granted.clear()
-        self.highest.clear()
+        self.accepted.clear()
         self.register()
 
     def holds(self, key: int) -> bool:
@@ -245,9 +333,14 @@
     ) -> http_server.CallerAnswer:
         first, last = order['From'], order['To']
         fence = order['fence']
-        for row in self.granted:
-            if row.first <= last and first <= row.last and row.fence > fence:
-                return _answer(409)
+        accepted = AcceptedGrant(self.name, first, last, fence)
+        if any(
+            known.fence > fence and known.overlaps(accepted)
+            for known in self.accepted
+        ):
+            return _answer(409)
+        self._store.record_grant(accepted)
+        self.accepted.add(accepted)
         self._release({'From': first, 'To': last})
         hold_ms = int(order['Hold'].removesuffix('ms'))
         expires_at_ms = self.clock.now() + hold_ms
--- /dev/null
+++ b/packages/gateway/tests/test_store_restore.py
@@ -0,0 +1,218 @@
+"""Check instances whose store returns to an older copy of its records."""
+
+import asyncio
+import enum
+import typing
+
+import pytest
+
+from sycamoreferry_core.keyspace import placement
+
+COPY_AGE_MS = 1_500
+# Longest time for which a lease of the time before may hold a key, and the
+# time to claim and to grant.
+LONGEST_HOLD_S = 18
+KEYS = tuple(range(0, 65_536, 2_048))
+
+
+@enum.unique
+class Drill(enum.Enum):
+    """Name what happens to instances when the store returns to a copy."""
+
+    COORDINATOR_GOES_ON = 'coordinator-goes-on'
+    COORDINATOR_DIES = 'coordinator-dies'
+    COORDINATOR_RESTARTS = 'coordinator-restarts'
+    ALL_RESTART = 'all-restart'
+    AWAY_FOR_LONG = 'away-for-long'
+    TWICE = 'twice'
+
+
+async def _start(
+    cluster: typing.Any, instances: int = 3, servers: int = 3
+) -> None:
+    await cluster.start(servers, instances)
+    await cluster.wait_until(cluster.is_covered)
+    await cluster.wait_until(
+        lambda: all(one.is_ready for one in cluster.instances)
+    )
+
+
+async def _move_keys(cluster: typing.Any, first: int, count: int) -> None:
+    """Move single keys, one after another, each to another server."""
+    for key in range(first, first + count):
+        await _move_key(cluster, key)
+
+
+async def _move_key(cluster: typing.Any, key: int) -> str:
+    leader = _leader(cluster)
+    row = leader._view.owner_of('keys', key)
+    destination = next(
+        known.incarnation
+        for known in leader._view.servers_of('keys')
+        if known.incarnation != row.owner
+    )
+    keys = type(row.keys)(key, key)
+    move = placement.Move(keys, row.owner, destination)
+    leader._coordinator._mover._start_move('keys', row, move, 1)
+    moved_to = typing.cast(str, destination.server)
+    await cluster.wait_until(lambda: cluster.owners(key) == [moved_to], 3)
+    return moved_to
+
+
+async def _restore(cluster: typing.Any, drill: Drill) -> None:
+    store = cluster.store
+    number = cluster.instances.index(_leader(cluster))
+    if drill is Drill.COORDINATOR_DIES:
+        await cluster.kill(number)
+        await store.restore(COPY_AGE_MS)
+    elif drill is Drill.COORDINATOR_RESTARTS:
+        await cluster.kill(number)
+        await store.restore(COPY_AGE_MS)
+        cluster.restart(number)
+    elif drill is Drill.ALL_RESTART:
+        for each in range(3):
+            await cluster.kill(each)
+        await store.restore(COPY_AGE_MS)
+        for each in range(3):
+            cluster.restart(each)
+    else:
+        away_s = 2.5 if drill is Drill.AWAY_FOR_LONG else 0.2
+        await store.restore(COPY_AGE_MS + int(away_s * 1_000), away_s)
+        if drill is Drill.TWICE:
+            await asyncio.sleep(0.5)
+            # This copy is older than the first claim after the first restore.
+            await store.restore(COPY_AGE_MS + 1_500, away_s)
+
+
+def _running(cluster: typing.Any) -> list[typing.Any]:
+    return [
+        one
+        for one, task in zip(cluster.instances, cluster._tasks, strict=True)
+        if not task.done()
+    ]
+
+
+def _leaders(cluster: typing.Any) -> list[typing.Any]:
+    return [one for one in _running(cluster) if one._coordinator.has_authority]
+
+
+def _leader(cluster: typing.Any) -> typing.Any:
+    return _leaders(cluster)[0]
+
+
+def _is_served_again(cluster: typing.Any) -> bool:
+    return cluster.is_covered() and len(_leaders(cluster)) == 1
+
+
+async def _watch_owners(cluster: typing.Any, shared: set[int]) -> None:
+    while True:
+        shared.update(key for key in KEYS if len(cluster.owners(key)) > 1)
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize('drill', list(Drill), ids=lambda drill: drill.value)
+async def test_fences_are_given_again_after_the_store_lost_records(
+    cluster: typing.Any, drill: Drill
+) -> None:
+    await _start(cluster)
+    await asyncio.sleep(COPY_AGE_MS / 1_000)
+    # More records than a new coordinator writes by itself.
+    await _move_keys(cluster, KEYS[3], 8)
+    await _restore(cluster, drill)
+    await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
+    await _move_keys(cluster, KEYS[3], 8)
+    assert not cluster.store.low_fences
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize('drill', list(Drill), ids=lambda drill: drill.value)
+async def test_keys_moved_since_the_copy_are_granted_to_two_servers(
+    cluster: typing.Any, drill: Drill
+) -> None:
+    await _start(cluster)
+    await asyncio.sleep(COPY_AGE_MS / 1_000)
+    shared: set[int] = set()
+    watch = asyncio.create_task(_watch_owners(cluster, shared))
+    for key in KEYS[:4]:
+        await _move_key(cluster, key)
+    await _restore(cluster, drill)
+    await asyncio.sleep(3)
+    await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
+    watch.cancel()
+    assert not shared
+
+
+async def test_keyed_requests_lose_their_owners_while_a_coordinator_goes_on(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    await asyncio.sleep(COPY_AGE_MS / 1_000)
+    moved_to = [await _move_key(cluster, key) for key in KEYS[:3]]
+    await _restore(cluster, Drill.COORDINATOR_GOES_ON)
+    for _ in range(60):
+        await asyncio.sleep(0.05)
+        assert cluster.is_covered()
+        assert [cluster.owners(key) for key in KEYS[:3]] == [
+            [name] for name in moved_to
+        ]
+
+
+async def test_lost_term_is_claimed_again_under_its_number(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    await asyncio.sleep(0.5)
+    copied_at = cluster.store.clock.now()
+    number = cluster.instances.index(_leader(cluster))
+    await cluster.kill(number)
+    await cluster.wait_until(lambda: len(_leaders(cluster)) == 1)
+    lost = _leader(cluster)._view.assignment.term
+    for one in _running(cluster):
+        await cluster.kill(cluster.instances.index(one))
+    cluster.store.return_to_copy(copied_at)
+    cluster.add_instance('later')
+    await cluster.wait_until(lambda: len(_leaders(cluster)) == 1)
+    assert cluster.instances[-1]._view.assignment.term > lost
+
+
+async def test_older_copy_of_the_configuration_replaces_the_one_in_force(
+    cluster: typing.Any, encode_configuration: typing.Any
+) -> None:
+    await _start(cluster)
+    copied_at = cluster.store.clock.now()
+    await asyncio.sleep(0.01)
+    cluster.store.put('keyed.op', 'config', encode_configuration(3))
+    await cluster.wait_until(lambda: _have_version(cluster, 3))
+    cluster.store.return_to_copy(copied_at)
+    for _ in range(20):
+        await asyncio.sleep(0.1)
+        assert _have_version(cluster, 3)
+
+
+async def test_server_that_left_is_taken_back_from_the_copy(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    copied_at = cluster.store.clock.now()
+    await asyncio.sleep(0.01)
+    gone = cluster.servers[0]
+    gone.register('draining')
+    await cluster.wait_until(lambda: not gone.granted)
+    cluster.store.put('keyed.servers', gone.name, b'')
+    await cluster.wait_until(
+        lambda: all(
+            len(one._view.fleet.servers) == 2 for one in _running(cluster)
+        )
+    )
+    cluster.store.return_to_copy(copied_at)
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        assert not gone.granted
+        assert all(
+            len(one._view.fleet.servers) == 2 for one in _running(cluster)
+        )
+
+
+def _have_version(cluster: typing.Any, version: int) -> bool:
+    return all(one._view.config.version == version for one in cluster.instances)
