Log when the store returns to an older copy

Until now nothing in the logs or metrics told a store that lost records from one that was merely away, so the hypotheses about repeated fences could not be told apart. Each instance reads Store-Era of all answers, writes one line when it rises, and reports it as ferry_gateway_store_era.

--- a/packages/core/src/sycamoreferry_core/fleet/store_records.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -8,6 +8,10 @@
 
 TopicName = typing.NewType('TopicName', str)
 RecordKey = typing.NewType('RecordKey', str)
+# Rises by one each time the store returns to an older copy of its records.
+StoreEra = typing.NewType('StoreEra', int)
+
+NO_ERA = StoreEra(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -237,6 +237,7 @@
             'moves_made': self._coordinator.moves_made,
             'store_calls': self._store.calls,
             'store_silent_ms': self._store.silent_ms(),
+            'store_era': self._store.era,
             'connections_opened': self._pool.opened_count,
         }
 
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -33,8 +33,14 @@
         self._is_down = False
         self._failures = 0
         self._was_reached = False
+        self._era = store_records.NO_ERA
         self.calls = 0
 
+    @property
+    def era(self) -> store_records.StoreEra:
+        """Return the newest era that a reply named."""
+        return self._era
+
     @property
     def last_outage(self) -> clock.Millis:
         """Return the end of the last outage, or now while one lasts."""
@@ -139,6 +145,7 @@
         )
         if isinstance(outcome, http_client.FailedExchange):
             return self._record_failure(_failure_of(outcome))
+        self._note_era(store_calls.parse_era(outcome))
         if outcome.status in _UNAVAILABLE_STATUSES:
             return self._record_failure(
                 store_records.StoreFailure(
@@ -149,6 +156,18 @@
         self._record_success()
         return outcome
 
+    def _note_era(self, era: store_records.StoreEra) -> None:
+        if era <= self._era:
+            return
+        if self._era != store_records.NO_ERA:
+            self._log.write(
+                'store',
+                'store returned to an older copy of its records',
+                era=era,
+                earlier_era=self._era,
+            )
+        self._era = era
+
     def _record_success(self) -> None:
         now = self._clock.now()
         self._failures = 0
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -332,3 +332,13 @@
         assignment.decode_assignment(content)
     except msgspec.MsgspecError:
         return
+
+
+@pytest.mark.parametrize(
+    ('text', 'era'),
+    [('1', 1), ('12', 12), ('', 0), ('-1', 0), ('1.5', 0), ('9' * 40, 0)],
+)
+def test_malformed_era_of_the_store_counts_as_none(text: str, era: int) -> None:
+    headers = (('store-era', text),) if text else ()
+    reply = http_messages.HttpResponse(200, headers, b'')
+    assert store_calls.parse_era(reply) == era
