Take no server back whose entry was known when it was removed

A store that returns to an older copy lists servers again that had left. Their entries were taken over if they were of the incarnation last known, as only an earlier one was refused. An entry now has to be newer than the last one that was seen; the heartbeats of a server that is alive give it a higher number.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -55,7 +55,8 @@
     def __init__(self) -> None:
         self._servers: dict[ids.ServerId, BackendServer] = {}
         self._removal_times: dict[ids.ServerId, clock.Millis] = {}
-        self._removed_incarnations: dict[ids.ServerId, IncarnationNumber] = {}
+        # The last entry of each server that was removed.
+        self._removed: dict[ids.ServerId, BackendServer] = {}
 
     @property
     def servers(self) -> typing.Mapping[ids.ServerId, BackendServer]:
@@ -83,13 +84,12 @@
     def apply(self, entry: BackendServer) -> bool:
         """Store an entry and return True unless a newer one is known."""
         known = self._servers.get(entry.incarnation.server)
-        last_removed = self._removed_incarnations.get(
-            entry.incarnation.server, IncarnationNumber(-1)
-        )
-        if entry.incarnation.born < last_removed:
-            return False
         if known is not None and _is_older(entry, known):
             return False
+        removed = self._removed.get(entry.incarnation.server)
+        if removed is not None and not _is_older(removed, entry):
+            # The store may return to a copy that still has the entry.
+            return False
         self._servers[entry.incarnation.server] = entry
         self._removal_times.pop(entry.incarnation.server, None)
         return True
@@ -116,7 +116,7 @@
         for server in due:
             self._removal_times.pop(server)
             gone = self._servers.pop(server)
-            self._removed_incarnations[server] = gone.incarnation.born
+            self._removed[server] = gone
             removed.append(gone)
         return removed
 
