Keep fences, terms and owners in order after the store lost records

Cause: the store may return to an older copy of its records. Then it gives offsets out again, and fences and terms follow from offsets and records: a coordinator issued fences that other servers had seen, a lost term was claimed again, and a restarted one granted keys by the copy's owners while servers held them by later ones. Class: a value of another system that was taken as increasing for good.

Evidence: test_store_restore.py on: key 6149 with fence 8 at one server and fence 8 at another; four keys held by two servers; term 2 claimed twice.

Change: - Offsets belong to an era of the store (Store-Era). A mirror that meets a newer era lists its topic anew, an answer of an earlier one is dropped, and peers compare offsets of one era only. Heartbeats, records and requests for records name the era in a new last field, which earlier builds ignore. - The first claim in an era skips offsets, by records without content in the same append, beyond all that may have been given out. Fences still are the offset after their record, so those of an earlier build that coordinates next rise as well. The claim's era is a record of its own, which that build leaves alone. - A coordinator has no authority in an era in which it has not claimed. The one that wrote the lost records claims again with the owners that it remembers; others leave it 1.5 s. Who doesn't know the owners claims without any, and assigns keys once all leases may have expired. The same holds for one that knows them, if a peer fell silent in the 5 s before, as that peer may have claimed a term in the lost records. - A term claimed over lost records takes the number of its fence, which is above all lost ones. - A stopped instance ends its tasks also if it is cancelled; the tests' killed coordinators went on writing.

term_manager.py and view.py are split: assignment_writer, assignment_tracker, earlier_terms, term_claims, claim_records, read_offsets.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -3,7 +3,10 @@
 import dataclasses
 
 from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import store_records
 
+# A coordinator may act for this long after the store last confirmed its term.
+AUTHORITY_MS = 1_500
 # A peer that sends no message for this long is considered down.
 PEER_TIMEOUT_MS = 900
 # Each lower-ranked instance waits this much longer before it claims.
@@ -29,6 +32,7 @@
     counting_weight: float
     # Whether it reaches no backend server.
     is_cut_off: bool = False
+    store_era: store_records.StoreEra = store_records.NO_ERA
 
 
 class Peers:
@@ -74,6 +78,15 @@
             if not peer.is_leaving and not peer.is_cut_off
         ]
 
+    def has_lost_any(self, since: clock.Millis, now: clock.Millis) -> bool:
+        """Return whether a peer heard since a time fell silent unplanned."""
+        return any(
+            peer.received_at >= since
+            and now - peer.received_at >= self.peer_timeout_ms
+            and not peer.is_leaving
+            for peer in self._peers.values()
+        )
+
     def count(self, now: clock.Millis) -> int:
         """Return the number of instances alive, this one included."""
         return 1 + len(self.alive(now))
@@ -110,6 +123,13 @@
     since: clock.Millis
     # Whether this instance reaches no backend server.
     is_cut_off: bool = False
+    # Since when the store's assignment is an older copy; None if it isn't.
+    owners_lost_since: clock.Millis | None = None
+
+
+# The coordinator claims its term again within this time after the store
+# returned to an older copy, unless it is of a version that takes no note.
+RECLAIM_TIMEOUT_MS = 1_500
 
 
 def should_claim(
@@ -123,6 +143,17 @@
         return False
     if view.is_own_earlier_term:
         return True
+    if view.owners_lost_since is not None:
+        wait = _rank_wait(peers, now, _RANK_STEP_MS)
+        return now - view.owners_lost_since > RECLAIM_TIMEOUT_MS + wait
+    return _is_coordinator_lost(view, peers, now)
+
+
+def _is_coordinator_lost(
+    view: CoordinatorView,
+    peers: Peers,
+    now: clock.Millis,
+) -> bool:
     wait = _rank_wait(peers, now, _RANK_STEP_MS)
     status = None
     if view.coordinator is not None:
--- a/packages/core/src/sycamoreferry_core/fleet/store_records.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -23,6 +23,14 @@
     content: bytes | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewRecord:
+    """Hold a record to be appended; without content its key is dropped."""
+
+    key: RecordKey
+    content: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordPage:
     """Carry records and the offset from which to continue reading."""
@@ -30,6 +38,8 @@
     records: tuple[StoredRecord, ...]
     end: ids.Offset
     has_more: bool = False
+    # Offsets of different eras can't be compared.
+    era: StoreEra = NO_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +91,8 @@
     def __init__(self) -> None:
         self._records: dict[RecordKey, StoredRecord] = {}
         self._end = ids.FIRST_OFFSET
+        self._era = NO_ERA
+        self._has_lost_records = False
         self._is_complete = False
 
     @property
@@ -88,6 +100,16 @@
         """Return the offset from which to continue reading."""
         return self._end
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era of the store to which the offsets belong."""
+        return self._era
+
+    @property
+    def has_lost_records(self) -> bool:
+        """Return whether the store returned to a copy since the start."""
+        return self._has_lost_records
+
     @property
     def is_complete(self) -> bool:
         """Return whether a full listing of the topic was applied."""
@@ -104,7 +126,14 @@
         return self._records
 
     def apply(self, page: RecordPage) -> list[StoredRecord]:
-        """Apply a page; return the records that are newer than known ones."""
+        """Apply a page; return the records that are newer than known ones.
+
+        A page of an earlier era changes nothing.
+        """
+        if page.era < self._era:
+            return []
+        if page.era > self._era:
+            self._begin_era(page.era)
         changed = []
         for record in page.records:
             known = self._records.get(record.key)
@@ -117,11 +146,15 @@
 
     def replace(
         self,
-        records: typing.Sequence[StoredRecord],
-        end: ids.Offset,
+        listing: RecordPage,
     ) -> list[StoredRecord]:
         """Apply a full listing; mark known keys that it lacks as deleted."""
-        listed = {record.key for record in records}
+        if listing.era < self._era:
+            return []
+        if listing.era > self._era:
+            self._begin_era(listing.era)
+        end = listing.end
+        listed = {record.key for record in listing.records}
         deleted = [
             StoredRecord(key, ids.Offset(end - 1), None)
             for key, known in self._records.items()
@@ -130,4 +163,16 @@
             and known.offset < end
         ]
         self._is_complete = True
-        return self.apply(RecordPage((*records, *deleted), end))
+        records = (*listing.records, *deleted)
+        return self.apply(dataclasses.replace(listing, records=records))
+
+    def _begin_era(self, era: StoreEra) -> None:
+        """Forget all offsets; the contents stay until they are listed."""
+        self._has_lost_records = self._era != NO_ERA
+        self._era = era
+        self._end = ids.FIRST_OFFSET
+        self._is_complete = False
+        self._records = {
+            key: dataclasses.replace(record, offset=ids.NO_OFFSET)
+            for key, record in self._records.items()
+        }
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/keyspace/fences.py
@@ -0,0 +1,29 @@
+"""Keep fences rising when the store has lost records."""
+
+from sycamoreferry_core import ids
+from sycamoreferry_core.fleet import store_records
+
+# More records than instances write while a copy of the store grows old.
+RECORDS_PER_ERA = 32_768
+# Limits the size of one append.
+_MAX_LOST_ERAS = 8
+
+
+def offsets_to_skip(
+    end: ids.Offset,
+    highest_known: ids.Fence,
+    *,
+    era: store_records.StoreEra,
+    claimed_era: store_records.StoreEra,
+) -> int:
+    """Return how many offsets to skip so that the next fence is the highest.
+
+    Fences follow from offsets, which the store gives out again after it has
+    returned to an older copy. `claimed_era` is the era of the last claim that
+    the copy has; those of later eras are lost, with the offsets that they
+    skipped.
+    """
+    if claimed_era == era:
+        return 0
+    lost_eras = max(1, min(era - claimed_era, _MAX_LOST_ERAS))
+    return max(lost_eras * RECORDS_PER_ERA, highest_known - end)
--- a/packages/core/src/sycamoreferry_core/keyspace/owners.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/owners.py
@@ -55,6 +55,11 @@
         """Return the rows in the order of their keys."""
         return self._rows
 
+    @property
+    def highest_fence(self) -> ids.Fence:
+        """Return the highest fence of all rows."""
+        return max((row.fence for row in self._rows), default=ids.NO_FENCE)
+
     def owner_of(self, key: Key) -> Ownership | None:
         """Return the row that contains a key; None if it has no owner."""
         index = bisect.bisect_right(self._firsts, key) - 1
--- a/packages/gateway/src/sycamoreferry_gateway/assignment.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment.py
@@ -43,6 +43,14 @@
     write: str
     tables: _Tables
 
+    @property
+    def highest_fence(self) -> ids.Fence:
+        """Return the highest fence of all owners."""
+        return max(
+            (table.highest_fence for table in self.tables.values()),
+            default=ids.NO_FENCE,
+        )
+
     def table(self, service: ids.ServiceName) -> owners.OwnerTable:
         """Return the owners of keys, an empty table for an unknown service."""
         return self.tables.get(service, _EMPTY)
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -7,6 +7,7 @@
 from sycamoreferry_core.keyspace import leases, owners
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
+    assignment_writer,
     background,
     event_log,
     http_client,
@@ -34,7 +35,7 @@
         pool: http_client.ConnectionPool,
         loads: server_load.ServerLoads,
         log: event_log.EventLog,
-        announce: term_manager.Announce,
+        announce: assignment_writer.Announce,
     ) -> None:
         self._view = cluster_view
         self._clock = cluster_view.clock
@@ -112,7 +113,10 @@
             if self.has_authority:
                 self._coordinate_or_hand_over()
             elif self.is_coordinating:
-                self._give_up('the store did not confirm the term in time')
+                reason = 'the store did not confirm the term in time'
+                if self._terms.has_lost_era:
+                    reason = 'the store returned to an older copy'
+                self._give_up(reason)
             else:
                 await self._consider_claim()
 
@@ -151,8 +155,9 @@
         coordinator_view = instances.CoordinatorView(
             holder,
             holder == self._view.deployment.instance,
-            self._view.coordinator_since,
+            self._view.owners.term_since,
             self._links.is_cut_off,
+            self._view.owners.lost_since,
         )
         now = self._clock.now()
         if not instances.should_claim(coordinator_view, self._view.peers, now):
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/earlier_terms.py
@@ -0,0 +1,95 @@
+"""Find out what is known of the owners and leases of earlier terms."""
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import instances
+from sycamoreferry_core.keyspace import leases
+from sycamoreferry_gateway import (
+    assignment,
+    order_sender,
+    term_claims,
+    view,
+)
+
+# Within this time, an instance that hears from no coordinator claims the term.
+_LONGEST_CLAIM_MS = 5_000
+
+
+class EarlierTerms:
+    """Answer for the time before a claim."""
+
+    def __init__(
+        self,
+        cluster_view: view.View,
+        orders: order_sender.OrderSender,
+    ) -> None:
+        self._view = cluster_view
+        self._clock = cluster_view.clock
+        self._orders = orders
+
+    def owner_knowledge(
+        self,
+        given_up: ids.Term,
+        confirmed_at: clock.Millis,
+    ) -> term_claims.OwnerKnowledge:
+        """Return what this instance knows of the owners.
+
+        Takes the last term that it gave up, and when the store last confirmed
+        that term.
+        """
+        if self._view.owners.lost_since is None:
+            return term_claims.OwnerKnowledge.STORED
+        # Another instance may have claimed a term in records that the store
+        # lost. It reports that, unless it was lost or is cut off from this one.
+        since = clock.Millis(confirmed_at - _LONGEST_CLAIM_MS)
+        if self.is_own(
+            self._view.assignment, given_up
+        ) and not self._view.peers.has_lost_any(since, self._clock.now()):
+            return term_claims.OwnerKnowledge.REMEMBERED
+        return term_claims.OwnerKnowledge.LOST
+
+    def is_own(
+        self, earlier: assignment.Assignment, given_up: ids.Term
+    ) -> bool:
+        """Tell whether this instance wrote an assignment and gave it up."""
+        return (
+            earlier.term == given_up
+            and earlier.coordinator == self._view.deployment.instance
+        )
+
+    def must_wait(self, knowledge: term_claims.OwnerKnowledge) -> bool:
+        """Tell whether an instance that knows the owners may still claim."""
+        lost_since = self._view.owners.lost_since
+        if lost_since is None:
+            return False
+        waited_ms = self._clock.now() - lost_since
+        return (
+            knowledge is term_claims.OwnerKnowledge.LOST
+            and waited_ms < instances.RECLAIM_TIMEOUT_MS
+        )
+
+    def assume_leases(
+        self,
+        earlier: assignment.Assignment,
+        knowledge: term_claims.OwnerKnowledge,
+        *,
+        is_own: bool,
+    ) -> None:
+        """Start the lease book of a new term with the leases of an earlier one.
+
+        If this instance gave that term up itself, its lease book has every
+        lease, unless the owners are lost.
+        """
+        until = None
+        if knowledge is not term_claims.OwnerKnowledge.LOST:
+            if is_own or earlier.coordinator is None:
+                return
+            until = self._view.given_up_lease_ends.get(earlier.term)
+        book = leases.LeaseBook()
+        self._orders.use_book(book)
+        book.assume_earlier_grants(until or self._latest_end())
+
+    def _latest_end(self) -> clock.Millis:
+        """Return when all leases granted until now have expired."""
+        longest = self._view.deployment.bounds.longest_hold_ms
+        unknown_ms = instances.AUTHORITY_MS + leases.longest_hold_ms(longest)
+        return clock.later(self._clock.now(), unknown_ms)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -90,6 +90,7 @@
         self._exchange.message_handler.on_peer_offset = (
             self._sync.note_peer_offset
         )
+        self._exchange.message_handler.on_other_era = self._sync.wake_all
         self._permit_service = permit_service.PermitService(
             self._view,
             self._loads,
@@ -147,10 +148,12 @@
             loop.create_task(self._run_restarting(work))
             for work in self._work()
         ]
-        await self._stop.wait()
-        await self._drain(self._stop_requested_at or self._clock.now())
-        for task in tasks:
-            task.cancel()
+        try:
+            await self._stop.wait()
+            await self._drain(self._stop_requested_at or self._clock.now())
+        finally:
+            for task in tasks:
+                task.cancel()
 
     def request_stop(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start a shutdown; the grace period begins at the first request."""
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -8,6 +8,7 @@
 from sycamoreferry_core.fleet import servers
 from sycamoreferry_core.keyspace import owners, placement
 from sycamoreferry_gateway import (
+    assignment_writer,
     background,
     lease_manager,
     load_estimator,
@@ -33,7 +34,7 @@
         orders: order_sender.OrderSender,
         estimator: load_estimator.LoadEstimator,
         tasks: background.BackgroundTasks,
-        announce: term_manager.Announce,
+        announce: assignment_writer.Announce,
     ) -> None:
         self._view = cluster_view
         self._clock = cluster_view.clock
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -103,6 +103,7 @@
         silent_ms = self._clock.now() - status.received_at
         return (
             status.has_authority
+            and self._view.offsets.accepts(status.store_era)
             and not status.is_leaving
             and silent_ms + status.store_age_ms < _COORDINATOR_READ_MAX_AGE_MS
         )
@@ -125,6 +126,7 @@
                 store_sync.SERVERS_TOPIC,
                 ids.FIRST_OFFSET,
                 rows,
+                self._view.mirrors[store_sync.SERVERS_TOPIC].era,
             ),
         )
 
@@ -228,7 +230,7 @@
             counting_weight=self._view.deployment.counting_weight,
             given_up_term=given_up_term,
             leases_ms=leases_ms,
-            ends=list(self._view.end_offsets().values()),
+            ends=list(self._view.offsets.ends().values()),
             loads=loads,
             crashes=[
                 peer_messages.CrashRow(
@@ -242,6 +244,7 @@
                 self._loads.rate_limits.recent(now), now
             ),
             is_cut_off=self._loads.reachability.is_cut_off,
+            era=self._view.offsets.era,
         )
 
     def _report_demand(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -49,6 +49,8 @@
         self._requested_at: dict[store_records.TopicName, clock.Millis] = {}
         self.on_new_peer: typing.Callable[[_Address], None] = _ignore_new_peer
         self.on_peer_offset: store_sync.OnPeerOffset = _ignore_peer_offset
+        # Called if a peer has read the store in another era.
+        self.on_other_era: typing.Callable[[], None] = _ignore_other_era
         self.counter: permit_service.PermitService | None = None
         self.permits: permit_client.PermitClient | None = None
 
@@ -79,6 +81,7 @@
                 heartbeat.has_authority,
                 heartbeat.counting_weight,
                 heartbeat.is_cut_off,
+                store_records.StoreEra(heartbeat.era),
             ),
         )
         if heartbeat.given_up_term:
@@ -124,7 +127,15 @@
             )
             for row in message.rows
         )
-        page = store_records.RecordPage(records, ids.Offset(message.end))
+        era = store_records.StoreEra(message.era)
+        if era == store_records.NO_ERA:
+            if not self._view.offsets.accepts(era):
+                self.on_other_era()
+                return
+            era = self._view.mirrors[topic].era
+        page = store_records.RecordPage(
+            records, ids.Offset(message.end), era=era
+        )
         self._view.apply(topic, page)
 
     @handle.register
@@ -139,9 +150,11 @@
         rows = [
             peer_messages.RecordRow(record.key, record.offset, record.content)
             for record in mirror.records.values()
-            if record.offset >= message.end
+            if record.offset >= message.end or message.era < mirror.era
         ]
-        answer = peer_messages.Records(message.topic, mirror.end, rows)
+        answer = peer_messages.Records(
+            message.topic, mirror.end, rows, mirror.era
+        )
         self._send(answer, sender)
 
     @handle.register
@@ -191,28 +204,47 @@
         heartbeat: peer_messages.Heartbeat,
         sender: _Address,
     ) -> None:
+        era = store_records.StoreEra(heartbeat.era)
+        if not self._view.offsets.accepts(era):
+            if era < self._view.offsets.era:
+                return
+            self.on_other_era()
+        own_ends = self._view.offsets.ends()
+        for topic, end in zip(own_ends, heartbeat.ends, strict=False):
+            mirror = self._view.mirrors[topic]
+            if era > mirror.era or end > max(own_ends[topic], mirror.end):
+                self.on_peer_offset(topic, ids.Offset(end))
+                self._request_records(topic, mirror, sender)
+
+    def _request_records(
+        self,
+        topic: store_records.TopicName,
+        mirror: store_records.TopicMirror,
+        sender: _Address,
+    ) -> None:
+        """Request records that the store does not send to this instance."""
         now = self._clock.now()
         is_cut_off = self._store.silent_ms() > _STORE_SILENT_MS
-        for topic, end in zip(self._view.mirrors, heartbeat.ends, strict=False):
-            mirror = self._view.mirrors.get(topic)
-            known = self._view.end_offsets()[topic]
-            if mirror is None or end <= max(known, mirror.end):
-                continue
-            self.on_peer_offset(topic, ids.Offset(end))
-            should_request = (
-                topic in _SHARED_TOPICS or is_cut_off or not mirror.is_complete
+        should_request = (
+            topic in _SHARED_TOPICS or is_cut_off or not mirror.is_complete
+        )
+        last = self._requested_at.get(topic, clock.LONG_AGO)
+        if should_request and now - last > _REQUEST_INTERVAL_MS:
+            self._requested_at[topic] = now
+            request = peer_messages.RecordsRequest(
+                topic, mirror.end, mirror.era
             )
-            last = self._requested_at.get(topic, clock.LONG_AGO)
-            if should_request and now - last > _REQUEST_INTERVAL_MS:
-                self._requested_at[topic] = now
-                request = peer_messages.RecordsRequest(topic, mirror.end)
-                self._send(request, sender)
+            self._send(request, sender)
 
 
 def _ignore_new_peer(_sender: _Address) -> None:
     """Ignore new peers until the peer exchange sets its own callback."""
 
 
+def _ignore_other_era() -> None:
+    """Ignore other eras until the store sync sets its own callback."""
+
+
 def _ignore_peer_offset(
     _topic: store_records.TopicName,
     _end: ids.Offset,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -59,6 +59,8 @@
     rate_limits: list[RateLimitRow] = []
     # Whether the sender reaches no backend server.
     is_cut_off: bool = False
+    # The store's era to which the end offsets belong; 0 if it is not known.
+    era: int = 0
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
@@ -88,6 +90,8 @@
     topic: str
     end: int
     rows: list[RecordRow]
+    # The store's era to which the offsets belong; 0 if it is not known.
+    era: int = 0
 
 
 class RecordsRequest(msgspec.Struct, array_like=True, tag='wanted'):
@@ -95,6 +99,8 @@
 
     topic: str
     end: int
+    # The store's era to which the offset belongs; 0 if it is not known.
+    era: int = 0
 
 
 class KeysMoving(msgspec.Struct, array_like=True, tag='moving'):
--- a/packages/gateway/src/sycamoreferry_gateway/request_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_log.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from sycamoreferry_adapter import request_headers
+from sycamoreferry_adapter import request_headers, store_calls
 from sycamoreferry_core import clock
 from sycamoreferry_gateway import (
     answers,
@@ -75,7 +75,7 @@
             'route': proxied.route.name,
             'service': proxied.service,
             'waited_ms': proxied.waited_ms,
-            'owners_offset': self._view.owners_offset,
+            'owners_offset': self._view.mirrors[store_calls.OWNERS_TOPIC].end,
             'stopping': self._open_requests.is_stopping,
             'tries': [
                 [one.server.incarnation.server, one.result.value, one.detail]
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -34,6 +34,7 @@
         self._failures = 0
         self._was_reached = False
         self._era = store_records.NO_ERA
+        self.on_new_era: typing.Callable[[], None] = _ignore_new_era
         self.calls = 0
 
     @property
@@ -63,36 +64,40 @@
     ) -> store_records.RecordPage | store_records.StoreFailure:
         """Return the newest record of each key of a topic, from all pages."""
         records: list[store_records.StoredRecord] = []
-        end: ids.Offset | None = None
+        first: store_records.RecordPage | None = None
         after = ''
         while True:
-            reply = await self._call(
-                store_calls.build_newest_query(topic, after)
-            )
-            if isinstance(reply, store_records.StoreFailure):
-                return reply
-            page = store_calls.parse_newest_reply(reply)
+            page = await self._list_page(topic, after)
             if isinstance(page, store_records.StoreFailure):
-                return self._record_failure(page)
-            records.extend(page.records)
+                return page
             # Pages are no consistent snapshot: the end of the first is kept, so
             # that later changes are read from there.
-            end = page.end if end is None else end
+            first = first or page
+            if page.era != first.era:
+                return _era_changed()
+            records.extend(page.records)
             if not page.has_more or not page.records:
-                return store_records.RecordPage(tuple(records), end)
+                return store_records.RecordPage(
+                    tuple(records), first.end, era=first.era
+                )
             after = page.records[-1].key
 
     async def read(
         self,
         topic: store_records.TopicName,
         start: ids.Offset,
+        era: store_records.StoreEra,
         wait_ms: int = 0,
     ) -> (
         store_records.RecordPage
         | store_records.HistoryTruncated
         | store_records.StoreFailure
     ):
-        """Return records from an offset on; wait up to `wait_ms` for one."""
+        """Return records from an offset of an era on.
+
+        Waits up to `wait_ms` for a record. In another era the offset has no
+        meaning, so the history counts as truncated.
+        """
         call = store_calls.build_read_query(topic, start, wait_ms)
         reply = await self._call(call, CALL_TIMEOUT_MS + wait_ms)
         if isinstance(reply, store_records.StoreFailure):
@@ -100,28 +105,32 @@
         page = store_calls.parse_records_reply(reply, start)
         if isinstance(page, store_records.StoreFailure):
             return self._record_failure(page)
+        if store_calls.parse_era(reply) != era:
+            return store_records.HistoryTruncated()
         return page
 
     async def append(
         self,
         topic: store_records.TopicName,
-        key: store_records.RecordKey,
-        content: bytes,
+        records: typing.Iterable[store_records.NewRecord],
         at: ids.Offset | None = None,
+        era: store_records.StoreEra | None = None,
     ) -> (
         store_records.Appended
         | store_records.Superseded
         | store_records.StoreFailure
     ):
-        """Append a record; with `at`, only if the topic ends at that offset.
+        """Append records; with `at`, only if the topic ends at that offset.
 
-        After a failure without `has_no_effect`, the record may still be
-        appended.
+        With `era`, a reply of another era is a failure. After a failure
+        without `has_no_effect`, the records may still be appended.
         """
-        call = store_calls.build_append(topic, key, content, at)
+        call = store_calls.build_append(topic, records, at)
         reply = await self._call(call)
         if isinstance(reply, store_records.StoreFailure):
             return reply
+        if era is not None and store_calls.parse_era(reply) != era:
+            return _era_changed()
         appended = store_calls.parse_append_reply(reply)
         if isinstance(appended, store_records.StoreFailure):
             return self._record_failure(appended)
@@ -131,6 +140,19 @@
         """Close connections that have been idle too long to be reused."""
         self._pool.close_expired()
 
+    async def _list_page(
+        self,
+        topic: store_records.TopicName,
+        after: str,
+    ) -> store_records.RecordPage | store_records.StoreFailure:
+        reply = await self._call(store_calls.build_newest_query(topic, after))
+        if isinstance(reply, store_records.StoreFailure):
+            return reply
+        page = store_calls.parse_newest_reply(reply)
+        if isinstance(page, store_records.StoreFailure):
+            return self._record_failure(page)
+        return page
+
     async def _call(
         self,
         call: http_messages.HttpRequest,
@@ -145,7 +167,8 @@
         )
         if isinstance(outcome, http_client.FailedExchange):
             return self._record_failure(_failure_of(outcome))
-        self._note_era(store_calls.parse_era(outcome))
+        if not self._note_era(store_calls.parse_era(outcome)):
+            return self._record_failure(_era_changed())
         if outcome.status in _UNAVAILABLE_STATUSES:
             return self._record_failure(
                 store_records.StoreFailure(
@@ -156,9 +179,10 @@
         self._record_success()
         return outcome
 
-    def _note_era(self, era: store_records.StoreEra) -> None:
+    def _note_era(self, era: store_records.StoreEra) -> bool:
+        """Record the era of a reply; return whether it is the newest."""
         if era <= self._era:
-            return
+            return era == self._era
         if self._era != store_records.NO_ERA:
             self._log.write(
                 'store',
@@ -166,7 +190,12 @@
                 era=era,
                 earlier_era=self._era,
             )
+            # What the servers wrote since the copy is written again as after
+            # an outage.
+            self._outage_ended_at = self._clock.now()
         self._era = era
+        self.on_new_era()
+        return True
 
     def _record_success(self) -> None:
         now = self._clock.now()
@@ -201,6 +230,17 @@
 _UNAVAILABLE_STATUSES: typing.Final = frozenset((429, 503))
 
 
+def _ignore_new_era() -> None:
+    """Ignore a new era until the store sync sets its own callback."""
+
+
+def _era_changed() -> store_records.StoreFailure:
+    return store_records.StoreFailure(
+        store_records.StoreFailureReason.UNANSWERED,
+        'store returned to an older copy',
+    )
+
+
 def _failure_of(
     failed: http_client.FailedExchange,
 ) -> store_records.StoreFailure:
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -65,7 +65,16 @@
         self._client = client
         self._view = cluster_view
         self._log = log
-        self._config_wake = asyncio.Event()
+        # Set to end a long poll early; each topic that is followed has one.
+        self._wakes = {
+            topic: asyncio.Event()
+            for topic in (
+                store_calls.CONFIG_TOPIC,
+                store_calls.INSTANCES_TOPIC,
+                store_calls.OWNERS_TOPIC,
+            )
+        }
+        client.on_new_era = self.wake_all
 
     async def register(self) -> None:
         """Write the peer address of this instance; retry until it is stored."""
@@ -83,8 +92,7 @@
             if mirror.is_complete:
                 appended = await self._client.append(
                     store_calls.INSTANCES_TOPIC,
-                    key,
-                    content,
+                    (store_records.NewRecord(key, content),),
                 )
                 if isinstance(appended, store_records.Appended):
                     return
@@ -97,7 +105,7 @@
             if not was_read:
                 # The connection of the configuration's long poll may have
                 # stalled as well.
-                self._config_wake.set()
+                self._wakes[store_calls.CONFIG_TOPIC].set()
             self._view.record_outage(self._client.last_outage)
             self._view.remove_expired_servers()
             self._client.close_expired()
@@ -113,22 +121,7 @@
     async def follow_config(self) -> None:
         """Follow the configuration with long polls."""
         while True:
-            reading = asyncio.ensure_future(
-                self._read_topic(
-                    store_calls.CONFIG_TOPIC,
-                    self._scale_by_peers(_CONFIG_LONG_POLL_MS),
-                ),
-            )
-            wake = asyncio.ensure_future(self._config_wake.wait())
-            await asyncio.wait(
-                (reading, wake),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for pending in (reading, wake):
-                pending.cancel()
-            if self._config_wake.is_set():
-                self._config_wake.clear()
-                await self._read_topic(store_calls.CONFIG_TOPIC, 0)
+            await self._poll(store_calls.CONFIG_TOPIC, _CONFIG_LONG_POLL_MS)
 
     async def follow_instances(self) -> None:
         """Follow the instances with long polls.
@@ -136,19 +129,21 @@
         A pause between them collects instances that start together.
         """
         while True:
-            await self._read_topic(
-                store_calls.INSTANCES_TOPIC,
-                self._scale_by_peers(_INSTANCES_LONG_POLL_MS),
+            await self._poll(
+                store_calls.INSTANCES_TOPIC, _INSTANCES_LONG_POLL_MS
             )
             await asyncio.sleep(
                 clock.seconds(self._scale_by_peers(_INSTANCES_PAUSE_MS))
             )
 
     async def load_owners(self) -> None:
-        """Read the assignment once; later ones come from peers."""
-        mirror = self._view.mirrors[store_calls.OWNERS_TOPIC]
-        while not mirror.is_complete:
+        """Read the assignment once in each era; later ones come from peers."""
+        wake = self._wakes[store_calls.OWNERS_TOPIC]
+        while True:
+            wake.clear()
             await self._read_topic(store_calls.OWNERS_TOPIC, 0)
+            if self._is_current(store_calls.OWNERS_TOPIC):
+                await wake.wait()
 
     def note_peer_offset(
         self,
@@ -159,7 +154,37 @@
         if topic != store_calls.CONFIG_TOPIC:
             return
         if end > self._view.mirrors[topic].end:
-            self._config_wake.set()
+            self._wakes[topic].set()
+
+    def wake_all(self) -> None:
+        """Read all topics that are followed now."""
+        for wake in self._wakes.values():
+            wake.set()
+
+    async def _poll(
+        self,
+        topic: store_records.TopicName,
+        long_poll_ms: int,
+    ) -> None:
+        """Read a topic with a long poll, which a wake-up cuts short."""
+        reading = asyncio.ensure_future(
+            self._read_topic(topic, self._scale_by_peers(long_poll_ms)),
+        )
+        wake = self._wakes[topic]
+        woken = asyncio.ensure_future(wake.wait())
+        await asyncio.wait(
+            (reading, woken),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for pending in (reading, woken):
+            pending.cancel()
+        if wake.is_set():
+            wake.clear()
+            await self._read_topic(topic, 0)
+
+    def _is_current(self, topic: store_records.TopicName) -> bool:
+        mirror = self._view.mirrors[topic]
+        return mirror.is_complete and mirror.era == self._client.era
 
     def _scale_by_peers(self, base_ms: int) -> int:
         return message_intervals.scale_store_interval_ms(
@@ -186,7 +211,9 @@
     ) -> bool:
         mirror = self._view.mirrors[topic]
         if mirror.is_complete:
-            page = await self._client.read(topic, mirror.end, wait_ms)
+            page = await self._client.read(
+                topic, mirror.end, mirror.era, wait_ms
+            )
             if isinstance(page, store_records.RecordPage):
                 self._view.apply(topic, page)
                 return True
--- a/packages/gateway/src/sycamoreferry_gateway/term_manager.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_manager.py
@@ -2,43 +2,28 @@
 
 import asyncio
 import dataclasses
-import enum
 import typing
 import uuid
 
 from sycamoreferry_adapter import store_calls
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import instances, store_records
-from sycamoreferry_core.keyspace import leases, owners
+from sycamoreferry_core.keyspace import owners
 from sycamoreferry_gateway import (
     assignment,
+    assignment_writer,
+    earlier_terms,
     event_log,
     order_sender,
-    peer_messages,
     store_client,
+    term_claims,
     view,
 )
 
-# A coordinator may act for this long after the store last confirmed its term.
-AUTHORITY_MS = 1_500
 # When the term has not been confirmed for longer than this, the coordinator
 # grants the longest leases allowed, as its authority may lapse soon.
 _EXPIRY_WARNING_MS = 900
 _WRITE_RETRY_INTERVAL_MS = 100
-# Writes are abandoned when the store has refused them for this long, so that
-# released keys do not stay without an owner.
-_MAX_REFUSAL_MS = 400
-# Interval after which a refused write is tried again.
-_REFUSED_RETRY_INTERVAL_MS = 1_000
-
-
-@enum.unique
-class _WriteResult(enum.Enum):
-    """Tell whether a written assignment is in the store."""
-
-    PRESENT = 'present'
-    ABSENT = 'absent'
-    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -51,7 +36,6 @@
 
 
 _FencedRows = list[owners.Ownership]
-Announce = typing.Callable[[peer_messages.PeerMessage], None]
 
 
 class TermManager:
@@ -63,30 +47,29 @@
         client: store_client.StoreClient,
         orders: order_sender.OrderSender,
         log: event_log.EventLog,
-        announce: Announce,
+        announce: assignment_writer.Announce,
     ) -> None:
         self._view = cluster_view
         self._clock = cluster_view.clock
         self._client = client
         self._orders = orders
         self._log = log
-        self._announce = announce
+        self._writer = assignment_writer.AssignmentWriter(
+            cluster_view, client, log, announce
+        )
+        self._earlier = earlier_terms.EarlierTerms(cluster_view, orders)
         self._write_lock = asyncio.Lock()
         self._pending_writes: list[_PendingWrite] = []
         self._term = ids.NO_TERM
         self._given_up_term = ids.NO_TERM
-        self._next_offset = ids.FIRST_OFFSET
+        # The store's era in which the term was claimed.
+        self._era = store_records.NO_ERA
         self._confirmed_at = clock.LONG_AGO
-        # The times of the first and the last in a series of refused writes.
-        self._refused_since = clock.LONG_AGO
-        self._refused_at = clock.LONG_AGO
 
     @property
     def are_writes_refused(self) -> bool:
         """Tell whether the store has refused writes for too long to wait."""
-        if self._clock.now() - self._refused_at >= _REFUSED_RETRY_INTERVAL_MS:
-            return False
-        return self._refused_at - self._refused_since >= _MAX_REFUSAL_MS
+        return self._writer.is_refused
 
     @property
     def is_authority_expiring(self) -> bool:
@@ -111,12 +94,21 @@
     @property
     def has_authority(self) -> bool:
         """Tell whether this instance may send grants and releases now."""
-        return self.is_coordinating and instances.is_authority_fresh(
-            self._confirmed_at,
-            AUTHORITY_MS,
-            self._clock.now(),
+        return (
+            self.is_coordinating
+            and not self.has_lost_era
+            and instances.is_authority_fresh(
+                self._confirmed_at,
+                instances.AUTHORITY_MS,
+                self._clock.now(),
+            )
         )
 
+    @property
+    def has_lost_era(self) -> bool:
+        """Tell whether the store returned to a copy since the claim."""
+        return self._client.era != self._era
+
     def last_given_up(self) -> tuple[ids.Term, int]:
         """Return the last term given up and the ms until its leases expire."""
         left = self._orders.book.latest_end() - self._clock.now()
@@ -128,7 +120,9 @@
             return
         asked_at = self._clock.now()
         page = await self._client.read(
-            store_calls.OWNERS_TOPIC, self._next_offset
+            store_calls.OWNERS_TOPIC,
+            self._writer.next_offset,
+            self._era,
         )
         if isinstance(page, store_records.StoreFailure):
             return
@@ -141,37 +135,41 @@
 
     async def claim(self) -> bool:
         """Try to claim the next term; return whether this instance holds it."""
-        asked_at = self._clock.now()
         known_term = self._view.assignment.term
-        if not await self._adopt_newest(asked_at):
+        seemed_lost = self._view.owners.lost_since is not None
+        if not await self._adopt_newest(self._clock.now()):
             return False
-        current = self._view.assignment
-        if current.term != known_term and current.coordinator is not None:
+        knowledge = self._earlier.owner_knowledge(
+            self._given_up_term, self._confirmed_at
+        )
+        if self._is_claimed(known_term, seemed_lost=seemed_lost):
+            return False
+        if self._earlier.must_wait(knowledge):
             return False
-        fence = ids.Fence(self._next_offset + 1)
-        claimed = assignment.Assignment(
-            term=ids.Term(current.term + 1),
-            coordinator=self._view.deployment.instance,
-            write=uuid.uuid4().hex,
-            # A server that accepts its keys under a new fence refuses
-            # delayed grants of earlier terms.
-            tables={
-                service: table.with_fence(fence)
-                for service, table in current.tables.items()
-            },
+        earlier = self._view.assignment
+        planned = term_claims.build_claim(
+            self._view.owners,
+            self._view.deployment.instance,
+            self._view.mirrors[store_calls.OWNERS_TOPIC].era,
+            self._writer.next_offset,
+            knowledge,
         )
-        asked_at = self._clock.now()
-        if await self._append(claimed) is not _WriteResult.PRESENT:
+        if not await self._append_claim(planned):
             return False
-        self._term = claimed.term
-        self._confirmed_at = asked_at
-        self._assume_earlier_leases(current)
+        self._earlier.assume_leases(
+            earlier,
+            knowledge,
+            is_own=self._earlier.is_own(earlier, self._given_up_term),
+        )
         self._log.write(
             'coordinator',
             'claimed the term',
-            term=claimed.term,
-            offset=self._next_offset,
-            previous=current.coordinator,
+            term=self._term,
+            offset=self._writer.next_offset,
+            previous=earlier.coordinator,
+            era=self._era,
+            skipped_offsets=len(planned.skipped),
+            owners=knowledge.value,
         )
         return True
 
@@ -221,23 +219,26 @@
         self._term = ids.NO_TERM
 
     async def _write_batch(self, batch: list[_PendingWrite]) -> None:
-        written = _WriteResult.ABSENT
+        written = assignment_writer.WriteResult.ABSENT
         while self.has_authority:
             # The fence is the offset that follows the record's own, which is
             # above all fences written before.
-            fence = ids.Fence(self._next_offset + 1)
+            fence = ids.Fence(self._writer.next_offset + 1)
             current = self._view.assignment
             fenced, proposed = _with_rows(current, batch, fence)
             asked_at = self._clock.now()
-            appended = await self._append(proposed)
-            if appended is _WriteResult.PRESENT:
+            appended = await self._writer.append(proposed, self._era)
+            if appended is assignment_writer.WriteResult.PRESENT:
                 self._confirmed_at = max(self._confirmed_at, asked_at)
                 for pending, rows in zip(batch, fenced, strict=True):
                     pending.written = rows
                 return
-            if appended is _WriteResult.UNKNOWN:
+            if appended is assignment_writer.WriteResult.UNKNOWN:
                 written = appended
-            if self.are_writes_refused and written is _WriteResult.ABSENT:
+            if (
+                self._writer.is_refused
+                and written is assignment_writer.WriteResult.ABSENT
+            ):
                 return
             await asyncio.sleep(clock.seconds(_WRITE_RETRY_INTERVAL_MS))
         if self.is_coordinating:
@@ -249,10 +250,10 @@
         listing = await self._client.newest(store_calls.OWNERS_TOPIC)
         if isinstance(listing, store_records.StoreFailure):
             return False
-        self._view.replace(store_calls.OWNERS_TOPIC, listing)
-        self._next_offset = listing.end
+        self._writer.adopt(listing)
         if self.is_coordinating:
-            self._confirmed_at = asked_at
+            if listing.era == self._era:
+                self._confirmed_at = asked_at
         elif self._term > ids.NO_TERM:
             self._log.write(
                 'coordinator',
@@ -264,83 +265,24 @@
             self.stop()
         return True
 
-    def _assume_earlier_leases(self, earlier: assignment.Assignment) -> None:
-        """Record until when servers may hold leases of an earlier term."""
-        if earlier.coordinator is None:
-            return
-        if earlier.term == self._given_up_term:
-            # This instance gave up that term itself, so its lease book has
-            # every lease.
-            return
-        book = leases.LeaseBook()
-        self._orders.use_book(book)
-        until = self._view.given_up_lease_ends.get(earlier.term)
-        if until is None:
-            longest = self._view.deployment.bounds.longest_hold_ms
-            unknown_ms = AUTHORITY_MS + leases.longest_hold_ms(longest)
-            until = clock.later(self._clock.now(), unknown_ms)
-        book.assume_earlier_grants(until)
-
-    async def _append(self, proposed: assignment.Assignment) -> _WriteResult:
-        """Append an assignment at the known end; tell whether it is stored."""
-        content = assignment.encode_assignment(proposed)
-        at = self._next_offset
-        appended = await self._client.append(
-            store_calls.OWNERS_TOPIC,
-            assignment.ASSIGNMENT_KEY,
-            content,
-            at,
-        )
-        if isinstance(appended, store_records.Appended):
-            self._refused_at = clock.LONG_AGO
-            self._apply_written(appended.offset, content)
-            return _WriteResult.PRESENT
-        if isinstance(appended, store_records.StoreFailure):
-            return self._record_failure(appended, at)
-        listing = await self._client.newest(store_calls.OWNERS_TOPIC)
-        if isinstance(listing, store_records.StoreFailure):
-            return _WriteResult.UNKNOWN
-        self._next_offset = listing.end
-        self._view.replace(store_calls.OWNERS_TOPIC, listing)
-        is_present = self._view.assignment.write == proposed.write
-        return _WriteResult.PRESENT if is_present else _WriteResult.ABSENT
-
-    def _record_failure(
-        self,
-        failure: store_records.StoreFailure,
-        at: ids.Offset,
-    ) -> _WriteResult:
-        self._log.write_rate_limited(
-            'coordinator',
-            'assignment was not confirmed by the store',
-            trouble=failure.reason.value,
-            detail=failure.detail,
-            offset=at,
+    async def _append_claim(self, planned: term_claims.TermClaim) -> bool:
+        asked_at = self._clock.now()
+        written = await self._writer.append(
+            planned.proposed, planned.era, planned.skipped
         )
-        if not failure.has_no_effect:
-            return _WriteResult.UNKNOWN
-        now = self._clock.now()
-        if now - self._refused_at >= _REFUSED_RETRY_INTERVAL_MS:
-            self._refused_since = now
-        self._refused_at = now
-        return _WriteResult.ABSENT
+        if written is not assignment_writer.WriteResult.PRESENT:
+            return False
+        self._term = planned.proposed.term
+        self._era = planned.era
+        self._confirmed_at = asked_at
+        return True
 
-    def _apply_written(self, offset: ids.Offset, content: bytes) -> None:
-        self._next_offset = ids.Offset(offset + 1)
-        record = store_records.StoredRecord(
-            assignment.ASSIGNMENT_KEY,
-            offset,
-            content,
-        )
-        page = store_records.RecordPage((record,), self._next_offset)
-        self._view.apply(store_calls.OWNERS_TOPIC, page)
-        self._announce(
-            peer_messages.Records(
-                store_calls.OWNERS_TOPIC,
-                self._next_offset,
-                [peer_messages.RecordRow(record.key, offset, content)],
-            ),
-        )
+    def _is_claimed(self, known_term: ids.Term, *, seemed_lost: bool) -> bool:
+        """Tell whether another instance has claimed a term meanwhile."""
+        current = self._view.assignment
+        if current.term != known_term and current.coordinator is not None:
+            return True
+        return seemed_lost and self._view.owners.lost_since is None
 
 
 def _with_rows(
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -18,8 +18,10 @@
 from sycamoreferry_core.traffic import crashes, routes
 from sycamoreferry_gateway import (
     assignment,
+    assignment_tracker,
     event_log,
     instance_records,
+    read_offsets,
     server_log,
 )
 
@@ -37,6 +39,7 @@
         self.clock = time_source
         self.log = log
         self.mirrors = {topic: store_records.TopicMirror() for topic in _TOPICS}
+        self.offsets = read_offsets.ReadOffsets(self.mirrors)
         self.fleet = servers.ServerFleet()
         self._server_log = server_log.ServerLog(
             log, self.mirrors[store_calls.SERVERS_TOPIC]
@@ -47,8 +50,9 @@
         self.crashes = crashes.CrashHistory()
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
-        self.assignment = assignment.NO_ASSIGNMENT
-        self.coordinator_since = time_source.now()
+        self.owners = assignment_tracker.AssignmentTracker(
+            self.mirrors[store_calls.OWNERS_TOPIC], time_source, log
+        )
         # When the leases of terms that were given up have expired.
         self.given_up_lease_ends: dict[ids.Term, clock.Millis] = {}
         self.peer_addresses: dict[ids.InstanceId, tuple[str, int]] = {}
@@ -59,22 +63,8 @@
         self._last_outage = clock.LONG_AGO
         self._moving = pending_moves.PendingMoves()
         self._changed_servers: list[store_records.StoredRecord] = []
-        # Offset of the last server entry that changed more than its sequence
-        # number, which every heartbeat changes.
-        self.servers_changed_offset = ids.NO_OFFSET
         self.on_change: typing.Callable[[], None] = _ignore_change
 
-    def end_offsets(self) -> dict[store_records.TopicName, ids.Offset]:
-        """Return the end offset of each topic, as reported to peers.
-
-        For servers it is the end of the changes that concern other instances;
-        heartbeats don't count.
-        """
-        ends = {topic: mirror.end for topic, mirror in self.mirrors.items()}
-        following = ids.Offset(self.servers_changed_offset + 1)
-        ends[store_calls.SERVERS_TOPIC] = following
-        return ends
-
     def take_changed_servers(self) -> list[store_records.StoredRecord]:
         """Return and clear the server entries to be forwarded to peers."""
         taken = self._changed_servers
@@ -87,9 +77,9 @@
         return self._routes
 
     @property
-    def owners_offset(self) -> ids.Offset:
-        """Return the offset up to which the assignment was read."""
-        return self.mirrors[store_calls.OWNERS_TOPIC].end
+    def assignment(self) -> assignment.Assignment:
+        """Return the newest assignment that this instance knows."""
+        return self.owners.current
 
     def servers_of(
         self,
@@ -112,8 +102,7 @@
         page: store_records.RecordPage,
     ) -> None:
         """Replace a topic's records by a complete listing."""
-        mirror = self.mirrors[topic]
-        self._fold(topic, mirror.replace(page.records, page.end))
+        self._fold(topic, self.mirrors[topic].replace(page))
 
     def remove_expired_servers(self) -> None:
         """Remove servers whose entries have expired, and log each."""
@@ -161,14 +150,13 @@
         topic: store_records.TopicName,
         changed: list[store_records.StoredRecord],
     ) -> None:
+        if topic == store_calls.OWNERS_TOPIC:
+            self.owners.check_for_loss()
         for record in changed:
             is_relevant = _FOLDS[topic](self, record)
             if is_relevant and topic == store_calls.SERVERS_TOPIC:
                 self._changed_servers.append(record)
-                self.servers_changed_offset = max(
-                    self.servers_changed_offset,
-                    record.offset,
-                )
+                self.offsets.note_server_change(record.offset)
         self._server_log.log_listing(self.fleet.servers.values())
         if changed:
             self.on_change()
@@ -245,31 +233,12 @@
             )
 
     def _fold_owners(self, record: store_records.StoredRecord) -> bool:
-        if record.key != assignment.ASSIGNMENT_KEY or record.content is None:
-            return False
-        try:
-            decoded = assignment.decode_assignment(record.content)
-        except msgspec.MsgspecError as error:
-            self.log.write(
-                'owners',
-                'assignment is malformed',
-                offset=record.offset,
-                reason=str(error),
-            )
-            return False
-        if decoded.term > self.assignment.term:
-            self.coordinator_since = self.clock.now()
+        known_term = self.assignment.term
+        is_applied = self.owners.apply(record)
+        if self.assignment.term > known_term:
             # Moves that the earlier coordinator announced are void.
             self._moving.clear()
-            self.log.write(
-                'owners',
-                'coordinator changed',
-                coordinator=decoded.coordinator,
-                term=decoded.term,
-                offset=record.offset,
-            )
-        self.assignment = decoded
-        return True
+        return is_applied
 
     def _fold_instance(self, record: store_records.StoredRecord) -> bool:
         instance = ids.InstanceId(record.key)
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -634,6 +634,7 @@
 
     async def kill(self, number: int) -> None:
         self._tasks[number].cancel()
+        self.instances[number]._coordinator._tasks.cancel_all()
         self.instances[number]._exchange.close()
         self.instances[number]._relay_server.stop_listening()
         await asyncio.gather(self._tasks[number], return_exceptions=True)
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -180,8 +180,10 @@
 ) -> None:
     call = store_calls.build_append(
         store_records.TopicName('keyed.x'),
-        store_records.RecordKey('k'),
-        b'value',
+        (
+            store_records.NewRecord(store_records.RecordKey('k'), b'value'),
+            store_records.NewRecord(store_records.RecordKey('j'), b''),
+        ),
         ids.Offset(4),
     )
     assert 'At=4' in call.target
@@ -189,8 +191,8 @@
     reply = http_messages.HttpResponse(200, (), body)
     page = store_calls.parse_records_reply(reply, ids.Offset(4))
     assert isinstance(page, store_records.RecordPage)
-    assert page.end == 5
-    assert page.records[0].content == b'value'
+    assert page.end == 6
+    assert [record.content for record in page.records] == [b'value', None]
 
 
 @hypothesis.given(strategies.binary(max_size=80))
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -101,7 +101,14 @@
 
 
 def _is_served_again(cluster: typing.Any) -> bool:
-    return cluster.is_covered() and len(_leaders(cluster)) == 1
+    return (
+        cluster.is_covered()
+        and len(_leaders(cluster)) == 1
+        and all(
+            _leader(cluster)._view.owner_of('keys', key) is not None
+            for key in KEYS
+        )
+    )
 
 
 async def _watch_owners(cluster: typing.Any, shared: set[int]) -> None:
@@ -120,6 +127,8 @@
     # More records than a new coordinator writes by itself.
     await _move_keys(cluster, KEYS[3], 8)
     await _restore(cluster, drill)
+    # By then a coordinator has checked its term.
+    await asyncio.sleep(1)
     await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
     await _move_keys(cluster, KEYS[3], 8)
     assert not cluster.store.low_fences
