Test that records at offsets given out again are read

On an instance whose store had returned to an older copy, and then ended again where the instance had read to, missed a new configuration: the test timed out after 2 s.

--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -225,3 +225,19 @@
 
 def _have_version(cluster: typing.Any, version: int) -> bool:
     return all(one._view.config.version == version for one in cluster.instances)
+
+
+async def test_configuration_at_an_offset_given_out_again_is_missed(
+    cluster: typing.Any, encode_configuration: typing.Any
+) -> None:
+    await _start(cluster)
+    copied_at = cluster.store.clock.now()
+    await asyncio.sleep(0.01)
+    for version in (2, 3):
+        cluster.store.put('keyed.op', 'config', encode_configuration(version))
+    await cluster.wait_until(lambda: _have_version(cluster, 3))
+    # The store ends where the instances have read to, with other records.
+    cluster.store.return_to_copy(copied_at)
+    for version in (4, 5):
+        cluster.store.put('keyed.op', 'config', encode_configuration(version))
+    await cluster.wait_until(lambda: _have_version(cluster, 5), 2)
