Register an instance again after the store lost its registration

An instance wrote its address once, at its start. If the store returned to a copy without it, instances that started later never heard of it. Each instance checks its registration in each era of the store and writes it again if it is missing.

test_instances_lose_their_registrations_with_the_copy fails before (3 s), and passes now.

--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -74,29 +74,15 @@
                 store_calls.OWNERS_TOPIC,
             )
         }
+        self._registration_wake = asyncio.Event()
         client.on_new_era = self.wake_all
 
     async def register(self) -> None:
-        """Write the peer address of this instance; retry until it is stored."""
-        settings = self._view.deployment
-        key = store_records.RecordKey(settings.instance)
-        content = instance_records.encode_address(
-            settings.host,
-            settings.peer_port,
-        )
+        """Write the peer address of this instance, in each era if it is lost."""
         while True:
-            mirror = self._view.mirrors[store_calls.INSTANCES_TOPIC]
-            known = mirror.records.get(key)
-            if known is not None and known.content == content:
-                return
-            if mirror.is_complete:
-                appended = await self._client.append(
-                    store_calls.INSTANCES_TOPIC,
-                    (store_records.NewRecord(key, content),),
-                )
-                if isinstance(appended, store_records.Appended):
-                    return
-            await asyncio.sleep(clock.seconds(_RETRY_MS))
+            self._registration_wake.clear()
+            await self._write_registration()
+            await self._registration_wake.wait()
 
     async def follow_servers(self) -> None:
         """Poll the entries of backend servers and forward changes to peers."""
@@ -157,7 +143,8 @@
             self._wakes[topic].set()
 
     def wake_all(self) -> None:
-        """Read all topics that are followed now."""
+        """Read all topics that are followed now, and check the registration."""
+        self._registration_wake.set()
         for wake in self._wakes.values():
             wake.set()
 
@@ -182,6 +169,28 @@
             wake.clear()
             await self._read_topic(topic, 0)
 
+    async def _write_registration(self) -> None:
+        """Retry until the store has the peer address of this instance."""
+        settings = self._view.deployment
+        key = store_records.RecordKey(settings.instance)
+        content = instance_records.encode_address(
+            settings.host,
+            settings.peer_port,
+        )
+        while True:
+            mirror = self._view.mirrors[store_calls.INSTANCES_TOPIC]
+            known = mirror.records.get(key)
+            if self._is_current(store_calls.INSTANCES_TOPIC):
+                if known is not None and known.content == content:
+                    return
+                appended = await self._client.append(
+                    store_calls.INSTANCES_TOPIC,
+                    (store_records.NewRecord(key, content),),
+                )
+                if isinstance(appended, store_records.Appended):
+                    return
+            await asyncio.sleep(clock.seconds(_RETRY_MS))
+
     def _is_current(self, topic: store_records.TopicName) -> bool:
         mirror = self._view.mirrors[topic]
         return mirror.is_complete and mirror.era == self._client.era
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -241,3 +241,18 @@
     for version in (4, 5):
         cluster.store.put('keyed.op', 'config', encode_configuration(version))
     await cluster.wait_until(lambda: _have_version(cluster, 5), 2)
+
+
+async def test_instances_lose_their_registrations_with_the_copy(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    copied_at = cluster.store.clock.now()
+    cluster.add_instance('later')
+    registered = cluster.store.topics['keyed.ferry-instances']
+    await cluster.wait_until(lambda: registered[-1][0] == 'later')
+    await asyncio.sleep(0.2)
+    cluster.store.return_to_copy(copied_at)
+    await cluster.wait_until(
+        lambda: any(name == 'later' for name, _ in registered), 3
+    )
