Cancel moves when their term ends, however it ends

A move of an ended term went on if TermManager ended the term itself, and handed over keys that their server had got again in the next term of the same instance: two servers held them. An instance without a term cancels what is left of it.

--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -146,8 +146,10 @@
         self._terms.give_up(reason)
 
     async def _consider_claim(self) -> None:
+        # Moves of an ended term would hand over keys that their server got
+        # again in the next one.
+        self._tasks.cancel_all()
         if self._terms.is_superseded:
-            self._tasks.cancel_all()
             self._terms.stop()
         if self._is_leaving or not self._keyed_services():
             return
