Name the server in each grant, so that its successor rejects it

Cause: a grant went to an address and named no server. Until the entry of a new server at that address is read, the coordinator renews the rows of the one that ended, and the new one, which has seen no fence, accepted them. Class: an order that is bound to a place rather than to its receiver; requests of callers have named their server since they were sent there.

A server that is named wrongly answers 421.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -317,6 +317,8 @@
         request: http_server.CallerRequest,
     ) -> http_server.CallerAnswer:
         if request.path == '/grant':
+            if request.header('expect-instance') not in {None, self.name}:
+                return _answer(421, headers=(('Not-Executed', '1'),))
             return await self._grant(json.loads(request.body))
         if request.path == '/release':
             return self._release(json.loads(request.body))
