Write a new fence before a server that may have started again is renewed

A server that starts again under its id holds nothing and has seen no fence. Until its new entry is read it took the keys of the time before under the fence in use, which its name in the grant can't prevent.

Its connections end when it ends. Once one to it was lost, or a grant was not answered, its rows get a new fence in one write before they are granted again. Rows are also written again only if their owner has not changed meanwhile.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -155,6 +155,10 @@
         """Tell whether it can be reused before the server times it out."""
         return self.is_open and now < self._expires_at
 
+    def has_ended_early(self, now: clock.Millis) -> bool:
+        """Tell whether it ended before the server would time it out."""
+        return not self.is_open and now < self._expires_at
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -267,6 +271,8 @@
     def __init__(self, source: clock.Clock) -> None:
         self._clock = source
         self._idle: dict[deployment.Address, list[Connection]] = {}
+        # Where a connection ended without being closed here.
+        self._lost: set[deployment.Address] = set()
         self.opened_count = 0
 
     async def exchange(
@@ -283,17 +289,31 @@
         if connection is None:
             opened = await self._open(address, timeout_ms)
             if isinstance(opened, FailedExchange):
+                self._lost.add(address)
                 return opened
             connection = opened
         try:
             async with asyncio.timeout_at(ends_at):
                 outcome = await connection.exchange(payload, accepts)
         except TimeoutError:
+            self._lost.add(address)
             return FailedExchange(ExchangeFailure.TIMEOUT, was_sent=True)
+        if isinstance(outcome, FailedExchange):
+            self._lost.add(address)
         if connection.is_open:
             self._idle.setdefault(address, []).append(connection)
         return outcome
 
+    def take_lost(self, address: deployment.Address) -> bool:
+        """Tell whether a connection was lost since the last call for it.
+
+        Another process may run at the address by then.
+        """
+        self._drop_stale(address)
+        is_lost = address in self._lost
+        self._lost.discard(address)
+        return is_lost
+
     async def can_connect(self, address: deployment.Address) -> bool:
         """Tell whether a new connection can be opened; close it again."""
         opened = await self._open(address, CONNECT_TIMEOUT_MS)
@@ -304,26 +324,27 @@
 
     def close_expired(self) -> None:
         """Close idle connections that are too old to be reused."""
-        now = self._clock.now()
-        for address, connections in list(self._idle.items()):
-            kept = [one for one in connections if one.is_fresh(now)]
-            for old in connections:
-                if old not in kept:
-                    old.close()
-            if kept:
-                self._idle[address] = kept
-            else:
-                self._idle.pop(address)
+        for address in list(self._idle):
+            self._drop_stale(address)
 
     def _take_idle(self, address: deployment.Address) -> Connection | None:
+        self._drop_stale(address)
         connections = self._idle.get(address)
+        return connections.pop() if connections else None
+
+    def _drop_stale(self, address: deployment.Address) -> None:
+        """Close idle connections that are too old; note those that ended."""
         now = self._clock.now()
-        while connections:
-            connection = connections.pop()
+        kept = []
+        for connection in self._idle.pop(address, ()):
             if connection.is_fresh(now):
-                return connection
+                kept.append(connection)
+                continue
+            if connection.has_ended_early(now):
+                self._lost.add(address)
             connection.close()
-        return None
+        if kept:
+            self._idle[address] = kept
 
     async def _open(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/lease_manager.py
+++ b/packages/gateway/src/sycamoreferry_gateway/lease_manager.py
@@ -122,14 +122,17 @@
         """Grant the keys of a row to its owner, or renew the lease.
 
         Does nothing if the server is not known in this incarnation or the
-        authority is lost. With a service, keys that the server refuses for
-        their fence are written again under a higher fence.
+        authority is lost. With a service, keys are written again under a higher
+        fence if the server refuses theirs or may have started again.
         """
         server = self._view.fleet.get(row.owner.server)
         if server is None or server.incarnation != row.owner:
             return
         if not self._terms.has_authority:
             return
+        if self._orders.is_unproven(server, row.fence):
+            await self._raise_fences([row], service)
+            return
         health = self._health_of(row.owner)
         is_expiring = self._terms.is_authority_expiring
         hold_ms = HOLD_MS
@@ -152,7 +155,7 @@
             reason=str(reply),
         )
         if reply is key_orders.GrantReply.FENCED:
-            await self._raise_fence(row, service)
+            await self._raise_fences([row], service)
             return
         self._count_unanswered(row.owner, health)
 
@@ -190,6 +193,7 @@
         rows: list[owners.Ownership],
     ) -> None:
         try:
+            await self._raise_fences(self._unproven_rows(life, rows), service)
             for row in rows:
                 if self.is_blocked(service, row.keys):
                     continue
@@ -200,19 +204,41 @@
         finally:
             self._health_of(life).is_renewing = False
 
-    async def _raise_fence(
+    def _unproven_rows(
         self,
-        row: owners.Ownership,
+        life: servers.ServerIncarnation,
+        rows: list[owners.Ownership],
+    ) -> list[owners.Ownership]:
+        server = self._view.fleet.get(life.server)
+        if server is None:
+            return []
+        return [
+            row for row in rows if self._orders.is_unproven(server, row.fence)
+        ]
+
+    async def _raise_fences(
+        self,
+        rows: typing.Iterable[owners.Ownership],
         service: ids.ServiceName | None,
     ) -> None:
-        """Write the same owner under a fence above the one the server has."""
-        if service is None or self.is_blocked(service, row.keys):
+        """Write the same owners under a fence above all that were sent."""
+        if service is None:
+            return
+        # The keys may have changed owner since the rows were read.
+        table = self._view.assignment.table(service)
+        free = [
+            row
+            for row in rows
+            if table.contains(row) and not self.is_blocked(service, row.keys)
+        ]
+        if not free:
             return
-        self.block_grants(service, [row.keys])
+        ranges = [row.keys for row in free]
+        self.block_grants(service, ranges)
         try:
-            await self._terms.write_rows(service, [row])
+            await self._terms.write_rows(service, free)
         finally:
-            self.unblock_grants(service, [row.keys])
+            self.unblock_grants(service, ranges)
 
     def _count_unanswered(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -1,6 +1,7 @@
 """Send grants and releases of keys to backend servers."""
 
 import dataclasses
+import typing
 
 from sycamoreferry_adapter import key_orders
 from sycamoreferry_core import clock, ids
@@ -36,6 +37,10 @@
         self._links = links
         self._book = book
         self._clock = time_source
+        # The highest fence sent to each server, and the one up to which it may
+        # have started again since.
+        self._sent: dict[servers.ServerIncarnation, ids.Fence] = {}
+        self._unproven: dict[servers.ServerIncarnation, ids.Fence] = {}
 
     @property
     def book(self) -> leases.LeaseBook:
@@ -46,6 +51,27 @@
         """Record later grants in another book; used when a term begins."""
         self._book = book
 
+    def is_unproven(
+        self, server: servers.BackendServer, fence: ids.Fence
+    ) -> bool:
+        """Tell whether a server may have started again since it got a fence.
+
+        It may do so under its id, before its new entry is read.
+        """
+        life = server.incarnation
+        if self._pool.take_lost(_address(server)):
+            self._unproven[life] = self._sent.get(life, ids.NO_FENCE)
+        return fence <= self._unproven.get(life, ids.NO_FENCE)
+
+    def keep_only(
+        self, known: typing.Container[servers.ServerIncarnation]
+    ) -> None:
+        """Forget what was sent to servers that are gone."""
+        for fences in (self._sent, self._unproven):
+            for life in list(fences):
+                if life not in known:
+                    fences.pop(life)
+
     async def grant(
         self,
         server: servers.BackendServer,
@@ -60,6 +86,8 @@
         earlier = self._book.unanswered_until(row.owner, row.keys)
         latest_arrival = clock.later(now, GRANT_TIMEOUT_MS)
         self._book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
+        sent = self._sent.get(row.owner, ids.NO_FENCE)
+        self._sent[row.owner] = max(sent, row.fence)
         outcome = await self._pool.exchange(
             _address(server),
             http_client.encode_call(
