Count each unanswered grant of a row by itself

Two grants of one row may be on their way at once: the one that follows a write, and a renewal. The answer of the first made the second count as answered, so that keys were free after a release while a grant of them could still be applied.

The test's calls on, by its interface: free long ago instead of after the lease. It passes now.

--- a/packages/core/src/sycamoreferry_core/keyspace/leases.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/leases.py
@@ -21,7 +21,8 @@
 class _Lease:
     keys: owners.KeyRange
     ends_at: clock.Millis
-    unanswered_until: clock.Millis
+    # When each grant that is not answered has expired.
+    unanswered: list[clock.Millis]
 
 
 class LeaseBook:
@@ -68,28 +69,31 @@
         keys: owners.KeyRange,
         latest_arrival: clock.Millis,
         hold_ms: int,
-    ) -> None:
-        """Record a grant before it is sent; it arrives by latest_arrival."""
+    ) -> clock.Millis:
+        """Record a grant before it is sent; it arrives by latest_arrival.
+
+        Returns when it has expired.
+        """
         until = clock.later(latest_arrival, longest_hold_ms(hold_ms))
         rows = self._leases.setdefault(incarnation, [])
         for row in rows:
             if row.keys == keys:
                 row.ends_at = max(row.ends_at, until)
-                row.unanswered_until = max(row.unanswered_until, until)
-                return
-        rows.append(_Lease(keys, until, until))
+                row.unanswered.append(until)
+                return until
+        rows.append(_Lease(keys, until, [until]))
+        return until
 
     def record_answered(
         self,
         incarnation: servers.ServerIncarnation,
         keys: owners.KeyRange,
-        *,
-        earlier_unanswered: clock.Millis,
+        until: clock.Millis,
     ) -> None:
-        """Record that the last grant was answered and can't be applied late."""
+        """Record that a grant was answered and can't be applied late."""
         for row in self._leases.get(incarnation, ()):
-            if row.keys == keys:
-                row.unanswered_until = earlier_unanswered
+            if row.keys == keys and until in row.unanswered:
+                row.unanswered.remove(until)
 
     def unanswered_until(
         self,
@@ -98,9 +102,10 @@
     ) -> clock.Millis:
         """Return until when an unacknowledged grant may still hold keys."""
         ends = [
-            row.unanswered_until
+            until
             for row in self._leases.get(incarnation, ())
             if row.keys.overlaps(keys)
+            for until in row.unanswered
         ]
         return max(ends, default=clock.LONG_AGO)
 
@@ -136,6 +141,10 @@
     def prune(self, now: clock.Millis) -> None:
         """Drop expired leases."""
         for incarnation, rows in list(self._leases.items()):
+            for row in rows:
+                row.unanswered = [
+                    until for until in row.unanswered if until > now
+                ]
             self._leases[incarnation] = [
                 row for row in rows if row.ends_at > now
             ]
--- a/packages/core/tests/keyspace/test_leases.py
+++ b/packages/core/tests/keyspace/test_leases.py
@@ -18,9 +18,8 @@
 
 
 def _record_answered_grant(book: leases.LeaseBook, moment: int) -> None:
-    earlier = book.unanswered_until(INCARNATION, KEYS)
-    book.record_sent(INCARNATION, KEYS, _at(moment), HOLD_MS)
-    book.record_answered(INCARNATION, KEYS, earlier_unanswered=earlier)
+    until = book.record_sent(INCARNATION, KEYS, _at(moment), HOLD_MS)
+    book.record_answered(INCARNATION, KEYS, until)
 
 
 def test_release_frees_keys_whose_grants_were_answered() -> None:
@@ -37,6 +36,15 @@
     assert free_at >= _at(100 + HOLD_MS)
 
 
+def test_grant_on_its_way_is_forgotten_with_the_answer_of_another() -> None:
+    book = leases.LeaseBook()
+    first = book.record_sent(INCARNATION, KEYS, _at(100), HOLD_MS)
+    book.record_sent(INCARNATION, KEYS, _at(110), HOLD_MS)
+    book.record_answered(INCARNATION, KEYS, first)
+    free_at = book.free_at_after_release(INCARNATION, PART)
+    assert free_at >= _at(110 + HOLD_MS)
+
+
 def test_keys_of_unreachable_server_stay_held_for_a_slow_clock() -> None:
     book = leases.LeaseBook()
     _record_answered_grant(book, 100)
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -83,9 +83,9 @@
         After a failure with `was_sent`, the server may still hold the keys.
         """
         now = self._clock.now()
-        earlier = self._book.unanswered_until(row.owner, row.keys)
         latest_arrival = clock.later(now, GRANT_TIMEOUT_MS)
-        self._book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
+        book = self._book
+        until = book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
         sent = self._sent.get(row.owner, ids.NO_FENCE)
         self._sent[row.owner] = max(sent, row.fence)
         outcome = await self._pool.exchange(
@@ -99,9 +99,9 @@
         if isinstance(outcome, http_client.FailedExchange):
             self._links.record_failure(row.owner.server, self._clock.now())
             if not outcome.was_sent:
-                self._record_answered(row, earlier)
+                book.record_answered(row.owner, row.keys, until)
             return outcome
-        self._record_answered(row, earlier)
+        book.record_answered(row.owner, row.keys, until)
         return key_orders.parse_grant_reply(outcome)
 
     async def release(
@@ -124,15 +124,6 @@
         handover = key_orders.parse_release_reply(outcome)
         return None if handover is None else Released(handover)
 
-    def _record_answered(
-        self, row: owners.Ownership, earlier: clock.Millis
-    ) -> None:
-        self._book.record_answered(
-            row.owner,
-            row.keys,
-            earlier_unanswered=earlier,
-        )
-
 
 def _address(server: servers.BackendServer) -> deployment.Address:
     return deployment.Address(server.host, server.port)
