Return permits for servers that leave meanwhile unused

Callers see: nothing at first; a server that reported its shutdown still gets new requests from an instance that knows of it. Cause: a permit names the server to send to. The instance that asked checked only that it knows the server, not that it is ready, and the instance that counts may learn of the shutdown later. The next permit could name the same server again. Evidence: test_permit_for_a_server_that_leaves_meanwhile_is_returned_unused fails before: after a grant for a draining server no other permit is asked for. Change: such a permit goes back as neither answered nor failed, and permit requests for any server of a pool exclude those that this instance knows to be leaving.

--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import random
+import typing
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import message_intervals, permit_issuers, servers
@@ -194,10 +195,11 @@
         if decision.server is None:
             return self._backlogs.rejection_for(request, decision.backlog)
         server = self._view.fleet.get(decision.server)
-        if server is None:
-            # This instance no longer knows the server, so the permit goes back
-            # and another one is asked for.
+        if server is None or not server.is_ready:
+            # The server is gone or leaving here, though not yet where it is
+            # counted, so the permit goes back and another one is asked for.
             self._end_wait(wait)
+            return None
         return server
 
     def _reject_if_late(
@@ -257,7 +259,10 @@
         now: clock.Millis,
     ) -> peer_messages.PermitRequest:
         owner = None
-        if wait.target.server is not None:
+        excluded = request.excluded
+        if wait.target.server is None:
+            excluded |= _leaving_servers(self._view.servers_of(request.service))
+        else:
             owner = self._view.fleet.get(wait.target.server)
         duration = self._loads.service_duration_ms(request.service)
         if owner is not None:
@@ -279,7 +284,7 @@
             objective_in_ms=request.objective_at - now,
             ends_in_ms=request.ends_at - now,
             data_centre=request.data_centre,
-            excluded=list(request.excluded),
+            excluded=list(excluded),
             has_large_answer=request.has_large_answer,
             answer_in_ms=answer_in_ms,
         )
@@ -364,5 +369,14 @@
         return weights
 
 
+def _leaving_servers(
+    known: typing.Iterable[servers.BackendServer],
+) -> frozenset[ids.ServerId]:
+    """Return servers that the counting instance may still take for ready."""
+    return frozenset(
+        server.incarnation.server for server in known if not server.is_ready
+    )
+
+
 def _new_answer() -> asyncio.Future[permits.PermitDecision]:
     return asyncio.get_running_loop().create_future()
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sycamoreferry_core.fleet import message_intervals
-from sycamoreferry_core.traffic import server_choice
+from sycamoreferry_core.traffic import permits, server_choice
 from sycamoreferry_gateway import http_client, peer_messages
 from sycamoreferry_ports import boot_clock
 
@@ -23,7 +23,7 @@
 
 
 async def _call(cluster: typing.Any, number: int, request_id: str) -> int:
-    target = cluster.instances[number % INSTANCES]
+    target = cluster.instances[number % len(cluster.instances)]
     payload = cluster.encode_request(request_id, KEY, deadline_ms=3_000)
     pool = http_client.ConnectionPool(boot_clock.BootClock())
     address = target._deployment.request_address
@@ -210,6 +210,52 @@
     assert verdicts == ['granted', 'granted']
 
 
+class _LateIssuer:
+    """Record the messages to a counting instance that answers late."""
+
+    def __init__(self) -> None:
+        self.asked: list[peer_messages.PermitRequest] = []
+        self.returned: list[peer_messages.PermitReturn] = []
+
+    def __call__(self, _instance: typing.Any, message: typing.Any) -> None:
+        is_return = isinstance(message, peer_messages.PermitReturn)
+        (self.returned if is_return else self.asked).append(message)
+
+
+async def test_permit_for_a_server_that_leaves_meanwhile_is_returned_unused(
+    cluster: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(message_intervals, '_MAX_MESH_PEERS', -1)
+    await cluster.start(servers=2, instances=1, is_keyed=False)
+    instance = cluster.instances[0]
+    await cluster.wait_until(lambda: instance.is_ready)
+    client = instance._dispatcher.permits
+    issuer = _LateIssuer()
+    client.returns.post = issuer
+    call = asyncio.create_task(_call(cluster, 0, 'r1'))
+    await cluster.wait_until(lambda: bool(issuer.asked))
+    leaving = cluster.servers[0]
+    leaving.register('draining')
+    await instance._sync._read_topic('keyed.servers', 0)
+    first = issuer.asked[0].number
+    client.handle_answer(_grant(first, leaving.name))
+    await cluster.wait_until(lambda: issuer.asked[-1].number != first)
+    assert [one.number for one in issuer.returned] == [first]
+    assert not issuer.returned[0].answered
+    assert not issuer.returned[0].failed
+    assert issuer.asked[-1].excluded == [leaving.name]
+    client.handle_answer(_grant(issuer.asked[-1].number, 's1'))
+    assert await call == 200
+    assert not leaving.ran
+
+
+def _grant(number: int, server: str) -> peer_messages.PermitAnswer:
+    verdict = permits.PermitVerdict.GRANTED.value
+    return peer_messages.PermitAnswer(
+        number, verdict, server, 0, SLOTS, ASSUMED_DURATION_MS
+    )
+
+
 def _ask(name: str, number: int) -> peer_messages.PermitRequest:
     return peer_messages.PermitRequest(
         instance='asking',
