Send nothing new to servers that say in an answer that they leave

Callers see: requests for a server that has begun its shutdown, while its entry still says ready or the store is away, until the server is gone; then failures. Cause: only the state in a server's entry kept requests from it. The header of its answers, new on the platform, was not read. Change: the fleet keeps which incarnation of a server leaves and since when, by its entry or by an answer; both make the server not ready, which selection, permits, key moves, renewals and probes already ask for. Entries can't undo it, also those that are listed again; a new incarnation does. Heartbeats and relayed answers have a new last field that reports leaving servers; without a full mesh, instances send it to the coordinator, whose heartbeats reach all. An entry that turns to draining after the answer is still forwarded, for instances of the version before. Replies to grants and releases are not read for it: these calls don't name the expected server, so that another one at the address may answer.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -38,11 +38,19 @@
     state: ServerState
     warmup_ms: int
     sequence: int
+    # When it was first known to leave, by its entry or by an answer.
+    leaving_since: clock.Millis | None = None
 
     @property
     def is_ready(self) -> bool:
         """Return whether the server accepts new requests."""
-        return self.state is ServerState.READY
+        return self.state is ServerState.READY and self.leaving_since is None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    born: IncarnationNumber
+    since: clock.Millis
 
 
 # Servers resume heartbeats within two seconds of the store's recovery.
@@ -56,6 +64,8 @@
         self._servers: dict[ids.ServerId, BackendServer] = {}
         self._removal_times: dict[ids.ServerId, clock.Millis] = {}
         self._removed_incarnations: dict[ids.ServerId, IncarnationNumber] = {}
+        # Kept after a removal, since a copy of the store may list them again.
+        self._departures: dict[ids.ServerId, _Departure] = {}
 
     @property
     def servers(self) -> typing.Mapping[ids.ServerId, BackendServer]:
@@ -80,6 +90,40 @@
             and known.is_ready
         )
 
+    @property
+    def leaving(self) -> list[ServerIncarnation]:
+        """Return the listed servers that are known to leave."""
+        return [
+            server.incarnation
+            for server in self._servers.values()
+            if server.leaving_since is not None
+        ]
+
+    def leaving_since(
+        self, incarnation: ServerIncarnation
+    ) -> clock.Millis | None:
+        """Return since when an incarnation is known to leave, if it is.
+
+        A server does not return in the same incarnation or an earlier one.
+        """
+        departure = self._departures.get(incarnation.server)
+        if departure is None or departure.born < incarnation.born:
+            return None
+        return departure.since
+
+    def record_leaving(
+        self, incarnation: ServerIncarnation, now: clock.Millis
+    ) -> bool:
+        """Record that an incarnation leaves; return whether that is new."""
+        if self.leaving_since(incarnation) is not None:
+            return False
+        server_id = incarnation.server
+        self._departures[server_id] = _Departure(incarnation.born, now)
+        known = self._servers.get(server_id)
+        if known is not None:
+            self._servers[server_id] = self._with_departure(known)
+        return True
+
     def apply(self, entry: BackendServer) -> bool:
         """Store an entry and return True unless a newer one is known."""
         known = self._servers.get(entry.incarnation.server)
@@ -90,7 +134,7 @@
             return False
         if known is not None and _is_older(entry, known):
             return False
-        self._servers[entry.incarnation.server] = entry
+        self._servers[entry.incarnation.server] = self._with_departure(entry)
         self._removal_times.pop(entry.incarnation.server, None)
         return True
 
@@ -120,6 +164,12 @@
             removed.append(gone)
         return removed
 
+    def _with_departure(self, entry: BackendServer) -> BackendServer:
+        since = self.leaving_since(entry.incarnation)
+        if since is None:
+            return entry
+        return dataclasses.replace(entry, leaving_since=since)
+
 
 def _is_older(entry: BackendServer, known: BackendServer) -> bool:
     if entry.incarnation.born != known.incarnation.born:
--- /dev/null
+++ b/packages/core/tests/fleet/test_servers.py
@@ -0,0 +1,105 @@
+"""Check which servers accept requests, by their entries and their answers."""
+
+import dataclasses
+
+import pytest
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import servers
+
+NOW = clock.Millis(1_000)
+LATER = clock.Millis(9_000)
+ENTRY = servers.BackendServer(
+    incarnation=servers.ServerIncarnation(
+        ids.ServerId('s'), servers.IncarnationNumber(7)
+    ),
+    service=ids.ServiceName('v'),
+    host='127.0.0.1',
+    port=80,
+    data_centre=ids.DataCentre('here'),
+    slots=2,
+    state=servers.ServerState.READY,
+    warmup_ms=0,
+    sequence=1,
+)
+
+
+def _incarnation(born: int) -> servers.ServerIncarnation:
+    return dataclasses.replace(
+        ENTRY.incarnation, born=servers.IncarnationNumber(born)
+    )
+
+
+def _entry(born: int = 7, sequence: int = 1) -> servers.BackendServer:
+    return dataclasses.replace(
+        ENTRY, incarnation=_incarnation(born), sequence=sequence
+    )
+
+
+@pytest.fixture
+def fleet() -> servers.ServerFleet:
+    """Return a fleet of one server that is ready."""
+    made = servers.ServerFleet()
+    made.apply(ENTRY)
+    return made
+
+
+def test_leaving_server_is_not_ready(fleet: servers.ServerFleet) -> None:
+    assert fleet.is_ready(ENTRY.incarnation)
+    assert fleet.record_leaving(ENTRY.incarnation, NOW)
+    assert not fleet.is_ready(ENTRY.incarnation)
+    assert fleet.leaving == [ENTRY.incarnation]
+
+
+def test_second_report_of_a_leaving_server_changes_nothing(
+    fleet: servers.ServerFleet,
+) -> None:
+    fleet.record_leaving(ENTRY.incarnation, NOW)
+    assert not fleet.record_leaving(ENTRY.incarnation, LATER)
+    assert fleet.leaving_since(ENTRY.incarnation) == NOW
+
+
+@pytest.mark.parametrize('sequence', [1, 2])
+def test_entry_does_not_make_a_leaving_server_ready_again(
+    fleet: servers.ServerFleet, sequence: int
+) -> None:
+    fleet.record_leaving(ENTRY.incarnation, NOW)
+    fleet.apply(_entry(sequence=sequence))
+    assert not fleet.is_ready(ENTRY.incarnation)
+
+
+def test_leaving_server_that_is_listed_again_is_not_ready(
+    fleet: servers.ServerFleet,
+) -> None:
+    fleet.record_leaving(ENTRY.incarnation, NOW)
+    fleet.schedule_removal(ENTRY.incarnation.server, NOW, clock.LONG_AGO)
+    assert fleet.remove_due(NOW)
+    assert fleet.apply(ENTRY)
+    assert not fleet.is_ready(ENTRY.incarnation)
+
+
+def test_leaving_server_that_is_listed_later_is_not_ready() -> None:
+    fleet = servers.ServerFleet()
+    fleet.record_leaving(ENTRY.incarnation, NOW)
+    assert not fleet.leaving
+    fleet.apply(ENTRY)
+    assert not fleet.is_ready(ENTRY.incarnation)
+
+
+def test_new_incarnation_of_a_leaving_server_is_ready(
+    fleet: servers.ServerFleet,
+) -> None:
+    fleet.record_leaving(ENTRY.incarnation, NOW)
+    fleet.apply(_entry(born=8))
+    assert fleet.is_ready(_incarnation(8))
+    assert not fleet.leaving
+
+
+def test_report_of_an_earlier_incarnation_leaves_the_current_one_ready(
+    fleet: servers.ServerFleet,
+) -> None:
+    fleet.record_leaving(_incarnation(6), NOW)
+    assert fleet.is_ready(ENTRY.incarnation)
+    assert fleet.record_leaving(ENTRY.incarnation, LATER)
+    # An incarnation that preceded a leaving one is gone.
+    assert not fleet.record_leaving(_incarnation(6), LATER)
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -54,6 +54,8 @@
         if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
             # A 421 may come from another server at the same address.
             self._record_rate_limit(server, outcome, started_at, now)
+        if request_headers.reports_leaving(outcome):
+            self._view.record_leaving(server.incarnation, 'answer')
         load = request_headers.parse_load(
             outcome.header(request_headers.LOAD),
         )
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -110,7 +110,7 @@
             self._request_handler.serve, self._clock
         )
         self._relay_server = relay_service.build_server(
-            self._request_handler.serve_relayed, self._clock
+            self._request_handler.serve_relayed, self._view
         )
         self._status = http_server.HttpServer(self._serve_status, self._clock)
         self._stop = asyncio.Event()
@@ -231,6 +231,7 @@
             'servers_known': len(self._view.fleet.servers),
             'reaches_no_server': int(self._loads.reachability.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
+            'servers_leaving': len(self._view.fleet.leaving),
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
             'is_coordinating': int(self._coordinator.has_authority),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -13,6 +13,7 @@
 from sycamoreferry_gateway import (
     coordinator,
     event_log,
+    leaving_reports,
     peer_message_handler,
     peer_messages,
     peer_socket,
@@ -167,7 +168,7 @@
             return
         if self._get_coordinator().has_authority:
             self._send_summary(plan)
-        elif heartbeat.loads:
+        elif heartbeat.loads or heartbeat.leaving:
             self._send_to_coordinator(heartbeat)
         now = self._clock.now()
         is_hub = self._get_coordinator().has_authority or self.is_leaving
@@ -242,6 +243,7 @@
                 self._loads.rate_limits.recent(now), now
             ),
             is_cut_off=self._loads.reachability.is_cut_off,
+            leaving=leaving_reports.build_rows(self._view),
         )
 
     def _report_demand(self) -> None:
@@ -282,6 +284,7 @@
             heartbeat.ends,
             heartbeat.loads,
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
+            heartbeat.leaving,
         )
         if (
             state == self._sent_state
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -9,6 +9,7 @@
 from sycamoreferry_core.traffic import crashes, peer_loads, server_load
 from sycamoreferry_gateway import (
     coordinator,
+    leaving_reports,
     peer_messages,
     permit_client,
     permit_service,
@@ -92,6 +93,7 @@
         rate_limit_reports.merge_rows(
             self._loads.rate_limits, heartbeat.rate_limits, now
         )
+        leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
         for crash in heartbeat.crashes:
             life = servers.ServerIncarnation(
                 ids.ServerId(crash.server),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -37,6 +37,13 @@
     age_ms: int
 
 
+class LeavingRow(msgspec.Struct, array_like=True):
+    """Report an incarnation of a server that is leaving."""
+
+    server: str
+    born: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag='heartbeat'):
     """Report that the sender is alive, its read offsets, role and load."""
 
@@ -59,6 +66,7 @@
     rate_limits: list[RateLimitRow] = []
     # Whether the sender reaches no backend server.
     is_cut_off: bool = False
+    leaving: list[LeavingRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
--- a/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from sycamoreferry_gateway import peer_messages
+
 RELAY_PATH = '/relay'
 
 
@@ -29,6 +31,8 @@
     body: bytes
     code: int
     reason: str
+    # The servers that the instance that answers knows to be leaving.
+    leaving: list[peer_messages.LeavingRow] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/gateway/src/sycamoreferry_gateway/relay_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -6,9 +6,14 @@
 
 import msgspec
 
-from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import routes
-from sycamoreferry_gateway import answers, http_server, relay_messages
+from sycamoreferry_gateway import (
+    answers,
+    http_server,
+    leaving_reports,
+    relay_messages,
+    view,
+)
 
 _HEADER_BYTES = 8_192
 _READ_TIMEOUT_MS = 3_000
@@ -29,10 +34,11 @@
 
 
 def build_server(
-    serve_relayed: ServeRelayed, source: clock.Clock
+    serve_relayed: ServeRelayed, cluster_view: view.View
 ) -> http_server.HttpServer:
     """Return a server that answers relayed requests with a function."""
-    server = http_server.HttpServer(RelayService(serve_relayed).serve, source)
+    service = RelayService(serve_relayed, cluster_view)
+    server = http_server.HttpServer(service.serve, cluster_view.clock)
     server.limits = _LIMITS
     return server
 
@@ -40,8 +46,11 @@
 class RelayService:
     """Decode relayed requests and encode their answers."""
 
-    def __init__(self, serve_relayed: ServeRelayed) -> None:
+    def __init__(
+        self, serve_relayed: ServeRelayed, cluster_view: view.View
+    ) -> None:
         self._serve_relayed = serve_relayed
+        self._view = cluster_view
 
     async def serve(
         self, envelope: http_server.CallerRequest
@@ -60,6 +69,7 @@
             final.answer.body,
             int(final.code),
             final.reason,
+            leaving_reports.build_rows(self._view),
         )
         return http_server.CallerAnswer(
             int(http.HTTPStatus.OK), (), relay_messages.encode(answer)
--- a/packages/gateway/src/sycamoreferry_gateway/request_relay.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_relay.py
@@ -13,6 +13,7 @@
     answers,
     http_client,
     http_server,
+    leaving_reports,
     proxied_requests,
     relay_messages,
     retry_policy,
@@ -76,6 +77,7 @@
             except msgspec.MsgspecError:
                 return RelayFailure.UNKNOWN
             proxied.earlier_runs -= 1
+            leaving_reports.merge_rows(self._view, answer.leaving, peer)
             return _final(answer)
         proxied.earlier_runs -= 1
         return RelayFailure.NOT_RUN
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -127,9 +127,30 @@
                 server=gone.incarnation.server,
                 service=gone.service,
             )
-            self._end_life(gone.incarnation)
+            _confirm_crashes(self, gone.incarnation)
             self.on_change()
 
+    def record_leaving(
+        self,
+        incarnation: servers.ServerIncarnation,
+        source: str,
+    ) -> None:
+        """Record that a server leaves, by an answer or by another instance."""
+        if not self.fleet.record_leaving(incarnation, self.clock.now()):
+            return
+        known = self.fleet.get(incarnation.server)
+        if known is not None:
+            listed = self._by_service.setdefault(known.service, {})
+            listed[incarnation.server] = known
+        self.log.write(
+            'servers',
+            'server is leaving',
+            server=incarnation.server,
+            born=incarnation.born,
+            source=source,
+        )
+        self.on_change()
+
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of server entries."""
         self._last_outage = moment
@@ -225,25 +246,18 @@
         known = self.fleet.get(server_id)
         if not self.fleet.apply(entry):
             return False
+        if entry.state is servers.ServerState.DRAINING:
+            self.fleet.record_leaving(entry.incarnation, self.clock.now())
+        entry = self.fleet.servers[server_id]
         is_relevant = known is None or _has_relevant_change(known, entry)
         if known is not None and known.incarnation != entry.incarnation:
-            self._end_life(known.incarnation)
+            _confirm_crashes(self, known.incarnation)
         if known is not None and known.service != entry.service:
             self._by_service.get(known.service, {}).pop(server_id, None)
         self._by_service.setdefault(entry.service, {})[server_id] = entry
         self._server_log.log_change(known, entry, record.offset)
         return is_relevant
 
-    def _end_life(self, life: servers.ServerIncarnation) -> None:
-        for crash in self.crashes.confirm_crashes(life, self.clock.now()):
-            self.log.write(
-                'crashes',
-                'request ended its server',
-                signature=crash.signature,
-                server=life.server,
-                born=life.born,
-            )
-
     def _fold_owners(self, record: store_records.StoredRecord) -> bool:
         if record.key != assignment.ASSIGNMENT_KEY or record.content is None:
             return False
@@ -292,6 +306,21 @@
         return True
 
 
+def _confirm_crashes(
+    cluster_view: View, ended: servers.ServerIncarnation
+) -> None:
+    """Count the crashes of an incarnation that has ended, and log each."""
+    now = cluster_view.clock.now()
+    for crash in cluster_view.crashes.confirm_crashes(ended, now):
+        cluster_view.log.write(
+            'crashes',
+            'request ended its server',
+            signature=crash.signature,
+            server=ended.server,
+            born=ended.born,
+        )
+
+
 def _has_relevant_change(
     known: servers.BackendServer,
     entry: servers.BackendServer,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -268,6 +268,8 @@
         self.arrived_at: list[int] = []
         # The value of the rate limit header of its answers; '' for none.
         self.rate_limit = ''
+        # The value of the leaving header of its answers; '' for none.
+        self.leaving = ''
         self.granted: list[HeldGrant] = []
         # The grants that this life of the server accepted.
         self.accepted: set[AcceptedGrant] = set()
@@ -303,6 +305,7 @@
         self.born += 1
         self.granted.clear()
         self.accepted.clear()
+        self.leaving = ''
         self.register()
 
     def holds(self, key: int) -> bool:
@@ -322,10 +325,12 @@
             return self._release(json.loads(request.body))
         self.arrived_at.append(self.clock.now())
         answer = await self._run(request)
-        if not self.rate_limit:
-            return answer
-        headers = (*answer.headers, ('Server-Limit', self.rate_limit))
-        return dataclasses.replace(answer, headers=headers)
+        stated = (
+            ('Server-Limit', self.rate_limit),
+            ('Server-Leaving', self.leaving),
+        )
+        headers = tuple(row for row in stated if row[1])
+        return dataclasses.replace(answer, headers=(*answer.headers, *headers))
 
     async def _grant(
         self,
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -201,3 +201,25 @@
     )
     assert logged.lines('servers listed')[0]['count'] == 0
     assert len(logged.lines('server changed')) == 1
+
+
+def test_entry_of_a_leaving_server_is_forwarded_once_it_says_so(
+    logged: LoggedView,
+) -> None:
+    logged.forward(_server_record(1, offset=1))
+    logged.view.take_changed_servers()
+    leaving = servers.ServerIncarnation(
+        ids.ServerId('s1'), servers.IncarnationNumber(1)
+    )
+    for _ in range(2):
+        logged.view.record_leaving(leaving, 'answer')
+    logged.forward(_server_record(1, offset=2, Seq=2))
+    assert not logged.view.take_changed_servers()
+    # Instances of an earlier version learn only from the entry.
+    logged.forward(_server_record(1, offset=3, Seq=3, State='draining'))
+    assert len(logged.view.take_changed_servers()) == 1
+    logged.forward(_server_record(1, offset=4, Seq=4, State='draining'))
+    assert not logged.view.take_changed_servers()
+    known = logged.view.servers_of(ids.ServiceName('service1'))
+    assert not any(server.is_ready for server in known)
+    assert len(logged.lines('server is leaving')) == 1
