Reject requests for keys that can't leave a server at once

Callers see: while the coordinator can't write owners, requests for keys of a server that leaves wait for half a second to a second and are then rejected. Cause: a key without a usable owner was always expected to move within half a second, also when its server had left for longer than the drain time. Change: a request whose key still belongs to a server that has been leaving for longer than the drain time is rejected on arrival, and in the queue once that time is over, with the code for a key without an owner. Retry-After follows from the second after which the coordinator tries refused writes again.

--- a/packages/gateway/src/sycamoreferry_gateway/backlogs.py
+++ b/packages/gateway/src/sycamoreferry_gateway/backlogs.py
@@ -9,6 +9,8 @@
 
 # A key without an owner is assumed to get one within the time of a move.
 _EXPECTED_MOVE_MS = 500
+# The coordinator tries a refused write of owners again after about this time.
+_STALLED_MOVE_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +48,35 @@
             return None
         return self._view.fleet.get(row.owner.server)
 
+    def is_move_stalled(self, request: queueing.QueuedRequest) -> bool:
+        """Tell whether a key still belongs to a server that should be empty.
+
+        Its keys normally move within the drain time; no one knows when they
+        move after that, so its requests are not worth queueing.
+        """
+        if request.key is None:
+            return False
+        table = self._view.assignment.table(request.service)
+        row = table.owner_of(request.key)
+        since = (
+            None if row is None else self._view.fleet.leaving_since(row.owner)
+        )
+        if since is None:
+            return False
+        drain_ms = self._view.deployment.bounds.drain_ms
+        return self._view.clock.now() - since > drain_ms
+
+    def can_be_served(
+        self,
+        request: queueing.QueuedRequest,
+        own_waiting: int,
+    ) -> bool:
+        """Tell whether a request is expected to be sent in time."""
+        if self.is_move_stalled(request):
+            return False
+        backlog = self.estimate(request, own_waiting)
+        return queueing.can_be_served(request, backlog, self._view.clock.now())
+
     def estimate(
         self,
         request: queueing.QueuedRequest,
@@ -56,7 +87,9 @@
         if request.key is not None:
             server = self.owner_server(request)
             if server is None:
-                return queueing.Backlog(1, 1, _EXPECTED_MOVE_MS)
+                is_stalled = self.is_move_stalled(request)
+                move_ms = _STALLED_MOVE_MS if is_stalled else _EXPECTED_MOVE_MS
+                return queueing.Backlog(1, 1, move_ms)
             server_id = server.incarnation.server
             ahead = self._loads.total_waiting(server_id)
             ahead += max(
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -198,7 +198,8 @@
         now: clock.Millis,
     ) -> None:
         """Reject a request that can no longer be answered in time."""
-        if now >= queueing.latest_start(queued.request, duration):
+        is_late = now >= queueing.latest_start(queued.request, duration)
+        if is_late or self._backlogs.is_move_stalled(queued.request):
             queued.result.set_result(
                 self._backlogs.rejection(
                     queued.request,
@@ -235,9 +236,7 @@
     ) -> backlogs.Rejection | None:
         if self.waiting_count >= _MAX_WAITING:
             return self._backlogs.rejection(request, self._waiting_for(request))
-        backlog = self._backlogs.estimate(request, self._waiting_for(request))
-        now = self._view.clock.now()
-        if queueing.can_be_served(request, backlog, now):
+        if self._backlogs.can_be_served(request, self._waiting_for(request)):
             return None
         return self._backlogs.rejection(request, self._waiting_for(request))
 
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -184,7 +184,7 @@
     ) -> Placement | None:
         """Ask once, or wait for an owner; return None to try again."""
         if wait is None:
-            if self._cannot_be_served(request):
+            if not self._backlogs.can_be_served(request, 0):
                 return self._backlogs.rejection(request, 0)
             await asyncio.sleep(clock.seconds(_OWNER_CHECK_MS))
             return None
@@ -304,10 +304,6 @@
         )
         self.returns.start(wait.target.home, message)
 
-    def _cannot_be_served(self, request: queueing.QueuedRequest) -> bool:
-        backlog = self._backlogs.estimate(request, 0)
-        return not queueing.can_be_served(request, backlog, self._clock.now())
-
     def _record_unanswered(self, wait: _Wait) -> None:
         home = wait.target.home
         wait.unanswered_count += 1
--- a/packages/gateway/tests/test_leaving_servers.py
+++ b/packages/gateway/tests/test_leaving_servers.py
@@ -18,6 +18,9 @@
 # Requests at a time, so that no server stays idle.
 BATCH = 8
 BURST = 5
+WAIT_S = 0.3
+# A rejection at once; a request that waits for a server is rejected after 1 s.
+AT_ONCE_MS = 200
 
 mesh_or_permits = pytest.mark.parametrize(
     'mesh_peers', [16, 0], ids=['mesh', 'permits']
@@ -137,6 +140,55 @@
     assert len(leaving.arrived_at) == arrived
 
 
+async def _lose_moves(cluster: typing.Any, *, by_entry: bool) -> None:
+    """Keep keys from moving, with or without reads of the store."""
+    cluster.store.rejects_appends = True
+    if by_entry:
+        return
+    cluster.store.is_down = True
+    await cluster.wait_until(
+        lambda: (
+            not any(one._coordinator.has_authority for one in cluster.instances)
+        ),
+    )
+
+
+@mesh_or_permits
+@pytest.mark.parametrize('by_entry', [False, True], ids=['answer', 'entry'])
+async def test_keys_of_a_leaving_server_that_cannot_move_are_rejected_at_once(
+    cluster: typing.Any,
+    monkeypatch: pytest.MonkeyPatch,
+    mesh_peers: int,
+    *,
+    by_entry: bool,
+) -> None:
+    monkeypatch.setattr(message_intervals, '_MAX_MESH_PEERS', mesh_peers)
+    calls = await _start(cluster, is_keyed=True)
+    leaving = cluster.servers[0]
+    held = next(key for key in KEYS if leaving.holds(key))
+    await _lose_moves(cluster, by_entry=by_entry)
+    if by_entry:
+        leaving.register('draining')
+    else:
+        await calls.hear_leaving(leaving, 0)
+    instance = cluster.instances[0]
+    await cluster.wait_until(lambda: not _known(instance, leaving).is_ready)
+    arrived = len(leaving.arrived_at)
+    await asyncio.sleep(DRAIN_S - WAIT_S)
+    started_at = leaving.clock.now()
+    # The first request waits for a move until the drain time is over.
+    replies = [await calls.call(0, held)]
+    assert leaving.clock.now() - started_at <= 1_000 * WAIT_S + AT_ONCE_MS
+    started_at = leaving.clock.now()
+    replies.append(await calls.call(0, held))
+    assert leaving.clock.now() - started_at <= AT_ONCE_MS
+    for reply in replies:
+        assert reply.status == 503
+        assert b'3001' in reply.body
+        assert float(reply.header('retry-after')) > 0
+    assert len(leaving.arrived_at) == arrived
+
+
 async def test_leaving_server_stays_unused_if_its_entry_says_ready_again(
     cluster: typing.Any,
 ) -> None:
