Explain failed requests by servers that were leaving

What an operator sees: ferryctl explain shows that a server is gone or changed, but not that it had said in an answer that it leaves. Cause: the event is new and not among those that are shown of a request's servers. Evidence: the case for it in test_cause_of_a_failed_request fails without the change. Change: explain shows the event with its source.

--- a/packages/ctl/src/sycamoreferry_ctl/explaining.py
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -19,6 +19,7 @@
     (
         'server is gone',
         'server changed',
+        'server is leaving',
         'server leaves grants unanswered',
         'server suspended after failures',
     ),
--- a/packages/ctl/tests/test_explaining.py
+++ b/packages/ctl/tests/test_explaining.py
@@ -84,6 +84,7 @@
     ),
     _line(6, 'servers', 'server is gone', server='c', service='v'),
     _line(6, 'servers', 'server is gone', server='d', service='v'),
+    _line(6, 'servers', 'server is leaving', server='d', source='answer'),
     _ended(7, 'late', 4003, reason='timeout', tries=[['d', 'unknown', 'x']]),
     _line(8, 'log', 'lines dropped', count=4),
     _line(9, 'instance', 'stopping', reason='SIGTERM'),
@@ -129,6 +130,7 @@
         ('unowned', explaining.Cause.NO_OWNER, 'from a, to b', 'from x'),
         ('lost', explaining.Cause.UNKNOWN_OUTCOME, 'server c', 'server d'),
         ('late', explaining.Cause.TOO_LATE, 'server d', 'server c'),
+        ('late', explaining.Cause.TOO_LATE, 'leaving (server d', 'server c'),
         ('absent', explaining.Cause.NOT_LOGGED, '4 lines', 'server'),
     ],
 )
