--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -37,6 +37,13 @@
     age_ms: int
 
 
+class LeavingRow(msgspec.Struct, array_like=True):
+    """Report an incarnation of a server that is leaving."""
+
+    server: str
+    born: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag='heartbeat'):
     """Report that the sender is alive, its read offsets, role and load."""
 
@@ -61,6 +68,7 @@
     is_cut_off: bool = False
     # The store's era to which the end offsets belong; 0 if it is not known.
     era: int = 0
+    leaving: list[LeavingRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -78,7 +78,7 @@
         client.on_new_era = self.wake_all
 
     async def register(self) -> None:
-        """Write the peer address of this instance, in each era if it is lost."""
+        """Write the peer address of this instance, again if it is lost."""
         while True:
             self._registration_wake.clear()
             await self._write_registration()
