Count peers that were silent at any time before a claim over lost records

A coordinator that was cut off from the store and its peers came back together with the store, and claimed with the owners that it remembered, while servers held keys by a later term whose records were lost. It asked which peers are silent now; one heartbeat after the return there was none. Found by a review.

Silences and crashes are kept with the time of the return. With many instances peers are heard too rarely to tell, so the term has to have been confirmed within the time of its authority. An instance that has to wait lists the topic no more.

The test fails before (four keys at two servers) and passes.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -43,12 +43,16 @@
         self._own_weight = counting_weight
         self.peer_timeout_ms = PEER_TIMEOUT_MS
         self._peers: dict[ids.InstanceId, PeerStatus] = {}
+        # When each peer was heard again after a silence or a crash.
+        self._returned_at: dict[ids.InstanceId, clock.Millis] = {}
 
     def update(self, status: PeerStatus) -> None:
         """Store a peer's status unless it is of an earlier incarnation."""
         known = self._peers.get(status.instance)
         if known is not None and known.incarnation > status.incarnation:
             return
+        if known is not None and self._has_missed(known, status):
+            self._returned_at[status.instance] = status.received_at
         self._peers[status.instance] = status
 
     def is_new_incarnation(
@@ -78,12 +82,15 @@
             if not peer.is_leaving and not peer.is_cut_off
         ]
 
-    def has_lost_any(self, since: clock.Millis, now: clock.Millis) -> bool:
-        """Return whether a peer heard since a time fell silent unplanned."""
+    def has_missed_any(self, since: clock.Millis, now: clock.Millis) -> bool:
+        """Return whether a peer was silent or crashed at any time since."""
         return any(
-            peer.received_at >= since
-            and now - peer.received_at >= self.peer_timeout_ms
-            and not peer.is_leaving
+            self._returned_at.get(peer.instance, clock.LONG_AGO) >= since
+            or (
+                peer.received_at >= since
+                and now - peer.received_at >= self.peer_timeout_ms
+                and not peer.is_leaving
+            )
             for peer in self._peers.values()
         )
 
@@ -106,6 +113,13 @@
         ]
         return sum(1 for candidate in eligible if candidate < own)
 
+    def _has_missed(self, known: PeerStatus, status: PeerStatus) -> bool:
+        if known.is_leaving:
+            return False
+        silent_ms = status.received_at - known.received_at
+        is_restarted = known.incarnation != status.incarnation
+        return is_restarted or silent_ms >= self.peer_timeout_ms
+
 
 # Followers call the store every few seconds, the coordinator twice a second.
 _STORE_FRESH_MS = 5_000
--- a/packages/gateway/src/sycamoreferry_gateway/earlier_terms.py
+++ b/packages/gateway/src/sycamoreferry_gateway/earlier_terms.py
@@ -1,4 +1,4 @@
-"""Find out what is known of the owners and leases of earlier terms."""
+"""Tell what is known of the owners and leases of earlier terms."""
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import instances
@@ -15,7 +15,7 @@
 
 
 class EarlierTerms:
-    """Answer for the time before a claim."""
+    """Tell what a claim may take over from the terms before it."""
 
     def __init__(
         self,
@@ -38,12 +38,8 @@
         """
         if self._view.owners.lost_since is None:
             return term_claims.OwnerKnowledge.STORED
-        # Another instance may have claimed a term in records that the store
-        # lost. It reports that, unless it was lost or is cut off from this one.
-        since = clock.Millis(confirmed_at - _LONGEST_CLAIM_MS)
-        if self.is_own(
-            self._view.assignment, given_up
-        ) and not self._view.peers.has_lost_any(since, self._clock.now()):
+        is_own = self.is_own(self._view.assignment, given_up)
+        if is_own and not self._may_be_superseded(confirmed_at):
             return term_claims.OwnerKnowledge.REMEMBERED
         return term_claims.OwnerKnowledge.LOST
 
@@ -57,7 +53,7 @@
         )
 
     def must_wait(self, knowledge: term_claims.OwnerKnowledge) -> bool:
-        """Tell whether an instance that knows the owners may still claim."""
+        """Tell whether to leave the claim to one that knows the owners."""
         lost_since = self._view.owners.lost_since
         if lost_since is None:
             return False
@@ -88,6 +84,23 @@
         self._orders.use_book(book)
         book.assume_earlier_grants(until or self._latest_end())
 
+    def _may_be_superseded(self, confirmed_at: clock.Millis) -> bool:
+        """Tell whether the lost records may have a later claim.
+
+        An instance that claimed a term did not hear this one before, so this
+        one did not hear it either. Where many instances run, they are heard
+        too rarely to tell; there the last confirmation has to be recent.
+        """
+        now = self._clock.now()
+        peers = self._view.peers
+        if (
+            peers.peer_timeout_ms > instances.PEER_TIMEOUT_MS
+            and now - confirmed_at >= instances.AUTHORITY_MS
+        ):
+            return True
+        since = clock.Millis(confirmed_at - _LONGEST_CLAIM_MS)
+        return peers.has_missed_any(since, now)
+
     def _latest_end(self) -> clock.Millis:
         """Return when all leases granted until now have expired."""
         longest = self._view.deployment.bounds.longest_hold_ms
--- a/packages/gateway/src/sycamoreferry_gateway/term_manager.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_manager.py
@@ -137,6 +137,11 @@
         """Try to claim the next term; return whether this instance holds it."""
         known_term = self._view.assignment.term
         seemed_lost = self._view.owners.lost_since is not None
+        knowledge = self._earlier.owner_knowledge(
+            self._given_up_term, self._confirmed_at
+        )
+        if self._earlier.must_wait(knowledge):
+            return False
         if not await self._adopt_newest(self._clock.now()):
             return False
         knowledge = self._earlier.owner_knowledge(
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sycamoreferry_core.fleet import store_records
 from sycamoreferry_core.keyspace import placement
 
 COPY_AGE_MS = 1_500
@@ -256,3 +257,41 @@
     await cluster.wait_until(
         lambda: any(name == 'later' for name, _ in registered), 3
     )
+
+
+@pytest.mark.timeout(60)
+async def test_coordinator_takes_back_keys_that_a_lost_term_moved(
+    cluster: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await _start(cluster)
+    await asyncio.sleep(0.5)
+    copied_at = cluster.store.clock.now()
+    earlier = _leader(cluster)
+    with monkeypatch.context() as cut_off:
+        cut_off.setattr(earlier._store, '_call', _refuse)
+        socket = earlier._exchange._socket
+        cut_off.setattr(socket, 'send_all', _ignore)
+        cut_off.setattr(socket, 'datagram_received', _ignore)
+        await cluster.wait_until(
+            lambda: _leaders(cluster) not in ([], [earlier]), 8
+        )
+        await cluster.wait_until(lambda: earlier not in _leaders(cluster))
+        await asyncio.sleep(0.5)
+        for key in KEYS[:4]:
+            await _move_key(cluster, key)
+        shared: set[int] = set()
+        watch = asyncio.create_task(_watch_owners(cluster, shared))
+        cluster.store.return_to_copy(copied_at)
+    await asyncio.sleep(6)
+    watch.cancel()
+    assert not shared
+
+
+async def _refuse(*_: object) -> store_records.StoreFailure:
+    return store_records.StoreFailure(
+        store_records.StoreFailureReason.REJECTED, 'cut off'
+    )
+
+
+def _ignore(*_: object) -> None:
+    """Lose datagrams."""
