Keep servers and instances that the store lost until they write again

A server that registered since the copy was removed at once, as the listing of the copy lacks it, and with its keys moved. The return of the store now counts as the end of an outage, an entry that comes back is forwarded, and an instance that is heard stays known until it has registered again.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -151,6 +151,10 @@
             now, clock.later(last_outage, RECOVERY_GRACE_MS)
         )
 
+    def is_removal_scheduled(self, server: ids.ServerId) -> bool:
+        """Return whether a server is removed unless an entry comes back."""
+        return server in self._removal_times
+
     def remove_due(self, now: clock.Millis) -> list[BackendServer]:
         """Remove and return the servers whose removal is due."""
         due = [
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -61,6 +61,7 @@
             dict[ids.ServerId, servers.BackendServer],
         ] = {}
         self._last_outage = clock.LONG_AGO
+        self._servers_era = store_records.NO_ERA
         self._moving = pending_moves.PendingMoves()
         self._changed_servers: list[store_records.StoredRecord] = []
         self.on_change: typing.Callable[[], None] = _ignore_change
@@ -142,7 +143,7 @@
 
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of server entries."""
-        self._last_outage = moment
+        self._last_outage = max(self._last_outage, moment)
 
     def mark_moving(
         self,
@@ -171,6 +172,12 @@
         topic: store_records.TopicName,
         changed: list[store_records.StoredRecord],
     ) -> None:
+        servers_era = self.mirrors[store_calls.SERVERS_TOPIC].era
+        if servers_era != self._servers_era:
+            if self._servers_era != store_records.NO_ERA:
+                # Servers write the entries that the store lost again.
+                self.record_outage(self.clock.now())
+            self._servers_era = servers_era
         if topic == store_calls.OWNERS_TOPIC:
             self.owners.check_for_loss()
         for record in changed:
@@ -232,12 +239,14 @@
             )
             return False
         known = self.fleet.get(server_id)
+        is_back = self.fleet.is_removal_scheduled(server_id)
         if not self.fleet.apply(entry):
             return False
         if entry.state is servers.ServerState.DRAINING:
             self.fleet.record_leaving(entry.incarnation, self.clock.now())
         entry = self.fleet.servers[server_id]
         is_relevant = known is None or _has_relevant_change(known, entry)
+        is_relevant = is_relevant or is_back
         if known is not None and known.incarnation != entry.incarnation:
             _confirm_crashes(self, known.incarnation)
         if known is not None and known.service != entry.service:
@@ -259,7 +268,10 @@
         if instance == self.deployment.instance:
             return False
         if record.content is None:
-            self.peer_addresses.pop(instance, None)
+            # An instance that is heard registers again if the store lost it.
+            alive = self.peers.alive(self.clock.now())
+            if all(peer.instance != instance for peer in alive):
+                self.peer_addresses.pop(instance, None)
             return False
         try:
             address = instance_records.decode_address(record.content)
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -287,6 +287,34 @@
     assert not shared
 
 
+async def test_server_that_registered_since_the_copy_is_removed_at_once(
+    cluster: typing.Any,
+) -> None:
+    await _start(cluster)
+    copied_at = cluster.store.clock.now()
+    await asyncio.sleep(0.01)
+    new = type(cluster.servers[0])('new', cluster.store)
+    await new.start()
+    cluster.servers.append(new)
+    new.register()
+    await cluster.wait_until(lambda: _know_servers(cluster, 4))
+    lost = cluster.store.return_to_copy(copied_at)
+    # Servers write within two seconds of the return.
+    for _ in range(36):
+        await asyncio.sleep(0.05)
+        assert _know_servers(cluster, 4)
+    for topic, key, content in lost:
+        cluster.store.put(topic, key, content)
+    await asyncio.sleep(1.5)
+    assert _know_servers(cluster, 4)
+
+
+def _know_servers(cluster: typing.Any, count: int) -> bool:
+    return all(
+        len(one._view.fleet.servers) == count for one in _running(cluster)
+    )
+
+
 async def _refuse(*_: object) -> store_records.StoreFailure:
     return store_records.StoreFailure(
         store_records.StoreFailureReason.REJECTED, 'cut off'
