Wait for leases if a system that ran before has no assignment

After a return to a copy from before the first claim, instances that had all restarted took the system for a new one and granted keys that servers still held. The settings say whether the system starts for the first time; if not, a store without an assignment has lost it.

--- a/packages/core/src/sycamoreferry_core/fleet/deployment.py
+++ b/packages/core/src/sycamoreferry_core/fleet/deployment.py
@@ -46,6 +46,8 @@
     cores: float
     link_mbps: float
     bounds: Bounds
+    # Whether the whole system starts for the first time.
+    is_first_start: bool = True
 
     @property
     def counting_weight(self) -> float:
--- a/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
@@ -15,8 +15,11 @@
         mirror: store_records.TopicMirror,
         time_source: clock.Clock,
         log: event_log.EventLog,
+        *,
+        is_first_start: bool,
     ) -> None:
         self._mirror = mirror
+        self._is_first_start = is_first_start
         self._clock = time_source
         self._log = log
         self._current = assignment.NO_ASSIGNMENT
@@ -44,18 +47,14 @@
     def lost_since(self) -> clock.Millis | None:
         """Return since when the store's assignment is an older copy.
 
-        None if it is the newest; it is again once a coordinator has claimed a
-        term in the store's present era.
+        None if it is the newest. A claim in the store's present era makes it
+        the newest again.
         """
         return self._lost_since
 
     def check_for_loss(self) -> None:
         """Find out from the mirror whether the store lost an assignment."""
-        claimed = self.claimed_era
-        is_older_copy = claimed != self._mirror.era and (
-            claimed != store_records.NO_ERA or self._mirror.has_lost_records
-        )
-        if not is_older_copy:
+        if not self._is_older_copy():
             self._lost_since = None
         elif self._lost_since is None:
             self._lost_since = self._clock.now()
@@ -95,6 +94,16 @@
         self._current = decoded
         return True
 
+    def _is_older_copy(self) -> bool:
+        claimed = self.claimed_era
+        if claimed == self._mirror.era or not self._mirror.is_listed:
+            return False
+        if claimed != store_records.NO_ERA or self._mirror.has_lost_records:
+            return True
+        # A system that was started before has an assignment.
+        is_empty = assignment.ASSIGNMENT_KEY not in self._mirror.records
+        return is_empty and not self._is_first_start
+
     def _is_outdated(self, decoded: assignment.Assignment) -> bool:
         """Tell whether the store's older copy has an older assignment."""
         if self._lost_since is None:
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -51,7 +51,10 @@
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
         self.owners = assignment_tracker.AssignmentTracker(
-            self.mirrors[store_calls.OWNERS_TOPIC], time_source, log
+            self.mirrors[store_calls.OWNERS_TOPIC],
+            time_source,
+            log,
+            is_first_start=settings.is_first_start,
         )
         # When the leases of terms that were given up have expired.
         self.given_up_lease_ends: dict[ids.Term, clock.Millis] = {}
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -601,7 +601,9 @@
         """Restart a killed instance at the peer port that its peers know."""
         previous = self.instances[number]._deployment
         fresh = self._deployment(previous.instance)
-        restarted = dataclasses.replace(fresh, peer_port=previous.peer_port)
+        restarted = dataclasses.replace(
+            fresh, peer_port=previous.peer_port, is_first_start=False
+        )
         return self._run(restarted)
 
     def add_instance(self, name: str) -> instance.Instance:
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -287,6 +287,30 @@
     assert not shared
 
 
+@pytest.mark.timeout(60)
+async def test_keys_are_granted_at_once_from_a_copy_older_than_all_terms(
+    cluster: typing.Any,
+) -> None:
+    await cluster.start(3, 0)
+    copied_at = cluster.store.clock.now()
+    await asyncio.sleep(0.01)
+    for number in range(3):
+        cluster.add_instance(f'i{number}')
+    await cluster.wait_until(cluster.is_covered)
+    for key in KEYS[:4]:
+        await _move_key(cluster, key)
+    shared: set[int] = set()
+    watch = asyncio.create_task(_watch_owners(cluster, shared))
+    for number in range(3):
+        await cluster.kill(number)
+    cluster.store.return_to_copy(copied_at)
+    for number in range(3):
+        cluster.restart(number)
+    await asyncio.sleep(6)
+    watch.cancel()
+    assert not shared
+
+
 async def test_server_that_registered_since_the_copy_is_removed_at_once(
     cluster: typing.Any,
 ) -> None:
