--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -259,6 +259,24 @@
     )
 
 
+async def test_first_era_of_the_store_is_taken_for_none(
+    cluster: typing.Any,
+) -> None:
+    cluster.store.era = 0
+    await _start(cluster)
+    await asyncio.sleep(COPY_AGE_MS / 1_000)
+    shared: set[int] = set()
+    watch = asyncio.create_task(_watch_owners(cluster, shared))
+    await _move_keys(cluster, KEYS[3], 8)
+    await _restore(cluster, Drill.COORDINATOR_RESTARTS)
+    await asyncio.sleep(1)
+    await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
+    await _move_keys(cluster, KEYS[3], 8)
+    watch.cancel()
+    assert not shared
+    assert not cluster.store.low_fences
+
+
 @pytest.mark.timeout(60)
 async def test_coordinator_takes_back_keys_that_a_lost_term_moved(
     cluster: typing.Any, monkeypatch: pytest.MonkeyPatch
