Take no offsets over from instances that name no era

An instance that has seen one era took the offsets of an earlier build's peer for its own, and could miss a configuration that the store gave an offset already used. It reads the store instead. Further points of the same review: a refusal without the header is one, a listing of an era that is over moves no write, more lost eras fit into one append, and ferryctl explain shows the store's return.

--- a/packages/core/src/sycamoreferry_core/keyspace/fences.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/fences.py
@@ -3,10 +3,10 @@
 from sycamoreferry_core import ids
 from sycamoreferry_core.fleet import store_records
 
-# More records than instances write while a copy of the store grows old.
-RECORDS_PER_ERA = 32_768
+# More than instances write while a copy of the store grows old.
+OFFSETS_PER_ERA = 16_384
 # Limits the size of one append.
-_MAX_LOST_ERAS = 8
+_MAX_LOST_ERAS = 18
 
 
 def offsets_to_skip(
@@ -26,4 +26,4 @@
     if claimed_era == era:
         return 0
     lost_eras = max(1, min(era - claimed_era, _MAX_LOST_ERAS))
-    return max(lost_eras * RECORDS_PER_ERA, highest_known - end)
+    return max(lost_eras * OFFSETS_PER_ERA, highest_known - end)
--- a/packages/ctl/src/sycamoreferry_ctl/explaining.py
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -24,7 +24,13 @@
         'server suspended after failures',
     ),
 )
-_TERM_EVENTS = frozenset(('claimed the term', 'gave up the term'))
+_TERM_EVENTS = frozenset(
+    (
+        'claimed the term',
+        'gave up the term',
+        'store returned to an older copy of its records',
+    )
+)
 
 
 @enum.unique
--- a/packages/gateway/src/sycamoreferry_gateway/assignment_writer.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment_writer.py
@@ -65,9 +65,10 @@
         return self._refused_at - self._refused_since >= _MAX_REFUSAL_MS
 
     def adopt(self, listing: store_records.RecordPage) -> None:
-        """Continue from a listing of the topic."""
+        """Continue from a listing of the topic, unless its era is over."""
         self._view.replace(store_calls.OWNERS_TOPIC, listing)
-        self._next_offset = listing.end
+        if listing.era == self._view.mirrors[store_calls.OWNERS_TOPIC].era:
+            self._next_offset = listing.end
 
     async def append(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -90,7 +90,8 @@
         self._exchange.message_handler.on_peer_offset = (
             self._sync.note_peer_offset
         )
-        self._exchange.message_handler.on_other_era = self._sync.wake_all
+        self._exchange.message_handler.on_newer_era = self._sync.wake_all
+        self._exchange.message_handler.on_unusable_records = self._sync.wake
         self._permit_service = permit_service.PermitService(
             self._view,
             self._loads,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -27,6 +27,7 @@
 _SHARED_TOPICS = frozenset((store_sync.OWNERS_TOPIC, store_sync.SERVERS_TOPIC))
 
 _Address = tuple[str, int]
+_OnTopic = typing.Callable[[store_records.TopicName], None]
 _Send = typing.Callable[[peer_messages.PeerMessage, _Address], None]
 
 
@@ -50,8 +51,10 @@
         self._requested_at: dict[store_records.TopicName, clock.Millis] = {}
         self.on_new_peer: typing.Callable[[_Address], None] = _ignore_new_peer
         self.on_peer_offset: store_sync.OnPeerOffset = _ignore_peer_offset
-        # Called if a peer has read the store in another era.
-        self.on_other_era: typing.Callable[[], None] = _ignore_other_era
+        # Called if a peer has read the store in a newer era.
+        self.on_newer_era: typing.Callable[[], None] = _ignore_newer_era
+        # Called with the topic of records that name no era.
+        self.on_unusable_records: _OnTopic = _ignore_topic
         self.counter: permit_service.PermitService | None = None
         self.permits: permit_client.PermitClient | None = None
 
@@ -130,11 +133,9 @@
             for row in message.rows
         )
         era = store_records.StoreEra(message.era)
-        if era == store_records.NO_ERA:
-            if not self._view.offsets.accepts(era):
-                self.on_other_era()
-                return
-            era = self._view.mirrors[topic].era
+        if era == store_records.NO_ERA and not self._view.offsets.accepts(era):
+            self.on_unusable_records(topic)
+            return
         page = store_records.RecordPage(
             records, ids.Offset(message.end), era=era
         )
@@ -210,7 +211,7 @@
         if not self._view.offsets.accepts(era):
             if era < self._view.offsets.era:
                 return
-            self.on_other_era()
+            self.on_newer_era()
         own_ends = self._view.offsets.ends()
         for topic, end in zip(own_ends, heartbeat.ends, strict=False):
             mirror = self._view.mirrors[topic]
@@ -243,8 +244,12 @@
     """Ignore new peers until the peer exchange sets its own callback."""
 
 
-def _ignore_other_era() -> None:
-    """Ignore other eras until the store sync sets its own callback."""
+def _ignore_newer_era() -> None:
+    """Ignore newer eras until the store sync sets its own callback."""
+
+
+def _ignore_topic(_topic: store_records.TopicName) -> None:
+    """Ignore unusable records until the store sync sets its own callback."""
 
 
 def _ignore_peer_offset(
--- a/packages/gateway/src/sycamoreferry_gateway/read_offsets.py
+++ b/packages/gateway/src/sycamoreferry_gateway/read_offsets.py
@@ -45,13 +45,9 @@
     def accepts(self, era: store_records.StoreEra) -> bool:
         """Tell whether a peer's offsets can be compared with the own ones.
 
-        A peer of an earlier version names no era. Its offsets belong to the
-        only one, as long as the store has not returned to a copy.
+        A peer of an earlier version names no era, and may have read the store
+        before it returned to a copy.
         """
-        if era == store_records.NO_ERA:
-            return not any(
-                mirror.has_lost_records for mirror in self._mirrors.values()
-            )
         return era == self.era
 
     def note_server_change(self, offset: ids.Offset) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -167,7 +167,8 @@
         )
         if isinstance(outcome, http_client.FailedExchange):
             return self._record_failure(_failure_of(outcome))
-        if not self._note_era(store_calls.parse_era(outcome)):
+        era = store_calls.parse_era(outcome)
+        if era != store_records.NO_ERA and not self._note_era(era):
             return self._record_failure(_era_changed())
         if outcome.status in _UNAVAILABLE_STATUSES:
             return self._record_failure(
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -142,6 +142,12 @@
         if end > self._view.mirrors[topic].end:
             self._wakes[topic].set()
 
+    def wake(self, topic: store_records.TopicName) -> None:
+        """Read a topic now, if it is followed by long polls."""
+        wake = self._wakes.get(topic)
+        if wake is not None:
+            wake.set()
+
     def wake_all(self) -> None:
         """Read all topics that are followed now, and check the registration."""
         self._registration_wake.set()
