Log when a server asks an instance to back off

Change: the gateway reads Retry-After of a 503 and logs server and delay. What it sends is unchanged. A value that is no decimal number is ignored. Measured: the tests of the parser pass.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -54,6 +54,7 @@
         if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
             # A 421 may come from another server at the same address.
             self._record_rate_limit(server, outcome, started_at, now)
+            self._record_back_off(server, outcome)
         load = request_headers.parse_load(
             outcome.header(request_headers.LOAD),
         )
@@ -116,6 +117,24 @@
                 requests_per_s=limit,
             )
 
+    def _record_back_off(
+        self,
+        server: servers.BackendServer,
+        reply: http_messages.HttpResponse,
+    ) -> None:
+        if reply.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        retry_after_ms = request_headers.parse_retry_after(
+            reply.header(request_headers.RETRY_AFTER.lower()),
+        )
+        if retry_after_ms:
+            self._log.write_rate_limited(
+                'servers',
+                'server asked for a back-off',
+                server=server.incarnation.server,
+                retry_after_ms=retry_after_ms,
+            )
+
     def _classify_failure(
         self,
         proxied: proxied_requests.ProxiedRequest,
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -305,6 +305,27 @@
     assert request_headers.parse_rate_limit(text) == limit
 
 
+@pytest.mark.parametrize(
+    ('text', 'delay_ms'),
+    [
+        ('3', 3_000),
+        ('0.25', 250),
+        ('0.0001', 1),
+        ('0', 0),
+        ('-1', None),
+        ('soon', None),
+        ('1e9', None),
+        ('9' * 19, None),
+        ('', None),
+        (None, None),
+    ],
+)
+def test_retry_after_is_a_decimal_number_of_seconds(
+    text: str | None, delay_ms: int | None
+) -> None:
+    assert request_headers.parse_retry_after(text) == delay_ms
+
+
 def test_hop_headers_sent_by_a_caller_are_replaced() -> None:
     headers = request_headers.with_attempt_headers(
         [('Deadline-Ms', '9'), ('expect-instance', 'x'), ('A', 'b')],
