Send servers nothing while they ask for a back-off

Callers see: a server that answers 503 with Retry-After goes on getting requests from that instance, and rejects them. Cause: Retry-After of a server's answer was read nowhere. A 503 counted as one of three failures; the suspension for 1.5 s after them doesn't hold back requests whose key has one owner, and a rejected request is sent to that owner again after 40 ms. Change: an instance keeps the back-off of each incarnation of a server, by its monotonic clock, for an hour at most, and places no request there. Pools use other servers. Where there is none, a request waits if the end leaves it enough time, else it is rejected at once, also from the queue, with what is left as Retry-After. After the end one request in 250 ms is sent until one is answered without a new delay. The server is excluded in requests for permits, and a permit granted before is returned unused. Nothing is told to peers: messages between instances are unchanged. Grants, renewals and releases of keys and probes that only connect go on.

--- a/packages/core/src/sycamoreferry_core/fleet/permit_issuers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/permit_issuers.py
@@ -50,6 +50,17 @@
     return xxhash.xxh3_64_intdigest(server.encode()) % pools
 
 
+def choose_pool(
+    servers: typing.Iterable[ids.ServerId], pools: int, drawn: int
+) -> int | None:
+    """Return the drawn pool, or the next one that has any of the servers."""
+    return min(
+        {pool_of(server, pools) for server in servers},
+        key=lambda pool: (pool - drawn) % pools,
+        default=None,
+    )
+
+
 class IssuerCache:
     """Cache the chosen instances until the candidates or weights change."""
 
--- a/packages/core/src/sycamoreferry_core/traffic/queueing.py
+++ b/packages/core/src/sycamoreferry_core/traffic/queueing.py
@@ -24,6 +24,8 @@
 _MIN_RETRY_AFTER_MS = 50
 _MAX_RETRY_AFTER_MS = 2_000
 _RETRY_AFTER_JITTER = 0.5
+# Callers that are rejected for a back-off return spread over this time.
+_RETURN_SPREAD_MS = 500
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -51,11 +53,14 @@
     ahead: float
     slots: float
     duration_ms: float
+    # The rest of a back-off, before which no request is sent.
+    back_off_ms: int = 0
 
     @property
     def wait_ms(self) -> float:
         """Return the expected wait in milliseconds."""
-        return self.ahead * self.duration_ms / (self.slots or 1)
+        queued_ms = self.ahead * self.duration_ms / (self.slots or 1)
+        return self.back_off_ms + queued_ms
 
 
 def queue_position(
@@ -89,7 +94,7 @@
     now: clock.Millis,
 ) -> bool:
     """Return whether a request is expected to be sent in time."""
-    if not backlog.ahead:
+    if not (backlog.ahead or backlog.back_off_ms):
         return True
     expected = now + backlog.wait_ms
     return expected <= latest_start(request, backlog.duration_ms)
@@ -101,6 +106,9 @@
     jitter: float,
 ) -> int:
     """Return the delay before a rejected caller should retry, in ms."""
+    if backlog.back_off_ms:
+        spread_ms = int(_RETURN_SPREAD_MS * jitter)
+        return max(_MIN_RETRY_AFTER_MS, backlog.back_off_ms + spread_ms)
     wanted = max(backlog.wait_ms, _MIN_RETRY_AFTER_MS)
     wanted *= 1 + _RETRY_AFTER_JITTER * jitter
     longest = min(_MAX_RETRY_AFTER_MS, remaining_ms * _RETRY_AFTER_SHARE)
--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -10,7 +10,12 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import peer_loads, rate_limits, reachability
+from sycamoreferry_core.traffic import (
+    back_offs,
+    peer_loads,
+    rate_limits,
+    reachability,
+)
 
 # Weight of one response in the moving mean of the durations at a server.
 _DURATION_WEIGHT = 0.1
@@ -44,6 +49,7 @@
         self._tracked: dict[ids.ServerId, _TrackedServer] = {}
         self.peers = peer_loads.PeerLoads()
         self.rate_limits = rate_limits.RateLimits()
+        self.back_offs = back_offs.BackOffs()
         self.reachability = reachability.Reachability()
         self._service_ms: dict[ids.ServiceName, float] = {}
 
--- a/packages/core/tests/traffic/test_queueing.py
+++ b/packages/core/tests/traffic/test_queueing.py
@@ -106,6 +106,24 @@
     assert queueing.can_be_served(request, short, now)
 
 
+@pytest.mark.parametrize(
+    ('back_off_ms', 'can_be_served'), [(900, True), (1_100, False)]
+)
+def test_request_waits_only_for_a_back_off_that_leaves_enough_time(
+    back_off_ms: int, *, can_be_served: bool
+) -> None:
+    backlog = queueing.Backlog(0, 2, WORK_MS, back_off_ms)
+    served = queueing.can_be_served(_request(0), backlog, clock.Millis(0))
+    assert served == can_be_served
+
+
+@pytest.mark.parametrize('jitter', [0.0, 0.5, 1.0])
+def test_retry_delay_is_not_shorter_than_a_back_off(jitter: float) -> None:
+    backlog = queueing.Backlog(0, 2, WORK_MS, back_off_ms=3_000)
+    after = queueing.retry_delay_ms(900, backlog, jitter)
+    assert 3_000 <= after <= 3_500
+
+
 @pytest.mark.parametrize('jitter', [0.0, 0.5, 1.0])
 def test_retry_delay_is_at_most_a_third_of_the_remaining_time(
     jitter: float,
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -54,7 +54,7 @@
         if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
             # A 421 may come from another server at the same address.
             self._record_rate_limit(server, outcome, started_at, now)
-            self._record_back_off(server, outcome)
+            self._record_back_off(server, outcome, now)
         load = request_headers.parse_load(
             outcome.header(request_headers.LOAD),
         )
@@ -121,13 +121,17 @@
         self,
         server: servers.BackendServer,
         reply: http_messages.HttpResponse,
+        now: clock.Millis,
     ) -> None:
-        if reply.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
-            return
-        retry_after_ms = request_headers.parse_retry_after(
-            reply.header(request_headers.RETRY_AFTER.lower()),
-        )
-        if retry_after_ms:
+        retry_after_ms = None
+        if reply.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after_ms = request_headers.parse_retry_after(
+                reply.header(request_headers.RETRY_AFTER.lower()),
+            )
+        back_offs = self._loads.back_offs
+        if not retry_after_ms:
+            back_offs.record_answer(server.incarnation, now)
+        elif back_offs.record_delay(server.incarnation, retry_after_ms, now):
             self._log.write_rate_limited(
                 'servers',
                 'server asked for a back-off',
--- a/packages/gateway/src/sycamoreferry_gateway/backlogs.py
+++ b/packages/gateway/src/sycamoreferry_gateway/backlogs.py
@@ -64,16 +64,59 @@
                 self._loads.total_in_flight(server_id, now) - server.slots,
             )
             duration = self._loads.duration_ms(server)
-            return queueing.Backlog(ahead, server.slots, duration)
+            return queueing.Backlog(
+                ahead, server.slots, duration, self.back_off_ms(request)
+            )
         ready = [
             server
             for server in self._view.servers_of(request.service)
             if server.is_ready
         ]
         ahead = own_waiting * self._view.peers.count(now)
-        slots = sum(server.slots for server in ready)
+        usable = self._loads.back_offs.open_servers(ready, now) or ready
+        slots = sum(server.slots for server in usable)
+        duration = self._loads.service_duration_ms(request.service)
+        return queueing.Backlog(
+            ahead, slots, duration, self.back_off_ms(request)
+        )
+
+    def can_be_served(self, request: queueing.QueuedRequest) -> bool:
+        """Tell whether a request that waits here can be sent in time."""
+        now = self._view.clock.now()
         duration = self._loads.service_duration_ms(request.service)
-        return queueing.Backlog(ahead, slots, duration)
+        if now >= queueing.latest_start(request, duration):
+            return False
+        return queueing.can_be_served(request, self.estimate(request, 0), now)
+
+    def back_off_ms(self, request: queueing.QueuedRequest) -> int:
+        """Return when the first server that can run a request may get one.
+
+        It is 0 while one of them may get requests, or none is known.
+        """
+        if self._loads.back_offs.is_empty:
+            return 0
+        now = self._view.clock.now()
+        return min(
+            (
+                self._loads.back_offs.remaining_ms(server.incarnation, now)
+                for server in self.possible_servers(request)
+            ),
+            default=0,
+        )
+
+    def possible_servers(
+        self, request: queueing.QueuedRequest
+    ) -> list[servers.BackendServer]:
+        """Return the ready servers that could run a request, busy or not."""
+        if request.key is not None:
+            owner = self.owner_server(request)
+            return [] if owner is None else [owner]
+        return [
+            server
+            for server in self._view.servers_of(request.service)
+            if server.is_ready
+            and server.incarnation.server not in request.excluded
+        ]
 
     def rejection(
         self,
@@ -99,4 +142,6 @@
         reason = 'no room'
         if request.key is not None and self.owner_server(request) is None:
             reason = 'key has no owner'
+        elif backlog.back_off_ms:
+            reason = 'server asked for a back-off'
         return Rejection(reason, retry_after, backlog)
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -198,7 +198,10 @@
         now: clock.Millis,
     ) -> None:
         """Reject a request that can no longer be answered in time."""
-        if now >= queueing.latest_start(queued.request, duration):
+        may_start_at = clock.later(
+            now, self._backlogs.back_off_ms(queued.request)
+        )
+        if may_start_at >= queueing.latest_start(queued.request, duration):
             queued.result.set_result(
                 self._backlogs.rejection(
                     queued.request,
@@ -227,6 +230,9 @@
         server = self._selector.select(request)
         if server is not None:
             self._loads.start(server.incarnation.server)
+            self._loads.back_offs.record_start(
+                server.incarnation, self._view.clock.now()
+            )
         return server
 
     def _reject_on_arrival(
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -231,6 +231,7 @@
             'servers_known': len(self._view.fleet.servers),
             'reaches_no_server': int(self._loads.reachability.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
+            'servers_backing_off': self._loads.back_offs.count(now),
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
             'is_coordinating': int(self._coordinator.has_authority),
@@ -325,6 +326,7 @@
             self._loads.peers.drop_silent(self._clock.now())
             self._loads.keep_only(self._view.fleet.servers)
             self._loads.rate_limits.keep_only(self._view.fleet.incarnations)
+            self._loads.back_offs.keep_only(self._view.fleet.incarnations)
             self._view.crashes.prune(self._clock.now())
             self._log.report_dropped()
             self._apply_view_change()
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -183,7 +183,7 @@
     ) -> Placement | None:
         """Ask once, or wait for an owner; return None to try again."""
         if wait is None:
-            if self._cannot_be_served(request):
+            if not self._backlogs.can_be_served(request):
                 return self._backlogs.rejection(request, 0)
             await asyncio.sleep(clock.seconds(_OWNER_CHECK_MS))
             return None
@@ -194,10 +194,14 @@
         if decision.server is None:
             return self._backlogs.rejection_for(request, decision.backlog)
         server = self._view.fleet.get(decision.server)
-        if server is None:
-            # This instance no longer knows the server, so the permit goes back
-            # and another one is asked for.
+        now = self._clock.now()
+        back_offs = self._loads.back_offs
+        if server is None or back_offs.remaining_ms(server.incarnation, now):
+            # This instance no longer knows the server or backs off from it, so
+            # the permit goes back and another one is asked for.
             self._end_wait(wait)
+            return None
+        back_offs.record_start(server.incarnation, now)
         return server
 
     def _reject_if_late(
@@ -262,6 +266,9 @@
         duration = self._loads.service_duration_ms(request.service)
         if owner is not None:
             duration = self._loads.duration_ms(owner)
+        excluded = request.excluded | self._loads.back_offs.closed_ids(
+            self._view.servers_of(request.service), now
+        )
         answer_in_ms = None
         if request.answer_by is not None:
             answer_in_ms = request.answer_by - now
@@ -279,7 +286,7 @@
             objective_in_ms=request.objective_at - now,
             ends_in_ms=request.ends_at - now,
             data_centre=request.data_centre,
-            excluded=list(request.excluded),
+            excluded=list(excluded),
             has_large_answer=request.has_large_answer,
             answer_in_ms=answer_in_ms,
         )
@@ -299,10 +306,6 @@
         )
         self.returns.start(wait.target.home, message)
 
-    def _cannot_be_served(self, request: queueing.QueuedRequest) -> bool:
-        backlog = self._backlogs.estimate(request, 0)
-        return not queueing.can_be_served(request, backlog, self._clock.now())
-
     def _record_unanswered(self, wait: _Wait) -> None:
         home = wait.target.home
         wait.unanswered_count += 1
@@ -326,17 +329,20 @@
         request: queueing.QueuedRequest,
         draw: float,
     ) -> _Target | None:
-        """Return where to ask; None while the key has no owner."""
+        """Return where to ask; None while no server may be sent to."""
         self._refresh_homes()
         if request.key is None:
-            count = len(self._view.servers_of(request.service))
-            pool = int(draw * permit_issuers.pool_count(count))
+            pool = self._choose_pool(request, draw)
+            if pool is None:
+                return None
             line = permits.QueueName(f'{request.service} {pool}')
             return _Target(
                 self._homes.get(line) or self._own_instance, line, None, pool
             )
         owner = self._backlogs.owner_server(request)
-        if owner is None:
+        if owner is None or self._loads.back_offs.remaining_ms(
+            owner.incarnation, self._clock.now()
+        ):
             return None
         server = owner.incarnation.server
         line = permits.QueueName(server)
@@ -344,6 +350,22 @@
             self._homes.get(line) or self._own_instance, line, server, 0
         )
 
+    def _choose_pool(
+        self, request: queueing.QueuedRequest, draw: float
+    ) -> int | None:
+        """Return a pool by lot; None if this instance backs off from all."""
+        known = self._view.servers_of(request.service)
+        count = permit_issuers.pool_count(len(known))
+        drawn = int(draw * count)
+        possible = self._backlogs.possible_servers(request)
+        back_offs = self._loads.back_offs
+        if back_offs.is_empty or not possible:
+            return drawn
+        usable = back_offs.open_servers(possible, self._clock.now())
+        return permit_issuers.choose_pool(
+            [server.incarnation.server for server in usable], count, drawn
+        )
+
     def _refresh_homes(self) -> None:
         now = self._clock.now()
         if now - self._homes_at >= _HOMES_REFRESH_MS:
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -50,6 +50,7 @@
         metrics: telemetry.Telemetry,
     ) -> None:
         self._view = cluster_view
+        self._loads = loads
         self._dispatcher = placement
         self._log = log
         bounds = cluster_view.deployment.bounds
@@ -196,10 +197,26 @@
             final = self._final_answer(proxied, attempt)
             if final is not None:
                 return final
-            if proxied.key is None:
-                queued.excluded |= {found.incarnation.server}
-            elif attempt.result is proxied_requests.AttemptResult.NOT_RUN:
-                await asyncio.sleep(clock.seconds(_REJECTION_BACKOFF_MS))
+            await self._prepare_retry(queued, attempt)
+
+    async def _prepare_retry(
+        self,
+        queued: queueing.QueuedRequest,
+        attempt: proxied_requests.Attempt,
+    ) -> None:
+        was_rejected = attempt.result is proxied_requests.AttemptResult.NOT_RUN
+        if was_rejected and self._back_off_ms(attempt):
+            # The request goes to another server, or waits for this one.
+            return
+        if queued.key is None:
+            queued.excluded |= {attempt.server.incarnation.server}
+        elif was_rejected:
+            await asyncio.sleep(clock.seconds(_REJECTION_BACKOFF_MS))
+
+    def _back_off_ms(self, attempt: proxied_requests.Attempt) -> int:
+        return self._loads.back_offs.remaining_ms(
+            attempt.server.incarnation, self._view.clock.now()
+        )
 
     async def _relay_while_needed(
         self, proxied: proxied_requests.ProxiedRequest
@@ -237,7 +254,10 @@
         ):
             if attempt.reply.status not in request_headers.NOT_RUN_STATUSES:
                 return answers.forwarded(attempt.reply)
-        return self._failure_answer(proxied, attempt.detail, _RETRY_AFTER_MS)
+        retry_after_ms = _RETRY_AFTER_MS
+        if proxied.key is not None:
+            retry_after_ms = max(retry_after_ms, self._back_off_ms(attempt))
+        return self._failure_answer(proxied, attempt.detail, retry_after_ms)
 
     def _failure_answer(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/server_selector.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_selector.py
@@ -44,10 +44,12 @@
             now,
             request.has_large_answer,
         )
-        candidates = self._view.servers_of(request.service)
+        candidates = self._loads.back_offs.open_servers(
+            self._view.servers_of(request.service), now
+        )
         if len(candidates) > server_choice.MAX_CANDIDATES:
             candidates = self._random.sample(
-                list(candidates),
+                candidates,
                 server_choice.MAX_CANDIDATES,
             )
         return server_choice.choose_server(
@@ -63,8 +65,9 @@
         now: clock.Millis,
     ) -> servers.BackendServer | None:
         server = self._backlogs.owner_server(request)
-        if server is None or not server_choice.has_room(
-            server, self._loads, now
+        if server is None or self._loads.back_offs.remaining_ms(
+            server.incarnation, now
         ):
             return None
-        return server
+        has_room = server_choice.has_room(server, self._loads, now)
+        return server if has_room else None
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -266,6 +266,11 @@
         self.born = 1
         self.ran: list[tuple[str, int]] = []
         self.arrived_at: list[int] = []
+        # The request IDs and times of arrival, and of those turned away.
+        self.arrived: list[tuple[str, int]] = []
+        self.turned_away: list[tuple[str, int]] = []
+        # Turns requests away and asks for this back-off in s; '' for none.
+        self.retry_after = ''
         # The value of the rate limit header of its answers; '' for none.
         self.rate_limit = ''
         self.granted: list[HeldGrant] = []
@@ -375,6 +380,11 @@
             return _answer(421)
         if self.is_keyed and not self.holds(key):
             return _answer(421, headers=(('Not-Executed', '1'),))
+        self.arrived.append((request_id, self.clock.now()))
+        if self.retry_after:
+            self.turned_away.append((request_id, self.clock.now()))
+            asked = ('Retry-After', self.retry_after)
+            return _answer(503, headers=(('Not-Executed', '1'), asked))
         self.ran.append((request_id, key))
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
