Compute the servers to leave alone from the known back-offs

Cause: each request for a permit went through all servers of its service to find those that may be sent nothing, also while no server asks for a back-off. Change: the back-offs themselves are gone through, of which there are few.

--- a/packages/core/src/sycamoreferry_core/traffic/back_offs.py
+++ b/packages/core/src/sycamoreferry_core/traffic/back_offs.py
@@ -82,23 +82,14 @@
         now: clock.Millis,
     ) -> list[servers.BackendServer]:
         """Return the servers that may be sent a request."""
+        closed = self._closed(now)
         return [
-            server
-            for server in candidates
-            if self.is_empty or not self.remaining_ms(server.incarnation, now)
+            server for server in candidates if server.incarnation not in closed
         ]
 
-    def closed_ids(
-        self,
-        candidates: typing.Iterable[servers.BackendServer],
-        now: clock.Millis,
-    ) -> set[ids.ServerId]:
-        """Return the servers that may be sent no request."""
-        return {
-            server.incarnation.server
-            for server in candidates
-            if not self.is_empty and self.remaining_ms(server.incarnation, now)
-        }
+    def closed_ids(self, now: clock.Millis) -> set[ids.ServerId]:
+        """Return the servers of all services that may be sent no request."""
+        return {incarnation.server for incarnation in self._closed(now)}
 
     def count(self, now: clock.Millis) -> int:
         """Return how many servers have a back-off that is not over."""
@@ -111,3 +102,10 @@
         for server in list(self._known):
             if server not in known:
                 self._known.pop(server)
+
+    def _closed(self, now: clock.Millis) -> set[servers.ServerIncarnation]:
+        return {
+            incarnation
+            for incarnation, known in self._known.items()
+            if known.next_at > now
+        }
--- a/packages/core/tests/traffic/test_back_offs.py
+++ b/packages/core/tests/traffic/test_back_offs.py
@@ -47,6 +47,15 @@
     assert known.remaining_ms(SERVER, _at(1_300)) == 0
 
 
+def test_servers_are_closed_until_the_next_request_is_due() -> None:
+    known = back_offs.BackOffs()
+    known.record_delay(SERVER, 1_000, _at(0))
+    assert known.closed_ids(_at(999)) == {SERVER.server}
+    assert not known.closed_ids(_at(1_000))
+    known.record_start(SERVER, _at(1_000))
+    assert known.closed_ids(_at(1_001)) == {SERVER.server}
+
+
 def test_new_incarnation_has_no_back_off() -> None:
     known = back_offs.BackOffs()
     known.record_delay(SERVER, 3_000, _at(0))
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -266,9 +266,6 @@
         duration = self._loads.service_duration_ms(request.service)
         if owner is not None:
             duration = self._loads.duration_ms(owner)
-        excluded = request.excluded | self._loads.back_offs.closed_ids(
-            self._view.servers_of(request.service), now
-        )
         answer_in_ms = None
         if request.answer_by is not None:
             answer_in_ms = request.answer_by - now
@@ -286,7 +283,9 @@
             objective_in_ms=request.objective_at - now,
             ends_in_ms=request.ends_at - now,
             data_centre=request.data_centre,
-            excluded=list(excluded),
+            excluded=list(
+                request.excluded | self._loads.back_offs.closed_ids(now)
+            ),
             has_large_answer=request.has_large_answer,
             answer_in_ms=answer_in_ms,
         )
@@ -357,9 +356,11 @@
         known = self._view.servers_of(request.service)
         count = permit_issuers.pool_count(len(known))
         drawn = int(draw * count)
-        possible = self._backlogs.possible_servers(request)
         back_offs = self._loads.back_offs
-        if back_offs.is_empty or not possible:
+        if back_offs.is_empty:
+            return drawn
+        possible = self._backlogs.possible_servers(request)
+        if not possible:
             return drawn
         usable = back_offs.open_servers(possible, self._clock.now())
         return permit_issuers.choose_pool(
