Test that relayed requests respect a back-off

An instance that backs off from a server sends it nothing for a peer that is cut off from the servers either, and a cut-off instance doesn't get round a back-off.

--- a/packages/gateway/tests/test_back_offs.py
+++ b/packages/gateway/tests/test_back_offs.py
@@ -236,6 +236,30 @@
     )
 
 
+@_MODES
+async def test_instance_that_backs_off_sends_no_relayed_requests(
+    cluster: typing.Any, monkeypatch: pytest.MonkeyPatch, mesh_peers: int
+) -> None:
+    monkeypatch.setattr(message_intervals, '_MAX_MESH_PEERS', mesh_peers)
+    server = await _start(cluster, instances=2)
+    server.retry_after = '5'
+    cut_off, peer = cluster.instances
+    await cluster.wait_until(
+        lambda: bool(cut_off._view.peers.reaching_servers(cut_off._clock.now()))
+    )
+    cut_off._loads.reachability.record_probe(
+        cut_off._clock.now(), has_reached=False
+    )
+    monkeypatch.setattr(cut_off._loads.reachability, '_probed_at', 2**62)
+    caller = _Caller(cluster)
+    for _ in range(4):
+        reply, elapsed_ms = await caller.call()
+        assert reply.status == 503
+        assert elapsed_ms < AT_ONCE_MS
+    assert peer._request_handler.in_flight == 0
+    assert len(server.arrived) == 1
+
+
 async def test_new_incarnation_of_a_server_starts_without_a_back_off(
     cluster: typing.Any,
 ) -> None:
