Join the back-offs that servers ask for

Beside the servers that leave: a permit request excludes both, a permit for either is returned unused, and requests are rejected for stalled moves as for back-offs.

--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -198,7 +198,11 @@
         now: clock.Millis,
     ) -> None:
         """Reject a request that can no longer be answered in time."""
-        is_late = now >= queueing.latest_start(queued.request, duration)
+        may_start_at = clock.later(
+            now, self._backlogs.back_off_ms(queued.request)
+        )
+        latest_start = queueing.latest_start(queued.request, duration)
+        is_late = may_start_at >= latest_start
         if is_late or self._backlogs.is_move_stalled(queued.request):
             queued.result.set_result(
                 self._backlogs.rejection(
@@ -228,6 +232,9 @@
         server = self._selector.select(request)
         if server is not None:
             self._loads.start(server.incarnation.server)
+            self._loads.back_offs.record_start(
+                server.incarnation, self._view.clock.now()
+            )
         return server
 
     def _reject_on_arrival(
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -184,7 +184,8 @@
     ) -> Placement | None:
         """Ask once, or wait for an owner; return None to try again."""
         if wait is None:
-            if not self._backlogs.can_be_served(request, 0):
+            is_late = self._backlogs.is_late(request)
+            if is_late or not self._backlogs.can_be_served(request, 0):
                 return self._backlogs.rejection(request, 0)
             await asyncio.sleep(clock.seconds(_OWNER_CHECK_MS))
             return None
@@ -195,11 +196,19 @@
         if decision.server is None:
             return self._backlogs.rejection_for(request, decision.backlog)
         server = self._view.fleet.get(decision.server)
-        if server is None or not server.is_ready:
+        now = self._clock.now()
+        back_offs = self._loads.back_offs
+        if (
+            server is None
+            or not server.is_ready
+            or back_offs.remaining_ms(server.incarnation, now)
+        ):
             # The server is gone or leaving here, though not yet where it is
-            # counted, so the permit goes back and another one is asked for.
+            # counted, or asked this instance for a back-off, so the permit goes
+            # back and another one is asked for.
             self._end_wait(wait)
             return None
+        back_offs.record_start(server.incarnation, now)
         return server
 
     def _reject_if_late(
@@ -208,8 +217,7 @@
         wait: _Wait,
     ) -> backlogs.Rejection | None:
         """Reject a request that can no longer be sent in time."""
-        duration = self._loads.service_duration_ms(request.service)
-        if self._clock.now() < queueing.latest_start(request, duration):
+        if not self._backlogs.is_late(request):
             return None
         self._end_wait(wait)
         return self._backlogs.rejection(request, 0)
@@ -259,7 +267,7 @@
         now: clock.Millis,
     ) -> peer_messages.PermitRequest:
         owner = None
-        excluded = request.excluded
+        excluded = request.excluded | self._loads.back_offs.closed_ids(now)
         if wait.target.server is None:
             excluded |= _leaving_servers(self._view.servers_of(request.service))
         else:
@@ -327,17 +335,20 @@
         request: queueing.QueuedRequest,
         draw: float,
     ) -> _Target | None:
-        """Return where to ask; None while the key has no owner."""
+        """Return where to ask; None while no server may be sent to."""
         self._refresh_homes()
         if request.key is None:
-            count = len(self._view.servers_of(request.service))
-            pool = int(draw * permit_issuers.pool_count(count))
+            pool = self._choose_pool(request, draw)
+            if pool is None:
+                return None
             line = permits.QueueName(f'{request.service} {pool}')
             return _Target(
                 self._homes.get(line) or self._own_instance, line, None, pool
             )
         owner = self._backlogs.owner_server(request)
-        if owner is None:
+        if owner is None or self._loads.back_offs.remaining_ms(
+            owner.incarnation, self._clock.now()
+        ):
             return None
         server = owner.incarnation.server
         line = permits.QueueName(server)
@@ -345,6 +356,24 @@
             self._homes.get(line) or self._own_instance, line, server, 0
         )
 
+    def _choose_pool(
+        self, request: queueing.QueuedRequest, draw: float
+    ) -> int | None:
+        """Return a pool by lot; None if this instance backs off from all."""
+        known = self._view.servers_of(request.service)
+        count = permit_issuers.pool_count(len(known))
+        drawn = int(draw * count)
+        back_offs = self._loads.back_offs
+        if back_offs.is_empty:
+            return drawn
+        possible = self._backlogs.possible_servers(request)
+        if not possible:
+            return drawn
+        usable = back_offs.open_servers(possible, self._clock.now())
+        return permit_issuers.choose_pool(
+            [server.incarnation.server for server in usable], count, drawn
+        )
+
     def _refresh_homes(self) -> None:
         now = self._clock.now()
         if now - self._homes_at >= _HOMES_REFRESH_MS:
