Reject answers whose head or framing has no end

What callers saw: a server that sends a head, blank lines, interim answers, chunk headers or trailers without end held the request until the time limit of the attempt, and what it sent was kept. Cause: only the body of an answer had a limit. Change: at most 64 KiB may come in a row that are no body, counted over all heads of an exchange; the parser gets 64 KiB at a time. The connection is closed and the answer counts as malformed. The eleven cases of the test failed before. The tests that a head of 20 KB and a body in chunks of one byte pass did so before.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -12,6 +12,7 @@
 
 from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import received_bytes
 
 # A round trip between data centres takes some 10 ms; a lost packet is
 # retransmitted after 200 ms or more.
@@ -61,6 +62,7 @@
     def __init__(self, on_reply: typing.Callable[[], None]) -> None:
         self._on_reply = on_reply
         self._parser = httptools.HttpResponseParser(self)
+        self._received = received_bytes.ReceivedBytes()
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
         self.is_headers_done = False
@@ -79,7 +81,11 @@
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise HttpParserError if they are malformed."""
-        self._parser.feed_data(received)
+        part_bytes = received_bytes.MAX_FRAMING_BYTES
+        for start in range(0, len(received), part_bytes):
+            part = received[start : start + part_bytes]
+            self._parser.feed_data(part)
+            self._received.count_received(len(part))
 
     def take_reply(self) -> http_messages.HttpResponse:
         """Return the complete answer and reset for the next one."""
@@ -111,6 +117,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        self._received.count_body(len(body))
         self.body.extend(body)
         if len(self.body) > _MAX_BODY_BYTES:
             raise httptools.HttpParserError('answer body exceeds 64 MiB')
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/received_bytes.py
@@ -0,0 +1,32 @@
+"""Bound the bytes of an answer, so that one without end is rejected."""
+
+import httptools
+
+# Bytes other than those of a body that may come in a row: heads of answers,
+# blank lines, chunk headers and trailers. Servers send under 1 KB of them.
+MAX_FRAMING_BYTES = 65_536
+
+
+class ReceivedBytes:
+    """Count the bytes of an exchange; raise HttpParserError above a limit."""
+
+    def __init__(self) -> None:
+        self._framing = 0
+        self._new_body = 0
+
+    def count_body(self, size: int) -> None:
+        """Count a part of a body; call it before count_received."""
+        self._new_body += size
+
+    def count_received(self, size: int) -> None:
+        """Count received bytes, including those of a body."""
+        framing = size - self._new_body
+        if self._new_body:
+            self._framing = framing
+            self._new_body = 0
+        else:
+            self._framing += framing
+        if self._framing > MAX_FRAMING_BYTES:
+            raise httptools.HttpParserError(
+                f'over {MAX_FRAMING_BYTES} bytes without a body'
+            )
--- /dev/null
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -0,0 +1,155 @@
+"""Check that bytes without end from a server stay bounded, over sockets."""
+
+import asyncio
+import contextlib
+import typing
+
+import pytest
+
+from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import http_client
+from sycamoreferry_ports import boot_clock
+
+REQUEST = http_client.encode_request('GET', '/a', (('Host', 'b'),), b'')
+# Long enough that a sender without end passes each limit first.
+TIMEOUT_MS = 10_000
+BLOCK_BYTES = 65_536
+MIB = 1_048_576
+OK_LINE = b'HTTP/1.1 200 OK\r\n'
+CHUNKED_HEAD = OK_LINE + b'Transfer-Encoding: chunked\r\n\r\n'
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+ENDLESS_HEADS = {
+    'status line': (b'HTTP/1.1 200 ', b'a'),
+    'blank lines': (b'', b'\r\n'),
+    'header name': (OK_LINE, b'a'),
+    'header value': (OK_LINE + b'A: ', b'a'),
+    'headers': (OK_LINE, b'A: b\r\n'),
+    'interim answers': (b'', INTERIM),
+    'interim head': (INTERIM + b'HTTP/1.1 103 Early Hints\r\n', b'A: b\r\n'),
+}
+ENDLESS_FRAMING = {
+    'chunk size': (CHUNKED_HEAD, b'0'),
+    'chunk extension': (CHUNKED_HEAD + b'2;', b'a'),
+    'trailers': (CHUNKED_HEAD + b'2\r\nok\r\n0\r\n', b'A: b\r\n'),
+    'trailer': (CHUNKED_HEAD + b'2\r\nok\r\n0\r\nA: ', b'a'),
+}
+
+
+class EndlessServer:
+    """Answer each request with a start and then one part without end."""
+
+    def __init__(self, start: bytes, part: bytes) -> None:
+        self._start = start
+        self._block = part * (BLOCK_BYTES // len(part))
+        self.pause_s = 0.0
+        self.sent_bytes = 0
+        self.connections = 0
+        self.has_stopped = asyncio.Event()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        with contextlib.suppress(OSError):
+            if await reader.read(10_000):
+                writer.write(self._start)
+                await self._send_without_end(writer)
+        self.has_stopped.set()
+        writer.transport.abort()
+
+    async def _send_without_end(self, writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            writer.write(self._block)
+            await writer.drain()
+            self.sent_bytes += len(self._block)
+            await asyncio.sleep(self.pause_s)
+
+
+Serve = typing.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
+
+
+@pytest.fixture
+async def listen() -> typing.AsyncIterator[typing.Any]:
+    servers = []
+
+    async def start(serve: Serve) -> deployment.Address:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        return deployment.Address('127.0.0.1', port)
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+@pytest.fixture
+def pool() -> http_client.ConnectionPool:
+    return http_client.ConnectionPool(boot_clock.BootClock())
+
+
+def _is_malformed(outcome: http_client.ExchangeResult) -> bool:
+    return outcome == http_client.FailedExchange(
+        http_client.ExchangeFailure.MALFORMED, was_sent=True
+    )
+
+
+@pytest.mark.parametrize(
+    ('start', 'part'),
+    [*ENDLESS_HEADS.values(), *ENDLESS_FRAMING.values()],
+    ids=[*ENDLESS_HEADS, *ENDLESS_FRAMING],
+)
+async def test_head_or_framing_without_end_closes_the_connection(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+    start: bytes,
+    part: bytes,
+) -> None:
+    server = EndlessServer(start, part)
+    address = await listen(server.serve)
+    outcome = await pool.exchange(address, REQUEST, TIMEOUT_MS)
+    assert _is_malformed(outcome)
+    await asyncio.wait_for(server.has_stopped.wait(), 1)
+    # The rest lies in buffers of sockets.
+    assert server.sent_bytes < 16 * MIB
+
+
+async def test_long_head_of_a_proper_answer_is_read(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    value = 'a' * 20_000
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        head = f'A: {value}\r\nContent-Length: 2\r\n\r\n'
+        writer.write(OK_LINE + head.encode() + b'ok')
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    assert outcome.header('a') == value
+
+
+async def test_proper_chunks_of_one_byte_are_read(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    length = 90_000
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(CHUNKED_HEAD + b'1\r\nx\r\n' * length + b'0\r\n\r\n')
+        await writer.drain()
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    assert outcome.body == b'x' * length
