Keep the trailers of an answer out of its headers

What callers saw: a field after a chunked body was forwarded among the headers, and a seal, request ID, rate limit or load that came there counted as one of the head. Cause: the parser reports headers and trailers by the same callback. Evidence: an answer with Response-Seal only as a trailer had it as a header; the test failed so before the change. Change: fields after the head are dropped, as RFC 9110 6.5.1 allows. Measured: the test passes.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -98,7 +98,9 @@
         return reply
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; drop trailers."""
+        if self.is_headers_done:
+            return
         self.headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1')),
         )
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -153,3 +153,19 @@
     outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
     assert not isinstance(outcome, http_client.FailedExchange)
     assert outcome.body == b'x' * length
+
+
+async def test_trailers_are_not_taken_for_headers(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(CHUNKED_HEAD + b'2\r\nok\r\n0\r\nResponse-Seal: 1\r\n\r\n')
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    assert outcome.body == b'ok'
+    assert outcome.header('response-seal') is None
