Reject answers whose status is not between 100 and 599

What callers saw: an answer with status 099 or 000 counts as answered and is forwarded, so that the caller gets bytes that are no answer in HTTP; 600 and above are forwarded as a server's error. Cause: the parser accepts any three digits. Evidence: the four cases of the test failed before the change, with the answer returned as complete. Forwarding itself was read in the code, not run. Change: such an answer is malformed. Measured: the four cases pass.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -27,6 +27,7 @@
 
 _NO_BODY_STATUSES = frozenset((204, 304))
 _INTERIM_STATUSES = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
+_STATUS_END = 600
 
 
 @enum.unique
@@ -106,7 +107,9 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Find out how the body is delimited."""
+        """Check the status and find out how the body is delimited."""
+        if not http.HTTPStatus.CONTINUE <= self.status < _STATUS_END:
+            raise httptools.HttpParserError(f'status {self.status}')
         self.is_headers_done = True
         names = dict(self.headers)
         self.is_framed = (
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -169,3 +169,27 @@
     assert not isinstance(outcome, http_client.FailedExchange)
     assert outcome.body == b'ok'
     assert outcome.header('response-seal') is None
+
+
+@pytest.mark.parametrize(
+    'status_line',
+    [
+        b'HTTP/1.1 099 Odd',
+        b'HTTP/1.1 000 Odd',
+        b'HTTP/1.1 600 Odd',
+        b'HTTP/1.1 999 Odd',
+    ],
+)
+async def test_status_out_of_range_is_malformed(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+    status_line: bytes,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(status_line + b'\r\nContent-Length: 2\r\n\r\nok')
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert _is_malformed(outcome)
