Close connections on which a surplus answer has begun

What callers saw: a connection whose server sent more bytes than the answer went back to the pool if these were the start of another answer and came with the end of the first. A later request on it meets the rest of them, which was not played. Cause: surplus bytes were noticed only when they made a whole answer, made none, or came later. Evidence: after an answer and `HTTP/1.1 200 OK` in one write the connection stayed open; the test waited 1 s for its close and failed before the change. Change: the connection is closed if an answer has begun and nothing waits for it.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -66,6 +66,7 @@
         self._received = received_bytes.ReceivedBytes()
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
+        self.has_begun = False
         self.is_headers_done = False
         self.is_framed = False
         self.closes = False
@@ -98,6 +99,10 @@
         self._reset()
         return reply
 
+    def on_message_begin(self) -> None:
+        """Record that an answer has begun."""
+        self.has_begun = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; drop trailers."""
         if self.is_headers_done:
@@ -137,6 +142,7 @@
     def _reset(self) -> None:
         self.headers = []
         self.body = bytearray()
+        self.has_begun = False
         self.is_headers_done = False
         self.is_framed = False
 
@@ -214,6 +220,9 @@
                 FailedExchange(ExchangeFailure.MALFORMED, was_sent=True)
             )
             self.close()
+        if self._waiter.done() and self._reader.has_begun:
+            # Bytes after the answer; nothing waits for them.
+            self.close()
 
     def eof_received(self) -> bool:
         """Complete an answer whose body ends with the connection."""
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -193,3 +193,22 @@
 
     outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
     assert _is_malformed(outcome)
+
+
+async def test_connection_with_the_start_of_a_surplus_answer_is_closed(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    closed = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(OK_LINE + b'Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK')
+        if not await reader.read(10_000):
+            closed.set()
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    await asyncio.wait_for(closed.wait(), 1)
