Reset the connection of a malformed answer

What callers saw: nothing; the rest of a request was still sent to a server whose answer had failed, and its bytes and socket were kept until the server read them. Cause: a malformed answer closed the connection only after all buffered bytes had been written. Evidence: a server that sends bytes that are no answer before it reads a request of 16 MiB got all 16,777,262 bytes after the failure; the test failed so. Change: the connection is reset, as after a time-out. Measured: the test passes; three runs of the file and of test_http_client.py.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -219,7 +219,7 @@
             self._finish(
                 FailedExchange(ExchangeFailure.MALFORMED, was_sent=True)
             )
-            self.close()
+            self.abort()
         if self._waiter.done() and self._reader.has_begun:
             # Bytes after the answer; nothing waits for them.
             self.close()
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -212,3 +212,29 @@
     outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
     assert not isinstance(outcome, http_client.FailedExchange)
     await asyncio.wait_for(closed.wait(), 1)
+
+
+async def test_malformed_answer_ends_a_request_that_is_still_sent(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    has_failed = asyncio.Event()
+    is_lost = asyncio.Event()
+    received = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'no answer at all\r\n\r\n')
+        await has_failed.wait()
+        with contextlib.suppress(ConnectionResetError):
+            while block := await reader.read(BLOCK_BYTES):
+                received.append(len(block))
+        is_lost.set()
+
+    payload = http_client.encode_request('POST', '/a', (), b'x' * 16 * MIB)
+    outcome = await pool.exchange(await listen(serve), payload, TIMEOUT_MS)
+    has_failed.set()
+    assert _is_malformed(outcome)
+    await asyncio.wait_for(is_lost.wait(), 1)
+    assert sum(received) < len(payload)
