Reject answers with a body of more than 16 MiB

What callers saw: a body without end was read up to 64 MiB, and one whose length was given as more than that too. Cause: the limit left out that an instance has 300 MB and holds an answer up to three times to forward it; the given length was not looked at. Change: at most 16 MiB in all answers of an exchange; a longer length is rejected with the head. Downloads have 90 KB and more, pages of the store up to 1 MB. Bodies of 8 MiB with a length, in chunks and up to the close pass, as before.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -21,7 +21,6 @@
 # under way.
 _MAX_IDLE_MS = 4_000
 _KEEP_ALIVE_MARGIN_MS = 1_000
-_MAX_BODY_BYTES = 67_108_864
 # A linger time of zero makes a close send a reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
@@ -122,6 +121,8 @@
             or 'chunked' in names.get('transfer-encoding', '').lower()
             or self.status in _NO_BODY_STATUSES
         )
+        if 'content-length' in names and self.status not in _NO_BODY_STATUSES:
+            self._received.check_length(names['content-length'])
         if names.get('connection', '').lower() == 'close':
             self.closes = True
 
@@ -129,8 +130,6 @@
         """Collect a part of the body."""
         self._received.count_body(len(body))
         self.body.extend(body)
-        if len(self.body) > _MAX_BODY_BYTES:
-            raise httptools.HttpParserError('answer body exceeds 64 MiB')
 
     def on_message_complete(self) -> None:
         """Report a complete answer; skip interim (1xx) ones."""
--- a/packages/gateway/src/sycamoreferry_gateway/received_bytes.py
+++ b/packages/gateway/src/sycamoreferry_gateway/received_bytes.py
@@ -5,6 +5,9 @@
 # Bytes other than those of a body that may come in a row: heads of answers,
 # blank lines, chunk headers and trailers. Servers send under 1 KB of them.
 MAX_FRAMING_BYTES = 65_536
+# An instance has 300 MB and holds an answer up to three times to forward it:
+# as received, as encoded, and in the buffer of the caller's connection.
+MAX_BODY_BYTES = 16_777_216
 
 
 class ReceivedBytes:
@@ -13,10 +16,21 @@
     def __init__(self) -> None:
         self._framing = 0
         self._new_body = 0
+        self._body = 0
+
+    def check_length(self, length: str) -> None:
+        """Check the length of a body that is still to come."""
+        if int(length) > MAX_BODY_BYTES:
+            raise httptools.HttpParserError(f'body of {length} bytes')
 
     def count_body(self, size: int) -> None:
         """Count a part of a body; call it before count_received."""
         self._new_body += size
+        self._body += size
+        if self._body > MAX_BODY_BYTES:
+            raise httptools.HttpParserError(
+                f'body of over {MAX_BODY_BYTES} bytes'
+            )
 
     def count_received(self, size: int) -> None:
         """Count received bytes, including those of a body."""
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -238,3 +238,65 @@
     assert _is_malformed(outcome)
     await asyncio.wait_for(is_lost.wait(), 1)
     assert sum(received) < len(payload)
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        OK_LINE + b'\r\n',
+        CHUNKED_HEAD + b'ffffffff\r\n',
+        OK_LINE + b'Content-Length: 999999999999\r\n\r\n',
+    ],
+    ids=['until close', 'chunk', 'length'],
+)
+async def test_body_without_end_closes_the_connection(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+    start: bytes,
+) -> None:
+    server = EndlessServer(start, b'a')
+    address = await listen(server.serve)
+    outcome = await pool.exchange(address, REQUEST, TIMEOUT_MS)
+    assert _is_malformed(outcome)
+    await asyncio.wait_for(server.has_stopped.wait(), 1)
+    assert server.sent_bytes < 32 * MIB
+
+
+async def test_body_longer_than_the_limit_is_rejected_by_its_length(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(OK_LINE + b'Content-Length: 999999999999\r\n\r\na')
+        await reader.read()
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, 1_000)
+    assert _is_malformed(outcome)
+
+
+@pytest.mark.parametrize('framing', ['until close', 'chunks', 'length'])
+async def test_long_body_of_a_proper_answer_is_read(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+    framing: str,
+) -> None:
+    body = b'x' * 8 * MIB
+    answers = {
+        'until close': OK_LINE + b'\r\n' + body,
+        'chunks': CHUNKED_HEAD + b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body),
+        'length': OK_LINE + b'Content-Length: %d\r\n\r\n' % len(body) + body,
+    }
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(answers[framing])
+        writer.close()
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    assert outcome.body == body
