Bound the memory of all unfinished answers of a pool

What callers saw: long bodies that were read at a time could take more memory than an instance has; the platform kills a process over 300 MB. Cause: each answer had a limit, all together had none. Evidence: fifty bodies without end at a time took 824 MB; ten bodies of 12 MiB that never end were all kept, at which the test failed. Change: above 48 MiB of unfinished bodies in a pool the longest is rejected as malformed, so that short answers go on.

--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/body_budget.py
@@ -0,0 +1,32 @@
+"""Bound the bytes that a connection pool keeps of unfinished answers."""
+
+import typing
+
+# The pools for servers, the store and other instances take half of the 300 MB
+# of an instance at most.
+MAX_UNFINISHED_BYTES = 50_331_648
+
+
+class AnswerReader(typing.Protocol):
+    """Read an answer that can be rejected before it is complete."""
+
+    def reject_answer(self) -> None:
+        """Discard the answer and close its connection."""
+
+
+class BodyBudget:
+    """Reject the longest unfinished answers above the limit of a pool."""
+
+    def __init__(self) -> None:
+        self._kept: dict[AnswerReader, int] = {}
+        self._total = 0
+
+    def record(self, reader: AnswerReader, size: int) -> None:
+        """Record how many bytes a reader keeps; zero if it has none."""
+        self._total += size - self._kept.pop(reader, 0)
+        if size:
+            self._kept[reader] = size
+        while self._total > MAX_UNFINISHED_BYTES:
+            longest = max(self._kept, key=self._kept.__getitem__)
+            self._total -= self._kept.pop(longest)
+            longest.reject_answer()
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -12,7 +12,7 @@
 
 from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import deployment
-from sycamoreferry_gateway import received_bytes
+from sycamoreferry_gateway import body_budget, received_bytes
 
 # A round trip between data centres takes some 10 ms; a lost packet is
 # retransmitted after 200 ms or more.
@@ -150,8 +150,13 @@
 class Connection(asyncio.Protocol):
     """Send one request at a time and read its answer."""
 
-    def __init__(self, source: clock.Clock) -> None:
+    def __init__(
+        self,
+        source: clock.Clock,
+        budget: body_budget.BodyBudget,
+    ) -> None:
         self._clock = source
+        self._budget = budget
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[ExchangeResult] | None = None
         self._accepts: AcceptsReply = _accept_any
@@ -207,6 +212,12 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         transport.abort()
 
+    def reject_answer(self) -> None:
+        """Fail the exchange with a malformed answer; reset the connection."""
+        self._finish(FailedExchange(ExchangeFailure.MALFORMED, was_sent=True))
+        self._reader.reset()
+        self.abort()
+
     def data_received(self, data: bytes) -> None:
         """Parse an answer; close the connection on unsolicited bytes."""
         if self._waiter is None or self._waiter.done():
@@ -216,10 +227,8 @@
         try:
             self._reader.feed(data)
         except httptools.HttpParserError:
-            self._finish(
-                FailedExchange(ExchangeFailure.MALFORMED, was_sent=True)
-            )
-            self.abort()
+            self.reject_answer()
+        self._budget.record(self, len(self._reader.body))
         if self._waiter.done() and self._reader.has_begun:
             # Bytes after the answer; nothing waits for them.
             self.close()
@@ -237,6 +246,7 @@
         self._is_reusable = False
         # The reader and its parser refer to each other and are freed late.
         self._reader.reset()
+        self._budget.record(self, 0)
         failure = ExchangeFailure.CLOSED
         if exc is not None:
             failure = ExchangeFailure.RESET
@@ -289,6 +299,7 @@
 
     def __init__(self, source: clock.Clock) -> None:
         self._clock = source
+        self._budget = body_budget.BodyBudget()
         self._idle: dict[deployment.Address, list[Connection]] = {}
         self.opened_count = 0
 
@@ -358,7 +369,7 @@
         try:
             async with asyncio.timeout(limit_ms / clock.MILLIS_PER_SECOND):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock),
+                    lambda: Connection(self._clock, self._budget),
                     address.host,
                     address.port,
                 )
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -329,3 +329,36 @@
         gc.enable()
     assert peak_bytes > 8 * MIB
     assert kept_bytes < MIB
+
+
+async def test_long_bodies_at_one_time_stay_within_the_memory(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    body_bytes = 12 * MIB
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(CHUNKED_HEAD + b'ffffffff\r\n' + b'a' * body_bytes)
+        await reader.read()
+        writer.transport.abort()
+
+    async def serve_short(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(CHUNKED_HEAD + b'2\r\no')
+        await asyncio.sleep(1)
+        writer.write(b'k\r\n0\r\n\r\n')
+
+    long = await listen(serve)
+    short = await listen(serve_short)
+    outcomes = await asyncio.gather(
+        pool.exchange(short, REQUEST, TIMEOUT_MS),
+        *(pool.exchange(long, REQUEST, 2_000) for _ in range(10)),
+    )
+    assert not isinstance(outcomes[0], http_client.FailedExchange)
+    kept = [one for one in outcomes[1:] if not _is_malformed(one)]
+    assert len(kept) * body_bytes <= 64 * MIB
