Test time limits and idle connections with bytes without end

Covered: proper answers are read beside ten senders without end, a trickle of headers doesn't extend the time limit, and bytes without end on an idle connection close it.

--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -362,3 +362,66 @@
     assert not isinstance(outcomes[0], http_client.FailedExchange)
     kept = [one for one in outcomes[1:] if not _is_malformed(one)]
     assert len(kept) * body_bytes <= 64 * MIB
+
+
+async def test_proper_answers_are_read_beside_a_sender_without_end(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.read(10_000):
+            writer.write(OK_LINE + b'Content-Length: 2\r\n\r\nok')
+
+    proper = await listen(serve)
+    address = await listen(EndlessServer(OK_LINE + b'\r\n', b'a').serve)
+    others = [
+        asyncio.create_task(pool.exchange(address, REQUEST, TIMEOUT_MS))
+        for _ in range(10)
+    ]
+    answered = 0
+    while not all(other.done() for other in others):
+        outcome = await pool.exchange(proper, REQUEST, TIMEOUT_MS)
+        assert not isinstance(outcome, http_client.FailedExchange)
+        answered += 1
+    # Each body has some 256 reads of 64 KiB; a proper answer takes its turn
+    # between them.
+    assert answered >= 20
+    assert all(_is_malformed(other.result()) for other in others)
+
+
+async def test_trickle_does_not_extend_the_time_limit(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(OK_LINE)
+        with contextlib.suppress(OSError):
+            while not writer.is_closing():
+                writer.write(b'A: b\r\n')
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    outcome = await pool.exchange(await listen(serve), REQUEST, 300)
+    assert outcome == http_client.FailedExchange(
+        http_client.ExchangeFailure.TIMEOUT, was_sent=True
+    )
+    assert loop.time() - started_at < 1
+
+
+async def test_bytes_without_end_on_an_idle_connection_close_it(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    server = EndlessServer(OK_LINE + b'Content-Length: 0\r\n\r\n', b'a')
+    address = await listen(server.serve)
+    outcome = await pool.exchange(address, REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    await asyncio.wait_for(server.has_stopped.wait(), 1)
+    assert server.sent_bytes < 16 * MIB
