Bound the answers that are skipped for a request

What callers saw: a server that sends answers to other requests without end held the request until the time limit, and stopped the event loop for long spells. Cause: answers that don't match the request were skipped without a limit. Change: at most 16 answers are read for a request, interim ones included.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -141,6 +141,7 @@
 
     def on_message_complete(self) -> None:
         """Report a complete answer; skip interim (1xx) ones."""
+        self._received.count_answer()
         if self.status in _INTERIM_STATUSES:
             self.reset()
         else:
--- a/packages/gateway/src/sycamoreferry_gateway/received_bytes.py
+++ b/packages/gateway/src/sycamoreferry_gateway/received_bytes.py
@@ -1,4 +1,4 @@
-"""Bound the bytes of an answer, so that one without end is rejected."""
+"""Bound what is received for a request, so that it has an end."""
 
 import httptools
 
@@ -9,6 +9,10 @@
 # as received, as encoded, and in the buffer of the caller's connection.
 MAX_BODY_BYTES = 16_777_216
 
+# Interim answers and late ones to earlier requests come before the one waited
+# for, few of them.
+MAX_ANSWERS = 16
+
 
 class ReceivedBytes:
     """Count the bytes of an exchange; raise HttpParserError above a limit."""
@@ -17,6 +21,13 @@
         self._framing = 0
         self._new_body = 0
         self._body = 0
+        self._answers = 0
+
+    def count_answer(self) -> None:
+        """Count a complete answer."""
+        self._answers += 1
+        if self._answers > MAX_ANSWERS:
+            raise httptools.HttpParserError(f'over {MAX_ANSWERS} answers')
 
     def check_length(self, length: str) -> None:
         """Check the length of a body that is still to come."""
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -425,3 +425,21 @@
     assert not isinstance(outcome, http_client.FailedExchange)
     await asyncio.wait_for(server.has_stopped.wait(), 1)
     assert server.sent_bytes < 16 * MIB
+
+
+async def test_answers_to_other_requests_without_end_are_malformed(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+) -> None:
+    foreign = OK_LINE + b'Request-Id: 9\r\nContent-Length: 2\r\n\r\nno'
+    server = EndlessServer(b'', foreign)
+    address = await listen(server.serve)
+    outcome = await pool.exchange(
+        address,
+        REQUEST,
+        TIMEOUT_MS,
+        lambda reply: reply.header('request-id') == '1',
+    )
+    assert _is_malformed(outcome)
+    await asyncio.wait_for(server.has_stopped.wait(), 1)
+    assert server.sent_bytes < 16 * MIB
