Bound the bodies that the product's clients read whole

What callers saw: nothing; a body without end from a server, the platform's list or the log was kept until the time limit of the call. Cause: the clients for orders, probes, the list and the log read a body whatever its length. Change: at most 64 MiB are read; the connection is closed and the call fails as with other broken answers. A read of the log returns up to 500 records.

--- a/packages/ports/src/sycamoreferry_ports/http_instance_list.py
+++ b/packages/ports/src/sycamoreferry_ports/http_instance_list.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from sycamoreferry_core import clock
-from sycamoreferry_ports import wire
+from sycamoreferry_ports import bounded_body, wire
 
 TIMEOUT_MS = 1000
 
@@ -23,6 +23,6 @@
         timeout = aiohttp.ClientTimeout(total=clock.seconds(TIMEOUT_MS))
         try:
             async with self._session.get(self._url, timeout=timeout) as answer:
-                return _decoder.decode(await answer.read()).servers
+                return _decoder.decode(await bounded_body.read(answer)).servers
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/packages/ports/src/sycamoreferry_ports/http_log.py
+++ b/packages/ports/src/sycamoreferry_ports/http_log.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamoreferry_core import clock, ids, records
-from sycamoreferry_ports import log_port, wire
+from sycamoreferry_ports import bounded_body, log_port, wire
 
 READ_LIMIT = 500
 TIMEOUT_MS = 1000
@@ -64,7 +64,7 @@
             data=payload,
             timeout=timeout,
         ) as answer:
-            content = await answer.read()
+            content = await bounded_body.read(answer)
             if answer.status == http.HTTPStatus.OK:
                 appended = _appended_decoder.decode(content)
                 return log_port.Appended(ids.Offset(appended.offset))
@@ -79,7 +79,7 @@
     ) -> log_port.ReadOutcome:
         query = {'from': start, 'limit': READ_LIMIT, 'wait_ms': wait_ms}
         async with self._session.get(self._url, params=query) as answer:
-            content = await answer.read()
+            content = await bounded_body.read(answer)
             if answer.status != http.HTTPStatus.OK:
                 return log_port.ReadFailed(
                     f'log answered with HTTP status {answer.status}'
--- a/packages/ports/src/sycamoreferry_ports/http_orders.py
+++ b/packages/ports/src/sycamoreferry_ports/http_orders.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamoreferry_core import actions, clock, events, ids
-from sycamoreferry_ports import headers, wire
+from sycamoreferry_ports import bounded_body, headers, wire
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(wire.OrderAnswer)
@@ -153,6 +153,6 @@
                 },
                 timeout=timeout,
             ) as answer:
-                return _decoder.decode(await answer.read())
+                return _decoder.decode(await bounded_body.read(answer))
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/packages/ports/src/sycamoreferry_ports/http_probe.py
+++ b/packages/ports/src/sycamoreferry_ports/http_probe.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from sycamoreferry_core import clock
-from sycamoreferry_ports import wire
+from sycamoreferry_ports import bounded_body, wire
 
 TIMEOUT_MS = 300
 
@@ -31,7 +31,7 @@
         timeout = aiohttp.ClientTimeout(total=clock.seconds(TIMEOUT_MS))
         try:
             async with self._session.get(url, timeout=timeout) as answer:
-                await answer.read()
+                await bounded_body.read(answer)
         except TimeoutError:
             return ProbeResult.TIMED_OUT
         except aiohttp.ClientError:
