Read an odd Keep-Alive header as no limit or a long one

What callers saw: a whole answer was lost if its Keep-Alive header named a time-out of more than 4,300 digits, or a digit outside ASCII; a server could so fail requests that it had run. Cause: the conversion to a number raised an error within the parser. Evidence: the four cases of the test failed, two as malformed and two as reset. Change: other digits are ignored, and at most nine are read. Measured: the four cases pass.

--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -21,6 +21,8 @@
 # under way.
 _MAX_IDLE_MS = 4_000
 _KEEP_ALIVE_MARGIN_MS = 1_000
+# A time-out with more digits is far above the idle time.
+_MAX_DIGITS = 9
 # A linger time of zero makes a close send a reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
@@ -285,8 +287,8 @@
             digits = (
                 keep_alive.partition('timeout=')[2].partition(',')[0].strip()
             )
-            if digits.isdigit():
-                limit = int(digits) * clock.MILLIS_PER_SECOND
+            if digits.isascii() and digits.isdigit():
+                limit = int(digits[:_MAX_DIGITS]) * clock.MILLIS_PER_SECOND
                 keep_ms = min(keep_ms, limit - _KEEP_ALIVE_MARGIN_MS)
         self._expires_at = clock.later(self._clock.now(), keep_ms)
 
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -443,3 +443,29 @@
     assert _is_malformed(outcome)
     await asyncio.wait_for(server.has_stopped.wait(), 1)
     assert server.sent_bytes < 16 * MIB
+
+
+@pytest.mark.parametrize(
+    'named',
+    ['\xb2', '9' * 5_000],
+    ids=['superscript', 'too many digits'],
+)
+@pytest.mark.parametrize('framing', ['Content-Length: 2\r\n', ''])
+async def test_odd_keep_alive_does_not_lose_the_answer(
+    listen: typing.Any,
+    pool: http_client.ConnectionPool,
+    framing: str,
+    named: str,
+) -> None:
+    head = f'Keep-Alive: timeout={named}\r\n{framing}\r\n'
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(10_000)
+        writer.write(OK_LINE + head.encode('latin-1') + b'ok')
+        writer.close()
+
+    outcome = await pool.exchange(await listen(serve), REQUEST, TIMEOUT_MS)
+    assert not isinstance(outcome, http_client.FailedExchange)
+    assert outcome.body == b'ok'
