--- /dev/null
+++ b/packages/gateway/tests/support/gateway_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Provide parts that several tests of the gateway share."""
--- /dev/null
+++ b/packages/gateway/tests/support/gateway_testing/link_proxy.py
@@ -0,0 +1,94 @@
+"""Forward connections over links that can fail."""
+
+import asyncio
+import enum
+
+
+@enum.unique
+class LinkState(enum.Enum):
+    """Select what a proxy does to the data of its connections."""
+
+    HEALTHY = 'fine'
+    SLOW = 'slow'
+    DROPPING = 'silent'
+    REPLIES_DROPPED = 'one way'
+    RESET = 'reset'
+
+
+class Proxy:
+    """Forward connections to a loopback port, subject to a link state."""
+
+    def __init__(self, target_port: int) -> None:
+        self.link_state = LinkState.HEALTHY
+        self.port = 0
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.change(LinkState.RESET)
+        for task in self._tasks:
+            task.cancel()
+
+    def change(self, link_state: LinkState) -> None:
+        self.link_state = link_state
+        if link_state is LinkState.RESET:
+            for writer in self._writers:
+                writer.transport.abort()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self.link_state is LinkState.RESET:
+            writer.transport.abort()
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            upstream = await asyncio.open_connection(
+                '127.0.0.1', self._target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        writers = (writer, upstream[1])
+        self._writers.update(writers)
+        await asyncio.gather(
+            self._forward(reader, upstream[1], is_answer=False),
+            self._forward(upstream[0], writer, is_answer=True),
+        )
+        self._writers.difference_update(writers)
+        self._tasks.discard(task)
+
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while chunk := await reader.read(65_536):
+                if self.link_state is LinkState.SLOW:
+                    await asyncio.sleep(0.15)
+                if not self._drops(is_answer=is_answer):
+                    writer.write(chunk)
+        except OSError:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    def _drops(self, *, is_answer: bool) -> bool:
+        if self.link_state is LinkState.REPLIES_DROPPED:
+            return is_answer
+        return self.link_state is LinkState.DROPPING
