--- a/packages/gateway/tests/support/gateway_testing/restore_soak.py
+++ b/packages/gateway/tests/support/gateway_testing/restore_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import pathlib
 import signal
 import typing
 
@@ -127,7 +128,7 @@
         return proxy
 
     def _start_process(
-        self, name: str, folder: typing.Any, proxy: link_proxy.Proxy
+        self, name: str, folder: pathlib.Path, proxy: link_proxy.Proxy
     ) -> None:
         # Earlier copies hold addresses of servers that bypass their fronts.
         self._earliest_copy = (
