--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -12,6 +12,7 @@
 
 from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import deployment
+from sycamoreferry_gateway import body_budget, received_bytes
 
 # A round trip between data centres takes some 10 ms; a lost packet is
 # retransmitted after 200 ms or more.
@@ -20,12 +21,14 @@
 # under way.
 _MAX_IDLE_MS = 4_000
 _KEEP_ALIVE_MARGIN_MS = 1_000
-_MAX_BODY_BYTES = 67_108_864
+# A time-out with more digits is far above the idle time.
+_MAX_DIGITS = 9
 # A linger time of zero makes a close send a reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 _NO_BODY_STATUSES = frozenset((204, 304))
 _INTERIM_STATUSES = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
+_STATUS_END = 600
 
 
 @enum.unique
@@ -61,8 +64,10 @@
     def __init__(self, on_reply: typing.Callable[[], None]) -> None:
         self._on_reply = on_reply
         self._parser = httptools.HttpResponseParser(self)
+        self._received = received_bytes.ReceivedBytes()
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
+        self.has_begun = False
         self.is_headers_done = False
         self.is_framed = False
         self.closes = False
@@ -79,7 +84,11 @@
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise HttpParserError if they are malformed."""
-        self._parser.feed_data(received)
+        part_bytes = received_bytes.MAX_FRAMING_BYTES
+        for start in range(0, len(received), part_bytes):
+            part = received[start : start + part_bytes]
+            self._parser.feed_data(part)
+            self._received.count_received(len(part))
 
     def take_reply(self) -> http_messages.HttpResponse:
         """Return the complete answer and reset for the next one."""
@@ -88,17 +97,33 @@
             tuple(self.headers),
             bytes(self.body),
         )
-        self._reset()
+        self.reset()
         return reply
 
+    def reset(self) -> None:
+        """Discard what was read of an answer."""
+        self.headers = []
+        self.body = bytearray()
+        self.has_begun = False
+        self.is_headers_done = False
+        self.is_framed = False
+
+    def on_message_begin(self) -> None:
+        """Record that an answer has begun."""
+        self.has_begun = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; drop trailers."""
+        if self.is_headers_done:
+            return
         self.headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1')),
         )
 
     def on_headers_complete(self) -> None:
-        """Find out how the body is delimited."""
+        """Check the status and find out how the body is delimited."""
+        if not http.HTTPStatus.CONTINUE <= self.status < _STATUS_END:
+            raise httptools.HttpParserError(f'status {self.status}')
         self.is_headers_done = True
         names = dict(self.headers)
         self.is_framed = (
@@ -106,34 +131,35 @@
             or 'chunked' in names.get('transfer-encoding', '').lower()
             or self.status in _NO_BODY_STATUSES
         )
+        if 'content-length' in names and self.status not in _NO_BODY_STATUSES:
+            self._received.check_length(names['content-length'])
         if names.get('connection', '').lower() == 'close':
             self.closes = True
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        self._received.count_body(len(body))
         self.body.extend(body)
-        if len(self.body) > _MAX_BODY_BYTES:
-            raise httptools.HttpParserError('answer body exceeds 64 MiB')
 
     def on_message_complete(self) -> None:
         """Report a complete answer; skip interim (1xx) ones."""
+        self._received.count_answer()
         if self.status in _INTERIM_STATUSES:
-            self._reset()
+            self.reset()
         else:
             self._on_reply()
 
-    def _reset(self) -> None:
-        self.headers = []
-        self.body = bytearray()
-        self.is_headers_done = False
-        self.is_framed = False
-
 
 class Connection(asyncio.Protocol):
     """Send one request at a time and read its answer."""
 
-    def __init__(self, source: clock.Clock) -> None:
+    def __init__(
+        self,
+        source: clock.Clock,
+        budget: body_budget.BodyBudget,
+    ) -> None:
         self._clock = source
+        self._budget = budget
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[ExchangeResult] | None = None
         self._accepts: AcceptsReply = _accept_any
@@ -193,6 +219,12 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         transport.abort()
 
+    def reject_answer(self) -> None:
+        """Fail the exchange with a malformed answer; reset the connection."""
+        self._finish(FailedExchange(ExchangeFailure.MALFORMED, was_sent=True))
+        self._reader.reset()
+        self.abort()
+
     def data_received(self, data: bytes) -> None:
         """Parse an answer; close the connection on unsolicited bytes."""
         if self._waiter is None or self._waiter.done():
@@ -202,9 +234,10 @@
         try:
             self._reader.feed(data)
         except httptools.HttpParserError:
-            self._finish(
-                FailedExchange(ExchangeFailure.MALFORMED, was_sent=True)
-            )
+            self.reject_answer()
+        self._budget.record(self, len(self._reader.body))
+        if self._waiter.done() and self._reader.has_begun:
+            # Bytes after the answer; nothing waits for them.
             self.close()
 
     def eof_received(self) -> bool:
@@ -218,6 +251,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress, if any."""
         self._is_reusable = False
+        # The reader and its parser refer to each other and are freed late.
+        self._reader.reset()
+        self._budget.record(self, 0)
         failure = ExchangeFailure.CLOSED
         if exc is not None:
             failure = ExchangeFailure.RESET
@@ -255,8 +291,8 @@
             digits = (
                 keep_alive.partition('timeout=')[2].partition(',')[0].strip()
             )
-            if digits.isdigit():
-                limit = int(digits) * clock.MILLIS_PER_SECOND
+            if digits.isascii() and digits.isdigit():
+                limit = int(digits[:_MAX_DIGITS]) * clock.MILLIS_PER_SECOND
                 keep_ms = min(keep_ms, limit - _KEEP_ALIVE_MARGIN_MS)
         self._expires_at = clock.later(self._clock.now(), keep_ms)
 
@@ -270,6 +306,7 @@
 
     def __init__(self, source: clock.Clock) -> None:
         self._clock = source
+        self._budget = body_budget.BodyBudget()
         self._idle: dict[deployment.Address, list[Connection]] = {}
         # Where a connection ended without being closed here.
         self._lost: set[deployment.Address] = set()
@@ -356,7 +393,7 @@
         try:
             async with asyncio.timeout(limit_ms / clock.MILLIS_PER_SECOND):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock),
+                    lambda: Connection(self._clock, self._budget),
                     address.host,
                     address.port,
                 )
