Blame no server while an instance reaches none

An instance cut off from all servers that counts for a server suspended it for its own failures, so that all instances got one permit at a time. Failures no longer suspend a server while none can be reached.

Failures before the probes decide, a second or so, still count.

--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -89,7 +89,12 @@
         tracked.server_reported_at = now
 
     def record_failure(self, server: ids.ServerId, now: clock.Millis) -> bool:
-        """Count a failure; return whether it newly suspends the server."""
+        """Count a failure; return whether it newly suspends the server.
+
+        While this instance reaches no server, none is to blame.
+        """
+        if self.reachability.is_cut_off:
+            return False
         tracked = self._of(server)
         tracked.failures += 1
         if tracked.failures < _FAILURES_TO_SUSPEND:
