Suspect no crash behind a connection that an instance cut off lost

A connection that broke at an instance cut off from all servers counted as a suspected crash; if that server ended within 6 s, an innocent request was charged with it at all instances.

Connections that break before the probes decide are suspected as before.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -158,7 +158,8 @@
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
-        if failed.failure in _CRASH_FAILURES:
+        is_cut_off = self._loads.reachability.is_cut_off
+        if failed.failure in _CRASH_FAILURES and not is_cut_off:
             self._view.crashes.record_broken_connection(
                 proxied.signature, server.incarnation, now
             )
