--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -7,6 +7,9 @@
 
 # A coordinator may act for this long after the store last confirmed its term.
 AUTHORITY_MS = 1_500
+# The coordinator claims its term again within this time after the store
+# returned to an older copy, unless it is of a version that takes no note.
+RECLAIM_TIMEOUT_MS = 1_500
 # A peer that sends no message for this long is considered down.
 PEER_TIMEOUT_MS = 900
 # Each lower-ranked instance waits this much longer before it claims.
@@ -141,11 +144,6 @@
     owners_lost_since: clock.Millis | None = None
 
 
-# The coordinator claims its term again within this time after the store
-# returned to an older copy, unless it is of a version that takes no note.
-RECLAIM_TIMEOUT_MS = 1_500
-
-
 def should_claim(
     view: CoordinatorView,
     peers: Peers,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -101,15 +101,15 @@
     async def restore(
         self,
         copy_age_ms: int,
-        away_s: float = 0,
+        outage_s: float = 0,
         rewrite_delay_s: float = 0,
     ) -> None:
-        """Be away for a time, and come back from a copy of some age.
+        """Fail for a time, then return to a copy of some age.
 
         What the operator and the servers wrote since is written again.
         """
         self.is_down = True
-        await asyncio.sleep(away_s)
+        await asyncio.sleep(outage_s)
         lost = self.return_to_copy(self.clock.now() - copy_age_ms)
         self.is_down = False
         await asyncio.sleep(rewrite_delay_s)
--- a/packages/gateway/tests/test_store_restore.py
+++ b/packages/gateway/tests/test_store_restore.py
@@ -17,14 +17,14 @@
 
 
 @enum.unique
-class Drill(enum.Enum):
+class Scenario(enum.Enum):
     """Name what happens to instances when the store returns to a copy."""
 
     COORDINATOR_GOES_ON = 'coordinator-goes-on'
     COORDINATOR_DIES = 'coordinator-dies'
     COORDINATOR_RESTARTS = 'coordinator-restarts'
     ALL_RESTART = 'all-restart'
-    AWAY_FOR_LONG = 'away-for-long'
+    LONG_OUTAGE = 'long-outage'
     TWICE = 'twice'
 
 
@@ -60,29 +60,29 @@
     return moved_to
 
 
-async def _restore(cluster: typing.Any, drill: Drill) -> None:
+async def _restore(cluster: typing.Any, scenario: Scenario) -> None:
     store = cluster.store
     number = cluster.instances.index(_leader(cluster))
-    if drill is Drill.COORDINATOR_DIES:
+    if scenario is Scenario.COORDINATOR_DIES:
         await cluster.kill(number)
         await store.restore(COPY_AGE_MS)
-    elif drill is Drill.COORDINATOR_RESTARTS:
+    elif scenario is Scenario.COORDINATOR_RESTARTS:
         await cluster.kill(number)
         await store.restore(COPY_AGE_MS)
         cluster.restart(number)
-    elif drill is Drill.ALL_RESTART:
+    elif scenario is Scenario.ALL_RESTART:
         for each in range(3):
             await cluster.kill(each)
         await store.restore(COPY_AGE_MS)
         for each in range(3):
             cluster.restart(each)
     else:
-        away_s = 2.5 if drill is Drill.AWAY_FOR_LONG else 0.2
-        await store.restore(COPY_AGE_MS + int(away_s * 1_000), away_s)
-        if drill is Drill.TWICE:
+        outage_s = 2.5 if scenario is Scenario.LONG_OUTAGE else 0.2
+        await store.restore(COPY_AGE_MS + int(outage_s * 1_000), outage_s)
+        if scenario is Scenario.TWICE:
             await asyncio.sleep(0.5)
             # This copy is older than the first claim after the first restore.
-            await store.restore(COPY_AGE_MS + 1_500, away_s)
+            await store.restore(COPY_AGE_MS + 1_500, outage_s)
 
 
 def _running(cluster: typing.Any) -> list[typing.Any]:
@@ -119,15 +119,17 @@
 
 
 @pytest.mark.timeout(60)
-@pytest.mark.parametrize('drill', list(Drill), ids=lambda drill: drill.value)
+@pytest.mark.parametrize(
+    'scenario', list(Scenario), ids=lambda scenario: scenario.value
+)
 async def test_fences_are_given_again_after_the_store_lost_records(
-    cluster: typing.Any, drill: Drill
+    cluster: typing.Any, scenario: Scenario
 ) -> None:
     await _start(cluster)
     await asyncio.sleep(COPY_AGE_MS / 1_000)
     # More records than a new coordinator writes by itself.
     await _move_keys(cluster, KEYS[3], 8)
-    await _restore(cluster, drill)
+    await _restore(cluster, scenario)
     # By then a coordinator has checked its term.
     await asyncio.sleep(1)
     await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
@@ -136,9 +138,11 @@
 
 
 @pytest.mark.timeout(60)
-@pytest.mark.parametrize('drill', list(Drill), ids=lambda drill: drill.value)
+@pytest.mark.parametrize(
+    'scenario', list(Scenario), ids=lambda scenario: scenario.value
+)
 async def test_keys_moved_since_the_copy_are_granted_to_two_servers(
-    cluster: typing.Any, drill: Drill
+    cluster: typing.Any, scenario: Scenario
 ) -> None:
     await _start(cluster)
     await asyncio.sleep(COPY_AGE_MS / 1_000)
@@ -146,7 +150,7 @@
     watch = asyncio.create_task(_watch_owners(cluster, shared))
     for key in KEYS[:4]:
         await _move_key(cluster, key)
-    await _restore(cluster, drill)
+    await _restore(cluster, scenario)
     await asyncio.sleep(3)
     await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
     watch.cancel()
@@ -159,7 +163,7 @@
     await _start(cluster)
     await asyncio.sleep(COPY_AGE_MS / 1_000)
     moved_to = [await _move_key(cluster, key) for key in KEYS[:3]]
-    await _restore(cluster, Drill.COORDINATOR_GOES_ON)
+    await _restore(cluster, Scenario.COORDINATOR_GOES_ON)
     for _ in range(60):
         await asyncio.sleep(0.05)
         assert cluster.is_covered()
@@ -268,7 +272,7 @@
     shared: set[int] = set()
     watch = asyncio.create_task(_watch_owners(cluster, shared))
     await _move_keys(cluster, KEYS[3], 8)
-    await _restore(cluster, Drill.COORDINATOR_RESTARTS)
+    await _restore(cluster, Scenario.COORDINATOR_RESTARTS)
     await asyncio.sleep(1)
     await cluster.wait_until(lambda: _is_served_again(cluster), LONGEST_HOLD_S)
     await _move_keys(cluster, KEYS[3], 8)
