Forget the last claim's era if the copy has no records

A listing without records, at offset 0, deleted nothing from the mirror, so the era of the last claim stayed known and too few offsets were skipped; and a claim without owners hid the highest known fence.

Records of an earlier era now precede every deletion, and the highest end that was ever read bounds what is skipped.

--- a/packages/core/src/sycamoreferry_core/fleet/store_records.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_records.py
@@ -12,6 +12,8 @@
 StoreEra = typing.NewType('StoreEra', int)
 
 NO_ERA = StoreEra(0)
+# Precedes also the deletions of a listing without records.
+_BEFORE_ERA = ids.Offset(ids.NO_OFFSET - 1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +93,7 @@
     def __init__(self) -> None:
         self._records: dict[RecordKey, StoredRecord] = {}
         self._end = ids.FIRST_OFFSET
+        self._highest_end = ids.FIRST_OFFSET
         self._era = NO_ERA
         self._has_lost_records = False
         self._is_complete = False
@@ -100,6 +103,11 @@
         """Return the offset from which to continue reading."""
         return self._end
 
+    @property
+    def highest_end(self) -> ids.Offset:
+        """Return the highest end offset of all eras."""
+        return self._highest_end
+
     @property
     def era(self) -> StoreEra:
         """Return the era of the store to which the offsets belong."""
@@ -142,6 +150,7 @@
             self._records[record.key] = record
             changed.append(record)
         self._end = max(self._end, page.end)
+        self._highest_end = max(self._highest_end, self._end)
         return changed
 
     def replace(
@@ -173,6 +182,6 @@
         self._end = ids.FIRST_OFFSET
         self._is_complete = False
         self._records = {
-            key: dataclasses.replace(record, offset=ids.NO_OFFSET)
+            key: dataclasses.replace(record, offset=_BEFORE_ERA)
             for key, record in self._records.items()
         }
--- a/packages/core/src/sycamoreferry_core/keyspace/fences.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/fences.py
@@ -11,7 +11,7 @@
 
 def offsets_to_skip(
     end: ids.Offset,
-    highest_known: ids.Fence,
+    highest_end: ids.Offset,
     *,
     era: store_records.StoreEra,
     claimed_era: store_records.StoreEra,
@@ -21,9 +21,9 @@
     Fences follow from offsets, which the store gives out again after it has
     returned to an older copy. `claimed_era` is the era of the last claim that
     the copy has; those of later eras are lost, with the offsets that they
-    skipped.
+    skipped. `highest_end` is the highest end that was ever read.
     """
     if claimed_era == era:
         return 0
     lost_eras = max(1, min(era - claimed_era, _MAX_LOST_ERAS))
-    return max(lost_eras * OFFSETS_PER_ERA, highest_known - end)
+    return max(lost_eras * OFFSETS_PER_ERA, highest_end - end)
--- a/packages/core/tests/keyspace/test_fences.py
+++ b/packages/core/tests/keyspace/test_fences.py
@@ -25,7 +25,7 @@
 def _claim(copy: _Copy, era: int) -> _Copy:
     skipped = fences.offsets_to_skip(
         ids.Offset(copy.end),
-        ids.NO_FENCE,
+        ids.FIRST_OFFSET,
         era=store_records.StoreEra(era),
         claimed_era=store_records.StoreEra(copy.claimed_era),
     )
@@ -48,8 +48,8 @@
         assert claimed.end > highest
 
 
-def test_fences_fall_below_the_highest_known_one() -> None:
-    highest = ids.Fence(10 * fences.OFFSETS_PER_ERA)
+def test_fences_fall_below_the_highest_known_offset() -> None:
+    highest = ids.Offset(10 * fences.OFFSETS_PER_ERA)
     skipped = fences.offsets_to_skip(
         ids.Offset(5),
         highest,
--- a/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sycamoreferry_core import clock
+from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import store_records
 from sycamoreferry_gateway import assignment, claim_records, event_log
 
@@ -43,6 +43,11 @@
             self._mirror.records.get(claim_records.ERA_KEY)
         )
 
+    @property
+    def highest_end(self) -> ids.Offset:
+        """Return the highest end of the topic that was read in any era."""
+        return self._mirror.highest_end
+
     @property
     def lost_since(self) -> clock.Millis | None:
         """Return since when the store's assignment is an older copy.
--- a/packages/gateway/src/sycamoreferry_gateway/term_claims.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_claims.py
@@ -73,7 +73,7 @@
         return ()
     count = fences.offsets_to_skip(
         next_offset,
-        owners.current.highest_fence,
+        owners.highest_end,
         era=era,
         claimed_era=claimed_era,
     )
