--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -81,6 +81,12 @@
             return False
         return now - max(incarnations.values()) < _BLOCK_MS
 
+    def blocked_count(self, now: clock.Millis) -> int:
+        """Return the number of requests that are blocked."""
+        return sum(
+            self.is_blocked(signature, now) for signature in self._crashes
+        )
+
     def known_crashes(self) -> list[Crash]:
         """Return the known crashes, to be reported to other instances."""
         return [
--- a/packages/gateway/src/sycamoreferry_gateway/request_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_log.py
@@ -74,6 +74,7 @@
         described: dict[str, typing.Any] = {
             'route': proxied.route.name,
             'service': proxied.service,
+            'signature': proxied.signature,
             'waited_ms': proxied.waited_ms,
             'owners_offset': self._view.mirrors[store_calls.OWNERS_TOPIC].end,
             'stopping': self._open_requests.is_stopping,
