--- /dev/null
+++ b/packages/gateway/tests/support/gateway_testing/crash_play.py
@@ -0,0 +1,203 @@
+"""Play a caller that repeats a request which crashes its servers."""
+
+import asyncio
+import collections
+import itertools
+import json
+import typing
+
+from gateway_testing import crashing_server
+from sycamoreferry_core import result_codes
+from sycamoreferry_gateway import http_client
+from sycamoreferry_ports import boot_clock
+
+# The platform's StabilityWindow, and the arrivals that it allows after it.
+STABILITY_MS = 3_000
+ALLOWED_LATE_ARRIVALS = 3
+_QUARANTINED = int(result_codes.ResultCode.QUARANTINED)
+_LATE_MS = 500
+_KEY = 4_000
+
+
+class CrashPlay:
+    """Run crashing and other requests, and count what becomes of them."""
+
+    def __init__(self, cluster: typing.Any) -> None:
+        self.log = crashing_server.ArrivalLog()
+        self.servers: list[crashing_server.CrashingServer] = []
+        # The result codes of the other requests, in the order of their ends.
+        self.codes: list[tuple[int, int | None]] = []
+        # The code of the newest answer to a crashing request, by its path.
+        self.crashing_codes: dict[str, list[int | None]] = (
+            collections.defaultdict(list)
+        )
+        self._cluster = cluster
+        self._pool = http_client.ConnectionPool(boot_clock.BootClock())
+        self._numbers = itertools.count()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def late_arrivals(self) -> int:
+        """Return the arrivals that count against the platform's rule."""
+        return len(self.log.arrivals_beyond(STABILITY_MS))
+
+    @property
+    def rejected_count(self) -> int:
+        """Return the other requests that were taken for crashing ones."""
+        return sum(code == _QUARANTINED for _, code in self.codes)
+
+    async def start(
+        self,
+        servers: int,
+        instances: int,
+        kind: str = 'safe',
+        *,
+        is_keyed: bool = False,
+        **behaviour: typing.Any,
+    ) -> None:
+        """Start servers that crash, and instances in this process."""
+        cluster = self._cluster
+        await cluster.start(servers, 0, kind, is_keyed=is_keyed)
+        for number, server in enumerate(cluster.servers):
+            front = crashing_server.CrashingServer(
+                server, cluster.store, self.log, seed=number, **behaviour
+            )
+            await front.start()
+            self.servers.append(front)
+        for number in range(instances):
+            cluster.add_instance(f'i{number}')
+        await cluster.wait_until(self._is_ready, limit_s=20)
+
+    def stop(self) -> None:
+        """End the callers and servers."""
+        for task in self._tasks:
+            task.cancel()
+        for front in self.servers:
+            front.stop()
+
+    def is_silent(self, port: int) -> bool:
+        """Tell whether connections to a port get no answer."""
+        return any(front.is_silent(port) for front in self.servers)
+
+    def repeat_crashing(
+        self,
+        path: str = crashing_server.CRASHING_PATH,
+        *,
+        interval_s: float = 0.1,
+        deadline_ms: int = 1_000,
+        leaves_after_ms: int | None = None,
+        request_id: str | None = None,
+    ) -> None:
+        """Send a crashing request to all instances in turn until the end."""
+        self._start_repeating(
+            lambda instance: self._call_crashing(
+                instance, path, deadline_ms, leaves_after_ms, request_id
+            ),
+            interval_s,
+        )
+
+    def repeat_other(
+        self, path: str = '/k/a', *, interval_s: float = 0.02
+    ) -> None:
+        """Send a request that crashes nothing, again and again."""
+        self._start_repeating(
+            lambda instance: self._call_other(instance, path), interval_s
+        )
+
+    def addresses(self) -> list[typing.Any]:
+        """Return the addresses of the instances in this process."""
+        return [
+            one._deployment.request_address
+            for one in self._cluster.instances
+            if not one._stop.is_set()
+        ]
+
+    async def call(
+        self, path: str, deadline_ms: int, request_id: str | None = None
+    ) -> int | None:
+        """Send a request to the next instance; return its result code.
+
+        The code is 1000 if a server answered, None without an answer.
+        """
+        addresses = self.addresses()
+        number = next(self._numbers)
+        address = addresses[number % len(addresses)]
+        return await self._call(address, path, deadline_ms, request_id)
+
+    def _is_ready(self) -> bool:
+        instances = self._cluster.instances
+        return all(
+            one.is_ready
+            and len(one._view.peers.alive(one._clock.now()))
+            == len(instances) - 1
+            for one in instances
+        ) and (not self._cluster.servers[0].is_keyed or self._owns_all())
+
+    def _owns_all(self) -> bool:
+        return bool(self._cluster.is_covered()) and all(
+            one._view.owner_of('keys', _KEY) is not None
+            for one in self._cluster.instances
+        )
+
+    def _start_repeating(
+        self,
+        call: typing.Callable[[typing.Any], typing.Any],
+        interval_s: float,
+    ) -> None:
+        async def repeat() -> None:
+            running: set[asyncio.Task[None]] = set()
+            for number in itertools.count():
+                addresses = self.addresses()
+                task = asyncio.create_task(
+                    call(addresses[number % len(addresses)])
+                )
+                running.add(task)
+                task.add_done_callback(running.discard)
+                await asyncio.sleep(interval_s)
+
+        self._tasks.append(asyncio.create_task(repeat()))
+
+    async def _call_crashing(
+        self,
+        address: typing.Any,
+        path: str,
+        deadline_ms: int,
+        leaves_after_ms: int | None,
+        request_id: str | None,
+    ) -> None:
+        limit_s = None
+        if leaves_after_ms is not None:
+            limit_s = leaves_after_ms / 1_000
+        try:
+            async with asyncio.timeout(limit_s):
+                code = await self._call(address, path, deadline_ms, request_id)
+        except TimeoutError:
+            code = None
+        self.crashing_codes[path].append(code)
+
+    async def _call_other(self, address: typing.Any, path: str) -> None:
+        code = await self._call(address, path, 1_000, None)
+        self.codes.append((self.log.clock.now(), code))
+
+    async def _call(
+        self,
+        address: typing.Any,
+        path: str,
+        deadline_ms: int,
+        request_id: str | None,
+    ) -> int | None:
+        request_id = request_id or f'r{next(self._numbers)}'
+        payload = self._cluster.encode_request(
+            request_id, _KEY, path=path, deadline_ms=deadline_ms
+        )
+        reply = await self._pool.exchange(
+            address, payload, deadline_ms + _LATE_MS
+        )
+        if isinstance(reply, http_client.FailedExchange):
+            return None
+        if reply.status == 200:
+            return int(result_codes.ResultCode.ANSWERED)
+        try:
+            return int(json.loads(reply.body)['code'])
+        except (ValueError, KeyError):
+            return None
--- /dev/null
+++ b/packages/gateway/tests/support/gateway_testing/crashing_server.py
@@ -0,0 +1,175 @@
+"""Crash a server when it runs certain requests, and start it again later."""
+
+import asyncio
+import enum
+import random
+import socket
+import struct
+import typing
+
+from sycamoreferry_gateway import http_server
+from sycamoreferry_ports import boot_clock
+
+CRASHING_PATH = '/k/crash'
+# The platform removes an entry after three heartbeats of silence.
+ENTRY_EXPIRY_S = (1.74, 2.61)
+_LINGER_ZERO = struct.pack('ii', 1, 0)
+_PARTIAL_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf'
+
+
+@enum.unique
+class CrashMode(enum.Enum):
+    """Name how the connections of a server end when it crashes."""
+
+    RESET = 'reset'
+    CLOSE = 'close'
+    PARTIAL = 'partial answer'
+    # The host is gone: connections hang, and new ones are not answered.
+    SILENT = 'silent'
+
+
+class ArrivalLog:
+    """Record when crashing requests arrive at servers and crash them."""
+
+    def __init__(self) -> None:
+        self.clock = boot_clock.BootClock()
+        # The times of arrival and the names of the servers.
+        self.arrivals: list[tuple[int, str]] = []
+        self.crashes: list[int] = []
+
+    def arrivals_beyond(self, stability_ms: int) -> list[int]:
+        """Return the arrivals later than a time after the third crash."""
+        if len(self.crashes) < 3:
+            return []
+        bound = self.crashes[2] + stability_ms
+        return [at for at, _ in self.arrivals if at > bound]
+
+
+class CrashingServer:
+    """Serve as a stand-in's front; end with it on a crashing request."""
+
+    def __init__(
+        self,
+        server: typing.Any,
+        store: typing.Any,
+        log: ArrivalLog,
+        *,
+        mode: CrashMode = CrashMode.RESET,
+        crash_after_s: float = 0.04,
+        down_s: float = 3.3,
+        seed: int = 0,
+    ) -> None:
+        self.server = server
+        self.mode = mode
+        self.crash_after_s = crash_after_s
+        self.down_s = down_s
+        self.is_up = True
+        # Answers crashing requests at their deadline, before the crash.
+        self.answers_deadline = False
+        self._store = store
+        self._log = log
+        self._random = random.Random(seed)
+        self._http = http_server.HttpServer(self.handle, server.clock)
+        self._port = 0
+        self._life = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a new port and register the server under it."""
+        await self._http.listen('127.0.0.1', 0)
+        listener = self._http._listener
+        assert listener is not None
+        self._port = listener.sockets[0].getsockname()[1]
+        self.server.public_port = self._port
+        self.is_up = True
+        self.server.register()
+
+    def stop(self) -> None:
+        """End the server and its pending restart."""
+        for task in self._tasks:
+            task.cancel()
+        self._http.stop_listening()
+        self._http.close_connections()
+
+    async def handle(
+        self, request: http_server.CallerRequest
+    ) -> http_server.CallerAnswer:
+        """Answer a request, or crash while running it."""
+        if not request.path.startswith(CRASHING_PATH):
+            answer: http_server.CallerAnswer = await self.server.handle(request)
+            return await self._unless_down(answer)
+        if request.header('expect-instance') != self.server.name:
+            return http_server.CallerAnswer(421, (), b'')
+        key = int(request.header('shard-key') or -1)
+        if self.server.is_keyed and not self.server.holds(key):
+            return http_server.CallerAnswer(421, (('Not-Executed', '1'),), b'')
+        self._log.arrivals.append((self._log.clock.now(), self.server.name))
+        crash = asyncio.create_task(self._crash_later(self._life))
+        self._tasks.add(crash)
+        crash.add_done_callback(self._tasks.discard)
+        deadline_s = int(request.header('deadline-ms') or 0) / 1_000
+        if self.answers_deadline and deadline_s < self.crash_after_s:
+            await asyncio.sleep(deadline_s)
+            request_id = request.header('request-id') or ''
+            return await self._unless_down(
+                http_server.CallerAnswer(
+                    504, (('Request-Id', request_id),), b''
+                )
+            )
+        return await self._hang()
+
+    async def crash(self) -> None:
+        """End the process, let its entry expire, and start a new one."""
+        self._life += 1
+        self.is_up = False
+        self._end_connections()
+        ended = self.server.name
+        expiry_s = self._random.uniform(*ENTRY_EXPIRY_S)
+        await asyncio.sleep(min(expiry_s, self.down_s))
+        self._store.put('keyed.servers', ended, b'')
+        await asyncio.sleep(max(0, self.down_s - expiry_s))
+        self._http.close_connections()
+        self.server.born += 1
+        self.server.name = f'{ended.partition("-")[0]}-{self.server.born}'
+        self.server.granted.clear()
+        self.server.accepted.clear()
+        await self.start()
+
+    def is_silent(self, port: int) -> bool:
+        """Tell whether a port belongs to a host that is gone."""
+        is_gone = not self.is_up and self.mode is CrashMode.SILENT
+        return is_gone and port == self._port
+
+    async def _crash_later(self, life: int) -> None:
+        await asyncio.sleep(self.crash_after_s)
+        if self.is_up and life == self._life:
+            self._log.crashes.append(self._log.clock.now())
+            await self.crash()
+
+    async def _unless_down(
+        self, answer: http_server.CallerAnswer
+    ) -> http_server.CallerAnswer:
+        if not self.is_up:
+            return await self._hang()
+        return answer
+
+    async def _hang(self) -> typing.NoReturn:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    def _end_connections(self) -> None:
+        self._http.stop_listening()
+        for connection in list(self._http.connections):
+            transport = connection._transport
+            if transport is None or self.mode is CrashMode.SILENT:
+                continue
+            if self.mode is CrashMode.RESET:
+                raw = transport.get_extra_info('socket')
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO
+                )
+                transport.abort()
+                continue
+            if self.mode is CrashMode.PARTIAL and connection._task is not None:
+                transport.write(_PARTIAL_ANSWER)
+            transport.close()
