Count crashes of servers whose attempt ended before they did

Cause: only attempts whose connection was reset or closed were suspected. If the caller's deadline passed, the caller left, the server answered 504 or fell silent, the attempt had ended before the server did, and its crash was counted nowhere. Class: evidence bound to one way in which a failure can show.

Change: each run of a request at a server is kept until an answer of the same incarnation, over a second later, shows that it survived. The end of an incarnation counts against all runs that are kept. Runs up to 15 s old count instead of broken connections up to 6 s old, as the end of a server is learnt late while the store is away.

--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -1,8 +1,8 @@
 """Block requests that crash every backend server that runs them.
 
 Load pattern: a caller sends a request that crashes its server, and retries it
-at any instance. A broken connection alone is no proof of a crash; it counts
-once the incarnation that ran the request is known to have ended.
+at any instance. A run counts as a crash once the incarnation that ran the
+request is known to have ended.
 """
 
 import collections
@@ -15,9 +15,6 @@
 Signature = typing.NewType('Signature', int)
 
 _CRASHES_TO_BLOCK = 3
-# The end of an incarnation within this time of a broken connection confirms
-# the crash.
-_CONFIRM_MS = 6_000
 _BLOCK_MS = 120_000
 
 
@@ -29,44 +26,15 @@
     incarnation: servers.ServerIncarnation
 
 
-_Suspect = tuple[Signature, clock.Millis]
-
-
 class CrashHistory:
     """Count the server incarnations that each request has crashed."""
 
     def __init__(self) -> None:
-        self._suspects: dict[servers.ServerIncarnation, list[_Suspect]] = (
-            collections.defaultdict(list)
-        )
         self._crashes: dict[
             Signature,
             dict[servers.ServerIncarnation, clock.Millis],
         ] = collections.defaultdict(dict)
 
-    def record_broken_connection(
-        self,
-        signature: Signature,
-        incarnation: servers.ServerIncarnation,
-        now: clock.Millis,
-    ) -> None:
-        """Record a request whose connection broke without a response."""
-        self._suspects[incarnation].append((signature, now))
-
-    def confirm_crashes(
-        self,
-        incarnation: servers.ServerIncarnation,
-        now: clock.Millis,
-    ) -> list[Crash]:
-        """Record and return the crashes that the end of a server confirms."""
-        confirmed = []
-        for signature, at in self._suspects.pop(incarnation, ()):
-            if now - at <= _CONFIRM_MS:
-                confirmed.append(Crash(signature, incarnation))
-        for crash in confirmed:
-            self.record(crash, now)
-        return confirmed
-
     def record(self, crash: Crash, now: clock.Millis) -> bool:
         """Record a crash; return whether it was unknown here."""
         incarnations = self._crashes[crash.signature]
@@ -96,10 +64,7 @@
         ]
 
     def prune(self, now: clock.Millis) -> None:
-        """Drop suspects and crashes that are too old to have an effect."""
-        for incarnation, rows in list(self._suspects.items()):
-            if all(now - at > _CONFIRM_MS for _, at in rows):
-                self._suspects.pop(incarnation)
+        """Drop crashes that are too old to have an effect."""
         for signature, incarnations in list(self._crashes.items()):
             if now - max(incarnations.values()) > _BLOCK_MS:
                 self._crashes.pop(signature)
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/traffic/server_runs.py
@@ -0,0 +1,94 @@
+"""Track runs of requests until the server is seen to have survived them.
+
+Load pattern: a request crashes its server while it runs, or shortly after the
+attempt ended: its deadline passed, its caller left, or the server answered with
+an error. No connection breaks then, so the run is kept until an answer of the
+same incarnation shows that the run did no harm.
+"""
+
+import dataclasses
+
+from sycamoreferry_core import clock
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import crashes
+
+# A run whose attempt has ended may crash its server for this long.
+_LATE_CRASH_MS = 1_000
+# Older runs are not held against a server that ends.
+_MAX_AGE_MS = 15_000
+_MAX_RUNS_PER_SERVER = 256
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """Hold a request that was sent to a server."""
+
+    signature: crashes.Signature
+    incarnation: servers.ServerIncarnation
+    # None while the attempt is in progress.
+    ended_at: clock.Millis | None = None
+
+
+class ServerRuns:
+    """Hold the runs that may still turn out to have crashed their server."""
+
+    def __init__(self) -> None:
+        self._runs: dict[servers.ServerIncarnation, list[Run]] = {}
+
+    def begin(
+        self,
+        signature: crashes.Signature,
+        incarnation: servers.ServerIncarnation,
+    ) -> Run:
+        """Record that a request is being sent to a server."""
+        run = Run(signature, incarnation)
+        runs = self._runs.setdefault(incarnation, [])
+        if len(runs) >= _MAX_RUNS_PER_SERVER:
+            runs.pop(0)
+        runs.append(run)
+        return run
+
+    def discard(self, run: Run) -> None:
+        """Drop a run that did the server no harm, or did not begin."""
+        runs = self._runs.get(run.incarnation, [])
+        if run in runs:
+            runs.remove(run)
+            if not runs:
+                self._runs.pop(run.incarnation)
+
+    def end(self, run: Run, now: clock.Millis) -> None:
+        """Record that an attempt ended before the server was seen again."""
+        run.ended_at = now
+
+    def record_alive(
+        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+    ) -> None:
+        """Drop the runs that an incarnation has survived by now."""
+        for run in list(self._runs.get(incarnation, ())):
+            if run.ended_at is not None and now - run.ended_at > _LATE_CRASH_MS:
+                self.discard(run)
+
+    def confirm_end(
+        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+    ) -> list[crashes.Signature]:
+        """Return and drop the requests that an incarnation ended with.
+
+        Attempts in progress are kept: their connections are still in use.
+        """
+        confirmed = []
+        for run in list(self._runs.get(incarnation, ())):
+            if run.ended_at is None:
+                continue
+            self.discard(run)
+            if now - run.ended_at <= _MAX_AGE_MS:
+                confirmed.append(run.signature)
+        return list(dict.fromkeys(confirmed))
+
+    def prune(self, now: clock.Millis) -> None:
+        """Drop the runs that are too old to be held against a server."""
+        for runs in list(self._runs.values()):
+            for run in list(runs):
+                if run.ended_at is not None and (
+                    now - run.ended_at > _MAX_AGE_MS
+                ):
+                    self.discard(run)
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -15,12 +15,6 @@
 )
 
 _SERVER_ERROR = 500
-# Failures that may mean that the server process has crashed.
-_CRASH_FAILURES = frozenset(
-    (http_client.ExchangeFailure.RESET, http_client.ExchangeFailure.CLOSED),
-)
-
-
 # Failures that a lost link to the server causes.
 LINK_FAILURES = frozenset(
     (http_client.ExchangeFailure.CONNECT, http_client.ExchangeFailure.TIMEOUT),
@@ -158,21 +152,6 @@
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
-        is_cut_off = self._loads.reachability.is_cut_off
-        is_suspect = failed.failure in _CRASH_FAILURES and not is_cut_off
-        if is_suspect:
-            self._view.crashes.record_broken_connection(
-                proxied.signature, server.incarnation, now
-            )
-        self._log.write_rate_limited(
-            'crashes',
-            'attempt ended without an answer',
-            request=proxied.request_id,
-            signature=proxied.signature,
-            server=server.incarnation.server,
-            reason=detail,
-            is_suspect=is_suspect,
-        )
         return proxied_requests.Attempt(
             proxied_requests.AttemptResult.UNKNOWN, server, detail
         )
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -14,6 +14,7 @@
     http_client,
     proxied_requests,
     retry_policy,
+    run_recorder,
     view,
 )
 
@@ -44,6 +45,7 @@
         self._classifier = attempt_classifier.AttemptClassifier(
             cluster_view, loads, log
         )
+        self._runs = run_recorder.RunRecorder(cluster_view, loads, log)
 
     async def run(
         self,
@@ -65,13 +67,7 @@
                 attempt.result is proxied_requests.AttemptResult.ANSWERED
             )
         except asyncio.CancelledError:
-            proxied.attempts.append(
-                proxied_requests.Attempt(
-                    proxied_requests.AttemptResult.UNKNOWN,
-                    server,
-                    'interrupted',
-                )
-            )
+            proxied.attempts.append(_interrupted(server))
             raise
         finally:
             proxied.current_server = None
@@ -112,13 +108,19 @@
             ),
             proxied.request.body,
         )
-        outcome = await self._pool.exchange(
-            deployment.Address(server.host, server.port),
-            payload,
-            self._attempt_timeout_ms(proxied, server, started_at),
-            lambda reply: answers.matches_request(reply, proxied.request_id),
-        )
-        return self._classifier.classify(proxied, server, outcome, started_at)
+        with self._runs.record(proxied, server) as run:
+            outcome = await self._pool.exchange(
+                deployment.Address(server.host, server.port),
+                payload,
+                self._attempt_timeout_ms(proxied, server, started_at),
+                lambda reply: answers.matches_request(
+                    reply, proxied.request_id
+                ),
+            )
+            run.attempt = self._classifier.classify(
+                proxied, server, outcome, started_at
+            )
+        return run.attempt
 
     def _attempt_timeout_ms(
         self,
@@ -137,3 +139,9 @@
             4 * self._loads.duration_ms(server),
         )
         return min(remaining, attempt_ms)
+
+
+def _interrupted(server: servers.BackendServer) -> proxied_requests.Attempt:
+    return proxied_requests.Attempt(
+        proxied_requests.AttemptResult.UNKNOWN, server, run_recorder.INTERRUPTED
+    )
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -239,7 +239,7 @@
                     crash.incarnation.server,
                     crash.incarnation.born,
                 )
-                for crash in self._view.crashes.known_crashes()
+                for crash in self._view.crashes.history.known_crashes()
             ],
             rate_limits=rate_limit_reports.build_rows(
                 self._loads.rate_limits.recent(now), now
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -106,7 +106,9 @@
                 servers.IncarnationNumber(crash.born),
             )
             signature = crashes.Signature(crash.signature)
-            self._view.crashes.record(crashes.Crash(signature, life), now)
+            self._view.crashes.history.record(
+                crashes.Crash(signature, life), now
+            )
         self._request_newer(heartbeat, sender)
         self._view.on_change()
 
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -138,7 +138,7 @@
     async def _forward(
         self, proxied: proxied_requests.ProxiedRequest
     ) -> answers.FinalAnswer:
-        if self._view.crashes.is_blocked(
+        if self._view.crashes.history.is_blocked(
             proxied.signature,
             proxied.arrived,
         ):
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -15,7 +15,7 @@
     store_records,
 )
 from sycamoreferry_core.keyspace import owners, pending_moves
-from sycamoreferry_core.traffic import crashes, routes
+from sycamoreferry_core.traffic import crash_guard, routes
 from sycamoreferry_gateway import (
     assignment,
     assignment_tracker,
@@ -47,7 +47,7 @@
         self.peers = instances.Peers(
             settings.instance, settings.counting_weight
         )
-        self.crashes = crashes.CrashHistory()
+        self.crashes = crash_guard.CrashGuard()
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
         self.owners = assignment_tracker.AssignmentTracker(
