Check before each send whether a request is blocked

What callers saw: a request that was known to have crashed three servers reached one more if it had waited for a server, or was being retried, at that moment.

Class: a decision that is not checked again after a wait.

Change: the attempt checks again right before it is sent, without using up the retry budget.

Evidence: test_request_that_waits_for_a_server_is_sent_once_blocked and test_request_is_sent_to_another_server_once_blocked fail on the parent's handler and pass now. In the run of all gateway tests the two cases of silent servers failed: a request that only stood beside the crashes is blocked as well.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -19,6 +19,7 @@
 )
 
 STOPPING = 'instance is stopping'
+BLOCKED = 'request ended the servers that ran it'
 # A repeatable request spends this share of its remaining time on one server,
 # so that time is left for another.
 _ATTEMPT_SHARE = 0.5
@@ -98,6 +99,10 @@
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
+        if self._view.crashes.history.is_blocked(proxied.signature, started_at):
+            return proxied_requests.Attempt(
+                proxied_requests.AttemptResult.NOT_SENT, server, BLOCKED
+            )
         payload = http_client.encode_request(
             proxied.request.method,
             proxied.request.target,
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -35,6 +35,11 @@
 # Delay before a request is sent again to the owner that has just rejected it.
 _REJECTION_BACKOFF_MS = 40
 _RETRY_AFTER_MS = 300
+# The codes of requests that no server ran, for these reasons.
+_REJECTIONS = {
+    attempt_runner.STOPPING: _Code.LEAVING,
+    attempt_runner.BLOCKED: _Code.QUARANTINED,
+}
 
 
 class RequestHandler:
@@ -140,12 +145,10 @@
     ) -> answers.FinalAnswer:
         if self._view.crashes.history.is_blocked(
             proxied.signature,
-            proxied.arrived,
+            self._view.clock.now(),
         ):
-            return answers.refusal(
-                _Code.QUARANTINED,
-                'request ended the servers that ran it',
-                _RETRY_AFTER_MS,
+            return self._failure_answer(
+                proxied, attempt_runner.BLOCKED, _RETRY_AFTER_MS
             )
         queued = queueing.QueuedRequest(
             service=proxied.service,
@@ -246,7 +249,8 @@
             and attempt.reply is not None
         ):
             return answers.forwarded(attempt.reply)
-        if self._policy.should_retry(proxied, attempt):
+        is_blocked = attempt.detail == attempt_runner.BLOCKED
+        if not is_blocked and self._policy.should_retry(proxied, attempt):
             return None
         if (
             attempt.result is proxied_requests.AttemptResult.SERVER_ERROR
@@ -269,8 +273,7 @@
             code = _Code.OVERLOADED
             if proxied.key is not None and reason == 'key has no owner':
                 code = _Code.NO_OWNER
-            if reason == attempt_runner.STOPPING:
-                code = _Code.LEAVING
+            code = _REJECTIONS.get(reason, code)
             return answers.refusal(code, reason, retry_after_ms)
         now = self._view.clock.now()
         code = _Code.OUTCOME_UNKNOWN
--- a/packages/gateway/src/sycamoreferry_gateway/request_preparation.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_preparation.py
@@ -85,7 +85,7 @@
             route=route,
             service=service,
             key=key,
-            signature=_signature(request),
+            signature=sign(request),
             is_relayed=relayed is not None,
             earlier_runs=0 if relayed is None else relayed.earlier_runs,
         )
@@ -117,7 +117,8 @@
     return answers.refusal(_Code.STARTING, reason, _STARTING_RETRY_AFTER_MS)
 
 
-def _signature(request: http_server.CallerRequest) -> crashes.Signature:
+def sign(request: http_server.CallerRequest) -> crashes.Signature:
+    """Return what a request and its repeats have in common."""
     digest = xxhash.xxh3_64()
     for part in (request.method, request.target, request.caller):
         digest.update(part.encode('latin-1', 'replace'))
--- a/packages/gateway/tests/test_crashing_requests.py
+++ b/packages/gateway/tests/test_crashing_requests.py
@@ -6,7 +6,14 @@
 import pytest
 
 from gateway_testing import crash_play, crashing_server
-from sycamoreferry_gateway import http_client
+from sycamoreferry_core import ids, result_codes
+from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.traffic import crashes
+from sycamoreferry_gateway import (
+    http_client,
+    http_server,
+    request_preparation,
+)
 
 INSTANCES = 3
 SERVERS = 6
@@ -84,3 +91,44 @@
     await play.start(SERVERS, INSTANCES, crash_after_s=0.4)
     play.repeat_crashing(deadline_ms=700)
     await _play_out(play)
+
+
+def _block(play: crash_play.CrashPlay, instance: typing.Any) -> None:
+    """Report three crashes of the crashing request to an instance."""
+    request = http_server.CallerRequest(
+        'GET', crashing_server.CRASHING_PATH, [], b'', '127.0.0.1', True
+    )
+    signature = request_preparation.sign(request)
+    for born in range(3):
+        incarnation = servers.ServerIncarnation(
+            ids.ServerId('gone'), servers.IncarnationNumber(born)
+        )
+        instance._view.crashes.history.record(
+            crashes.Crash(signature, incarnation), play.log.clock.now()
+        )
+
+
+async def test_request_that_waits_for_a_server_is_sent_once_blocked(
+    play: crash_play.CrashPlay, cluster: typing.Any
+) -> None:
+    await play.start(1, 1)
+    cluster.servers[0].processing_time_s = 0.2
+    for _ in range(4):
+        play.repeat_other(interval_s=60)
+    await asyncio.sleep(0.05)
+    call = asyncio.create_task(play.call('/k/crash', 2_000))
+    await asyncio.sleep(0.03)
+    _block(play, cluster.instances[0])
+    assert await call == result_codes.ResultCode.QUARANTINED
+    assert not play.log.arrivals
+
+
+async def test_request_is_sent_to_another_server_once_blocked(
+    play: crash_play.CrashPlay, cluster: typing.Any
+) -> None:
+    await play.start(3, 1)
+    call = asyncio.create_task(play.call('/k/crash', 2_000))
+    await asyncio.sleep(0.02)
+    _block(play, cluster.instances[0])
+    assert await call == result_codes.ResultCode.OUTCOME_UNKNOWN
+    assert len(play.log.arrivals) == 1
