Report the age of crashes, so that blocks end

What callers saw: a request stayed blocked for good once it was blocked at two instances, also after the two minutes that a block lasts.

Cause: instances report the crashes that they know to each other, and a crash counted from when it was heard. They drop it at slightly different times, so that each learns it anew from the other. Class: state that is passed on without its age.

Change: CrashRow gets the age as its last field, with a default. A build before ignores it; from such a build a crash counts from when it was heard first, as before, and is remembered for five times as long as it counts.

Evidence: test_block_is_renewed_by_the_reports_of_other_instances fails on the parent (blocked at both after 125 s) and passes.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -19,11 +19,11 @@
     ) -> list[crashes.Crash]:
         """Record and return the crashes that the end of a server confirms."""
         confirmed = [
-            crashes.Crash(signature, incarnation)
+            crashes.Crash(signature, incarnation, now)
             for signature in self.runs.confirm_end(incarnation, now)
         ]
         for crash in confirmed:
-            self.history.record(crash, now)
+            self.history.record(crash)
         return confirmed
 
     def prune(self, now: clock.Millis) -> None:
--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -16,6 +16,9 @@
 
 _CRASHES_TO_BLOCK = 3
 _BLOCK_MS = 120_000
+# Instances of an earlier version report crashes without their age. One that is
+# still known here does not count again.
+_KEPT_MS = 5 * _BLOCK_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +27,7 @@
 
     signature: Signature
     incarnation: servers.ServerIncarnation
+    at: clock.Millis
 
 
 class CrashHistory:
@@ -35,11 +39,11 @@
             dict[servers.ServerIncarnation, clock.Millis],
         ] = collections.defaultdict(dict)
 
-    def record(self, crash: Crash, now: clock.Millis) -> bool:
+    def record(self, crash: Crash) -> bool:
         """Record a crash; return whether it was unknown here."""
         incarnations = self._crashes[crash.signature]
         is_new = crash.incarnation not in incarnations
-        incarnations.setdefault(crash.incarnation, now)
+        incarnations.setdefault(crash.incarnation, crash.at)
         return is_new
 
     def is_blocked(self, signature: Signature, now: clock.Millis) -> bool:
@@ -55,16 +59,17 @@
             self.is_blocked(signature, now) for signature in self._crashes
         )
 
-    def known_crashes(self) -> list[Crash]:
-        """Return the known crashes, to be reported to other instances."""
+    def reports(self, now: clock.Millis) -> list[Crash]:
+        """Return the crashes to be reported to other instances."""
         return [
-            Crash(signature, incarnation)
+            Crash(signature, incarnation, at)
             for signature, incarnations in self._crashes.items()
-            for incarnation in incarnations
+            for incarnation, at in incarnations.items()
+            if now - at < _BLOCK_MS
         ]
 
     def prune(self, now: clock.Millis) -> None:
         """Drop crashes that are too old to have an effect."""
         for signature, incarnations in list(self._crashes.items()):
-            if now - max(incarnations.values()) > _BLOCK_MS:
+            if now - max(incarnations.values()) > _KEPT_MS:
                 self._crashes.pop(signature)
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -92,12 +92,12 @@
     history = guard.guard.history
     now = guard.clock.now()
     for _ in range(3):
-        history.record(crashes.Crash(SIGNATURE, _incarnation(1)), now)
+        history.record(crashes.Crash(SIGNATURE, _incarnation(1), now))
     assert not guard.is_blocked
-    history.record(crashes.Crash(SIGNATURE, _incarnation(2)), now)
-    history.record(crashes.Crash(SIGNATURE, _incarnation(3)), now)
+    history.record(crashes.Crash(SIGNATURE, _incarnation(2), now))
+    history.record(crashes.Crash(SIGNATURE, _incarnation(3), now))
     assert guard.is_blocked
-    assert len(history.known_crashes()) == 3
+    assert len(history.reports(now)) == 3
 
 
 def test_failed_runs_are_dropped_once_too_old(guard: _Guard) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -12,6 +12,7 @@
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
+    crash_reports,
     event_log,
     leaving_reports,
     peer_message_handler,
@@ -233,14 +234,9 @@
             leases_ms=leases_ms,
             ends=list(self._view.offsets.ends().values()),
             loads=loads,
-            crashes=[
-                peer_messages.CrashRow(
-                    crash.signature,
-                    crash.incarnation.server,
-                    crash.incarnation.born,
-                )
-                for crash in self._view.crashes.history.known_crashes()
-            ],
+            crashes=crash_reports.build_rows(
+                self._view.crashes.history.reports(now), now
+            ),
             rate_limits=rate_limit_reports.build_rows(
                 self._loads.rate_limits.recent(now), now
             ),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -4,11 +4,12 @@
 import typing
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_core.fleet import instances, servers, store_records
+from sycamoreferry_core.fleet import instances, store_records
 from sycamoreferry_core.keyspace import owners
-from sycamoreferry_core.traffic import crashes, peer_loads, server_load
+from sycamoreferry_core.traffic import peer_loads, server_load
 from sycamoreferry_gateway import (
     coordinator,
+    crash_reports,
     leaving_reports,
     peer_messages,
     permit_client,
@@ -100,15 +101,9 @@
             self._loads.rate_limits, heartbeat.rate_limits, now
         )
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
-        for crash in heartbeat.crashes:
-            life = servers.ServerIncarnation(
-                ids.ServerId(crash.server),
-                servers.IncarnationNumber(crash.born),
-            )
-            signature = crashes.Signature(crash.signature)
-            self._view.crashes.history.record(
-                crashes.Crash(signature, life), now
-            )
+        crash_reports.merge_rows(
+            self._view.crashes.history, heartbeat.crashes, now
+        )
         self._request_newer(heartbeat, sender)
         self._view.on_change()
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -26,6 +26,7 @@
     signature: int
     server: str
     born: int
+    age_ms: int = 0
 
 
 class RateLimitRow(msgspec.Struct, array_like=True):
--- a/packages/gateway/tests/test_crashing_requests.py
+++ b/packages/gateway/tests/test_crashing_requests.py
@@ -103,8 +103,9 @@
         incarnation = servers.ServerIncarnation(
             ids.ServerId('gone'), servers.IncarnationNumber(born)
         )
+        now = play.log.clock.now()
         instance._view.crashes.history.record(
-            crashes.Crash(signature, incarnation), play.log.clock.now()
+            crashes.Crash(signature, incarnation, now)
         )
 
 
