Bound the crashes that a heartbeat reports

What callers would see: after some thousand crashes an instance counts as down at all others, and blocks are not heard of any more.

Cause: each heartbeat held all crashes of the last two minutes. With 5,000 of them it exceeds the size of a datagram and is dropped as a whole. Class: a message that grows with what ever happened.

Change: a heartbeat reports the newest 64 crashes that the instance found itself in the last 3 s, and at most once a second three crashes for each of up to 16 blocked requests, in turn; an instance that starts later learns of blocks by these. A new crash is sent at once.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -2,7 +2,11 @@
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import crashes, server_runs
+from sycamoreferry_core.traffic import (
+    crash_selection,
+    crashes,
+    server_runs,
+)
 
 
 class CrashGuard:
@@ -11,6 +15,7 @@
     def __init__(self) -> None:
         self.runs = server_runs.ServerRuns()
         self.history = crashes.CrashHistory()
+        self.selection = crash_selection.CrashSelection(self.history)
 
     def confirm_crashes(
         self,
@@ -24,6 +29,7 @@
         ]
         for crash in confirmed:
             self.history.record(crash)
+            self.selection.add(crash, now)
         return confirmed
 
     def prune(self, now: clock.Millis) -> None:
--- /dev/null
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
@@ -0,0 +1,59 @@
+"""Choose the crashes that a heartbeat reports.
+
+Load pattern: servers that crash by the dozen, each with several requests in
+flight. A heartbeat has to fit a datagram, and a few crashes matter: new ones,
+which other instances may add to theirs, and those that block a request, which
+an instance that started since has not heard of.
+"""
+
+import collections
+
+from sycamoreferry_core import clock
+from sycamoreferry_core.traffic import crashes
+
+# A crash is reported for this long, so that lost datagrams do no harm.
+_NEW_MS = 3_000
+_MOST_NEW = 64
+_BLOCKED_INTERVAL_MS = 1_000
+_MOST_BLOCKED = 16
+
+
+class CrashSelection:
+    """Keep what was reported, and choose what is to be reported next."""
+
+    def __init__(self, history: crashes.CrashHistory) -> None:
+        self._history = history
+        self._new: collections.deque[tuple[clock.Millis, crashes.Crash]] = (
+            collections.deque(maxlen=_MOST_NEW)
+        )
+        self._blocked_at = clock.LONG_AGO
+        self._position = 0
+
+    def add(self, crash: crashes.Crash, now: clock.Millis) -> None:
+        """Add a crash that this instance has found itself."""
+        self._new.append((now, crash))
+
+    def new_crashes(self, now: clock.Millis) -> list[crashes.Crash]:
+        """Return the newest crashes that this instance has found."""
+        return [crash for at, crash in self._new if now - at < _NEW_MS]
+
+    def choose(self, now: clock.Millis) -> list[crashes.Crash]:
+        """Return the crashes to report now; those of blocks at intervals."""
+        chosen = self.new_crashes(now)
+        if now - self._blocked_at >= _BLOCKED_INTERVAL_MS:
+            self._blocked_at = now
+            chosen.extend(self._choose_blocking(now))
+        return list(dict.fromkeys(chosen))
+
+    def _choose_blocking(self, now: clock.Millis) -> list[crashes.Crash]:
+        blocked = self._history.blocked(now)
+        if not blocked:
+            return []
+        start = self._position % len(blocked)
+        self._position = start + _MOST_BLOCKED
+        turned = blocked[start:] + blocked[:start]
+        return [
+            crash
+            for signature in turned[:_MOST_BLOCKED]
+            for crash in self._history.blocking_crashes(signature)
+        ]
--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -38,12 +38,16 @@
             Signature,
             dict[servers.ServerIncarnation, clock.Millis],
         ] = collections.defaultdict(dict)
+        # The requests with crashes enough to block them, now or earlier.
+        self._repeated: dict[Signature, None] = {}
 
     def record(self, crash: Crash) -> bool:
         """Record a crash; return whether it was unknown here."""
         incarnations = self._crashes[crash.signature]
         is_new = crash.incarnation not in incarnations
         incarnations.setdefault(crash.incarnation, crash.at)
+        if len(incarnations) >= _CRASHES_TO_BLOCK:
+            self._repeated[crash.signature] = None
         return is_new
 
     def is_blocked(self, signature: Signature, now: clock.Millis) -> bool:
@@ -53,19 +57,22 @@
             return False
         return now - max(incarnations.values()) < _BLOCK_MS
 
-    def blocked_count(self, now: clock.Millis) -> int:
-        """Return the number of requests that are blocked."""
-        return sum(
-            self.is_blocked(signature, now) for signature in self._crashes
-        )
+    def blocked(self, now: clock.Millis) -> list[Signature]:
+        """Return the requests that are blocked."""
+        return [
+            signature
+            for signature in self._repeated
+            if self.is_blocked(signature, now)
+        ]
 
-    def reports(self, now: clock.Millis) -> list[Crash]:
-        """Return the crashes to be reported to other instances."""
+    def blocking_crashes(self, signature: Signature) -> list[Crash]:
+        """Return the newest crashes of a request, as many as block it."""
+        newest = sorted(
+            self._crashes.get(signature, {}).items(), key=lambda row: -row[1]
+        )
         return [
             Crash(signature, incarnation, at)
-            for signature, incarnations in self._crashes.items()
-            for incarnation, at in incarnations.items()
-            if now - at < _BLOCK_MS
+            for incarnation, at in newest[:_CRASHES_TO_BLOCK]
         ]
 
     def prune(self, now: clock.Millis) -> None:
@@ -73,3 +80,4 @@
         for signature, incarnations in list(self._crashes.items()):
             if now - max(incarnations.values()) > _KEPT_MS:
                 self._crashes.pop(signature)
+                self._repeated.pop(signature, None)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -237,7 +237,7 @@
             'servers_limited': self._loads.rate_limits.limited_count,
             'servers_leaving': len(self._view.fleet.leaving),
             'servers_backing_off': self._loads.back_offs.count(now),
-            'requests_blocked': self._view.crashes.history.blocked_count(now),
+            'requests_blocked': len(self._view.crashes.history.blocked(now)),
             'instances_alive': self._view.peers.count(now),
             'term': self._view.assignment.term,
             'is_coordinating': int(self._coordinator.has_authority),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -12,13 +12,11 @@
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
-    crash_reports,
     event_log,
-    leaving_reports,
+    heartbeats,
     peer_message_handler,
     peer_messages,
     peer_socket,
-    rate_limit_reports,
     store_client,
     store_sync,
     view,
@@ -27,9 +25,6 @@
 # Interval of heartbeats without changes; peers take an instance as down
 # after several of these.
 _IDLE_HEARTBEAT_INTERVAL_MS = 200
-# Durations change slowly, so servers without load are reported only once in so
-# many heartbeats.
-_DURATION_REPORT_HEARTBEATS = 20
 # The coordinator counts as polling the store if it did so this recently.
 _COORDINATOR_READ_MAX_AGE_MS = 1_100
 
@@ -53,8 +48,9 @@
         self._view = cluster_view
         self._clock = cluster_view.clock
         self._loads = loads
-        self._store = store
-        self._incarnation = incarnation
+        self._heartbeats = heartbeats.HeartbeatBuilder(
+            cluster_view, loads, store, incarnation, get_coordinator
+        )
         self._take_demand = take_demand
         self._get_coordinator = get_coordinator
         self.message_handler = peer_message_handler.PeerMessageHandler(
@@ -66,7 +62,6 @@
         )
         self.message_handler.on_new_peer = self._send_heartbeat_to
         self._socket = peer_socket.PeerSocket(self.message_handler.handle, log)
-        self._heartbeat_count = 0
         self._sent_state: tuple[object, ...] = ()
         self._sent_at = clock.LONG_AGO
         self._summary_sent_at = clock.LONG_AGO
@@ -164,10 +159,12 @@
         """
         plan = self._spread_plan()
         self._report_demand()
-        heartbeat = self._heartbeat(self._load_rows())
+        heartbeat = self._heartbeats.build(
+            self._heartbeats.load_rows(), is_leaving=self.is_leaving
+        )
         if plan.is_mesh:
             if self._is_due(heartbeat):
-                self.announce(heartbeat)
+                self.announce(self._heartbeats.with_crashes(heartbeat))
             return
         if self._get_coordinator().has_authority:
             self._send_summary(plan)
@@ -181,12 +178,13 @@
             heartbeat.has_authority,
             heartbeat.given_up_term,
             heartbeat.is_cut_off,
+            self._view.crashes.selection.new_crashes(now),
         )
         if state != self._sent_state or now - self._sent_at >= interval_ms:
             self._sent_state = state
             self._sent_at = now
             heartbeat.loads = None
-            self.announce(heartbeat)
+            self.announce(self._heartbeats.with_crashes(heartbeat))
 
     def _send_heartbeat_to(self, address: _Address) -> None:
         """Send a heartbeat to an instance that has just started.
@@ -194,57 +192,16 @@
         Does nothing in a full mesh, where heartbeats are frequent anyway.
         """
         if not self._spread_plan().is_mesh:
-            self._socket.send(self._heartbeat(loads=None), address)
+            heartbeat = self._heartbeats.with_crashes(
+                self._heartbeats.build(None, is_leaving=self.is_leaving)
+            )
+            self._socket.send(heartbeat, address)
 
     def _spread_plan(self) -> message_intervals.MessageIntervals:
         return message_intervals.choose_intervals(
             len(self._view.peer_addresses)
         )
 
-    def _load_rows(self) -> list[peer_messages.LoadRow]:
-        self._heartbeat_count += 1
-        with_durations = (
-            self._heartbeat_count % _DURATION_REPORT_HEARTBEATS == 0
-        )
-        return [
-            peer_messages.LoadRow(
-                server,
-                row.in_flight,
-                row.waiting,
-                row.duration_ms,
-            )
-            for server, row in self._loads.own_report().items()
-            if with_durations or row.in_flight or row.waiting
-        ]
-
-    def _heartbeat(
-        self,
-        loads: list[peer_messages.LoadRow] | None,
-    ) -> peer_messages.Heartbeat:
-        now = self._clock.now()
-        given_up_term, leases_ms = self._get_coordinator().last_given_up()
-        return peer_messages.Heartbeat(
-            instance=self._view.deployment.instance,
-            incarnation=self._incarnation,
-            is_leaving=self.is_leaving,
-            store_age_ms=self._store.silent_ms(),
-            has_authority=self._get_coordinator().has_authority,
-            counting_weight=self._view.deployment.counting_weight,
-            given_up_term=given_up_term,
-            leases_ms=leases_ms,
-            ends=list(self._view.offsets.ends().values()),
-            loads=loads,
-            crashes=crash_reports.build_rows(
-                self._view.crashes.history.reports(now), now
-            ),
-            rate_limits=rate_limit_reports.build_rows(
-                self._loads.rate_limits.recent(now), now
-            ),
-            is_cut_off=self._loads.reachability.is_cut_off,
-            era=self._view.offsets.era,
-            leaving=leaving_reports.build_rows(self._view),
-        )
-
     def _report_demand(self) -> None:
         """Report demand to the coordinator, which bases key placement on it."""
         rows = []
@@ -284,6 +241,7 @@
             heartbeat.loads,
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
             heartbeat.leaving,
+            self._view.crashes.selection.new_crashes(now),
         )
         if (
             state == self._sent_state
