Let requests through that only ran beside crashes

What callers saw: a request that was in flight at three servers as they crashed was rejected by all instances for two minutes, also if servers had answered it all the time, and however many callers sent it.

Cause: crashes were added up and nothing counted for the request. Class: a verdict from one side of the evidence, without appeal.

Change: a crash counts only if its run began after the last answer that any server gave to the same request, and not for an incarnation that writes entries again. A blocked request is sent again as a trial: 5 s after its last crash, or 250 ms if it was answered within the last minute, later at growing intervals. Instances take turns by time slots derived from that crash, so that a caller at all instances gets one trial, and report trials and answers as new last fields of the heartbeat. None is sent by an instance that hears half of the others or fewer. Retry-After is the time until the next trial.

The check on other requests is replaced: it forbade their rejection with 3008 at any time, also while no server was up; now it forbids it from 1 s after a server is up again, and asks that all are answered in the last second.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -12,6 +12,8 @@
 RECLAIM_TIMEOUT_MS = 1_500
 # A peer that sends no message for this long is considered down.
 PEER_TIMEOUT_MS = 900
+# A peer that was heard this recently may be cut off from this instance only.
+_MEMBER_MS = 30_000
 # Each lower-ranked instance waits this much longer before it claims.
 _RANK_STEP_MS = 250
 # An instance that hears from no peer may itself be isolated by a network
@@ -85,6 +87,21 @@
             if not peer.is_leaving and not peer.is_cut_off
         ]
 
+    def trial_members(self, now: clock.Millis) -> list[ids.InstanceId]:
+        """Return the instances that take turns, this one included.
+
+        There are none while half of them or more are not heard, since the
+        others may then take turns among themselves.
+        """
+        members = [
+            peer
+            for peer in self._peers.values()
+            if not peer.is_leaving and now - peer.received_at < _MEMBER_MS
+        ]
+        if 2 * self.count(now) <= len(members) + 1:
+            return []
+        return [self._own, *(peer.instance for peer in members)]
+
     def has_missed_any(self, since: clock.Millis, now: clock.Millis) -> bool:
         """Return whether a peer was silent or crashed at any time since."""
         return any(
--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -82,6 +82,10 @@
         """Return a server; None if it is unknown."""
         return self._servers.get(server)
 
+    def last_entry_of(self, server: ids.ServerId) -> BackendServer | None:
+        """Return the last entry of a server that was removed, if any."""
+        return self._removed.get(server)
+
     def is_ready(self, incarnation: ServerIncarnation) -> bool:
         """Return whether this incarnation is current and accepts requests."""
         known = self._servers.get(incarnation.server)
--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -1,13 +1,19 @@
 """Decide which requests are blocked since they crash backend servers."""
 
-from sycamoreferry_core import clock
+import typing
+
+from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
 from sycamoreferry_core.traffic import (
+    block_trials,
     crash_selection,
     crashes,
     server_runs,
 )
 
+# An entry may be read this long after its server wrote it.
+_ENTRY_DELAY_MS = 2_000
+
 
 class CrashGuard:
     """Join the runs at servers with the crashes that all instances know."""
@@ -23,16 +29,77 @@
         now: clock.Millis,
     ) -> list[crashes.Crash]:
         """Record and return the crashes that the end of a server confirms."""
-        confirmed = [
-            crashes.Crash(signature, incarnation, now)
-            for signature in self.runs.confirm_end(incarnation, now)
-        ]
+        confirmed = self.runs.confirm_end(incarnation, now)
         for crash in confirmed:
             self.history.record(crash)
             self.selection.add(crash, now)
         return confirmed
 
+    def record_answer(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> None:
+        """Record that a server ran a request and answered it."""
+        if self.history.record_answer(signature, now):
+            self.selection.add_survival(signature, now)
+
+    def record_entry(
+        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+    ) -> None:
+        """Record that a server has written an entry, so that it is up."""
+        self.history.record_seen(
+            incarnation, clock.later(now, -_ENTRY_DELAY_MS)
+        )
+
+    def is_trial_due(
+        self,
+        signature: crashes.Signature,
+        now: clock.Millis,
+        own: ids.InstanceId,
+        instances: typing.Collection[ids.InstanceId],
+    ) -> bool:
+        """Return whether this instance may send a blocked request as a trial.
+
+        Without instances that take turns no trial may be sent.
+        """
+        due_for_ms = now - self.history.trial_due_at(signature, now)
+        return due_for_ms >= 0 and block_trials.is_turn(
+            own, instances, signature, due_for_ms
+        )
+
+    def retry_after_ms(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> int:
+        """Return the time until a blocked request may be sent; 0 if it may."""
+        if not self.history.is_blocked(signature, now):
+            return 0
+        return max(0, self.history.trial_due_at(signature, now) - now)
+
+    def begin_trial(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> bool:
+        """Record that a request is sent; return whether that is a trial."""
+        if not self.history.is_blocked(signature, now):
+            return False
+        self._record_trial(signature, now, 1)
+        return True
+
+    def cancel_trial(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> None:
+        """Record that a trial ran at no server."""
+        if signature in self.history.trials:
+            self._record_trial(signature, now, -1)
+
     def prune(self, now: clock.Millis) -> None:
         """Drop runs and crashes that are too old to have an effect."""
         self.runs.prune(now)
         self.history.prune(now)
+
+    def _record_trial(
+        self, signature: crashes.Signature, now: clock.Millis, change: int
+    ) -> None:
+        known = self.history.trials.get(signature)
+        count = 0 if known is None else known.count
+        trials = block_trials.Trials(count + change, now)
+        self.history.trials[signature] = trials
+        self.selection.add_trial(signature, now)
--- a/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
@@ -9,7 +9,7 @@
 import collections
 
 from sycamoreferry_core import clock
-from sycamoreferry_core.traffic import crashes
+from sycamoreferry_core.traffic import block_trials, crashes
 
 # A crash is reported for this long, so that lost datagrams do no harm.
 _NEW_MS = 3_000
@@ -18,14 +18,19 @@
 _MOST_BLOCKED = 16
 
 
+_Timed = collections.deque[tuple[clock.Millis, crashes.Signature]]
+
+
 class CrashSelection:
-    """Keep what was reported, and choose what is to be reported next."""
+    """Keep what was found here, and choose what is to be reported next."""
 
     def __init__(self, history: crashes.CrashHistory) -> None:
         self._history = history
         self._new: collections.deque[tuple[clock.Millis, crashes.Crash]] = (
             collections.deque(maxlen=_MOST_NEW)
         )
+        self._survivals: _Timed = collections.deque(maxlen=_MOST_NEW)
+        self._trials: _Timed = collections.deque(maxlen=_MOST_NEW)
         self._blocked_at = clock.LONG_AGO
         self._position = 0
 
@@ -33,13 +38,48 @@
         """Add a crash that this instance has found itself."""
         self._new.append((now, crash))
 
-    def new_crashes(self, now: clock.Millis) -> list[crashes.Crash]:
-        """Return the newest crashes that this instance has found."""
-        return [crash for at, crash in self._new if now - at < _NEW_MS]
+    def add_survival(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> None:
+        """Add a request with crashes that a server has answered here."""
+        self._survivals.append((now, signature))
+
+    def add_trial(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> None:
+        """Add a request that this instance has sent as a trial."""
+        self._trials.append((now, signature))
+
+    def changes(self) -> tuple[object, ...]:
+        """Return what changes if something new is to be reported."""
+        return tuple(
+            rows[-1] if rows else None
+            for rows in (self._new, self._survivals, self._trials)
+        )
+
+    def survivals(
+        self, now: clock.Millis
+    ) -> dict[crashes.Signature, clock.Millis]:
+        """Return the requests that were answered here lately, with times."""
+        return {
+            signature: at
+            for at, signature in self._survivals
+            if _is_new(at, now)
+        }
+
+    def trials(
+        self, now: clock.Millis
+    ) -> dict[crashes.Signature, block_trials.Trials]:
+        """Return the last trials of the requests that were tried here."""
+        return {
+            signature: self._history.trials[signature]
+            for at, signature in self._trials
+            if _is_new(at, now) and signature in self._history.trials
+        }
 
     def choose(self, now: clock.Millis) -> list[crashes.Crash]:
         """Return the crashes to report now; those of blocks at intervals."""
-        chosen = self.new_crashes(now)
+        chosen = [crash for at, crash in self._new if _is_new(at, now)]
         if now - self._blocked_at >= _BLOCKED_INTERVAL_MS:
             self._blocked_at = now
             chosen.extend(self._choose_blocking(now))
@@ -57,3 +97,7 @@
             for signature in turned[:_MOST_BLOCKED]
             for crash in self._history.blocking_crashes(signature)
         ]
+
+
+def _is_new(at: clock.Millis, now: clock.Millis) -> bool:
+    return now - at < _NEW_MS
--- a/packages/core/src/sycamoreferry_core/traffic/server_runs.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_runs.py
@@ -25,6 +25,7 @@
 
     signature: crashes.Signature
     incarnation: servers.ServerIncarnation
+    began_at: clock.Millis
     # None while the attempt is in progress.
     ended_at: clock.Millis | None = None
 
@@ -39,9 +40,10 @@
         self,
         signature: crashes.Signature,
         incarnation: servers.ServerIncarnation,
+        now: clock.Millis,
     ) -> Run:
         """Record that a request is being sent to a server."""
-        run = Run(signature, incarnation)
+        run = Run(signature, incarnation, now)
         runs = self._runs.setdefault(incarnation, [])
         if len(runs) >= _MAX_RUNS_PER_SERVER:
             runs.pop(0)
@@ -70,19 +72,21 @@
 
     def confirm_end(
         self, incarnation: servers.ServerIncarnation, now: clock.Millis
-    ) -> list[crashes.Signature]:
-        """Return and drop the requests that an incarnation ended with.
+    ) -> list[crashes.Crash]:
+        """Return the crashes of an incarnation that ended, and drop its runs.
 
         Attempts in progress are kept: their connections are still in use.
         """
-        confirmed = []
+        confirmed: dict[crashes.Signature, crashes.Crash] = {}
         for run in list(self._runs.get(incarnation, ())):
             if run.ended_at is None:
                 continue
             self.discard(run)
             if now - run.ended_at <= _MAX_AGE_MS:
-                confirmed.append(run.signature)
-        return list(dict.fromkeys(confirmed))
+                confirmed[run.signature] = crashes.Crash(
+                    run.signature, incarnation, run.began_at
+                )
+        return list(confirmed.values())
 
     def prune(self, now: clock.Millis) -> None:
         """Drop the runs that are too old to be held against a server."""
--- a/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
@@ -1,35 +1,43 @@
-"""Report the crashes that requests caused to other instances."""
-
-import typing
+"""Report to other instances which requests crash servers, and which do not."""
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import crashes
+from sycamoreferry_core.traffic import block_trials, crash_selection, crashes
 from sycamoreferry_gateway import peer_messages
 
 
-def build_rows(
-    known: typing.Iterable[crashes.Crash], now: clock.Millis
-) -> list[peer_messages.CrashRow]:
-    """Return the rows that report crashes; clocks differ, so by age."""
-    return [
+def fill(
+    heartbeat: peer_messages.Heartbeat,
+    selection: crash_selection.CrashSelection,
+    now: clock.Millis,
+) -> None:
+    """Add the rows that are due to a heartbeat; clocks differ, so by age."""
+    heartbeat.crashes = [
         peer_messages.CrashRow(
             crash.signature,
             crash.incarnation.server,
             crash.incarnation.born,
             now - crash.at,
         )
-        for crash in known
+        for crash in selection.choose(now)
+    ]
+    heartbeat.survivals = [
+        peer_messages.SurvivalRow(signature, now - at)
+        for signature, at in selection.survivals(now).items()
+    ]
+    heartbeat.trials = [
+        peer_messages.TrialRow(signature, trials.count, now - trials.last_at)
+        for signature, trials in selection.trials(now).items()
     ]
 
 
-def merge_rows(
+def merge(
+    heartbeat: peer_messages.Heartbeat,
     history: crashes.CrashHistory,
-    rows: typing.Iterable[peer_messages.CrashRow],
     now: clock.Millis,
 ) -> None:
-    """Record the crashes that another instance reports."""
-    for row in rows:
+    """Record what another instance reports in a heartbeat."""
+    for row in heartbeat.crashes:
         history.record(
             crashes.Crash(
                 crashes.Signature(row.signature),
@@ -40,3 +48,13 @@
                 clock.later(now, -row.age_ms),
             ),
         )
+    for survival in heartbeat.survivals:
+        history.record_survival(
+            crashes.Signature(survival.signature),
+            clock.later(now, -survival.age_ms),
+        )
+    for trial in heartbeat.trials:
+        history.record_trial(
+            crashes.Signature(trial.signature),
+            block_trials.Trials(trial.count, clock.later(now, -trial.age_ms)),
+        )
--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -87,6 +87,5 @@
     ) -> peer_messages.Heartbeat:
         """Add the crashes to report to a heartbeat that is about to be sent."""
         now = self._view.clock.now()
-        chosen = self._view.crashes.selection.choose(now)
-        heartbeat.crashes = crash_reports.build_rows(chosen, now)
+        crash_reports.fill(heartbeat, self._view.crashes.selection, now)
         return heartbeat
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -178,7 +178,7 @@
             heartbeat.has_authority,
             heartbeat.given_up_term,
             heartbeat.is_cut_off,
-            self._view.crashes.selection.new_crashes(now),
+            self._view.crashes.selection.changes(),
         )
         if state != self._sent_state or now - self._sent_at >= interval_ms:
             self._sent_state = state
@@ -241,7 +241,7 @@
             heartbeat.loads,
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
             heartbeat.leaving,
-            self._view.crashes.selection.new_crashes(now),
+            self._view.crashes.selection.changes(),
         )
         if (
             state == self._sent_state
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -101,9 +101,7 @@
             self._loads.rate_limits, heartbeat.rate_limits, now
         )
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
-        crash_reports.merge_rows(
-            self._view.crashes.history, heartbeat.crashes, now
-        )
+        crash_reports.merge(heartbeat, self._view.crashes.history, now)
         self._request_newer(heartbeat, sender)
         self._view.on_change()
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -29,6 +29,21 @@
     age_ms: int = 0
 
 
+class SurvivalRow(msgspec.Struct, array_like=True):
+    """Report that a server answered a request that has crashes."""
+
+    signature: int
+    age_ms: int
+
+
+class TrialRow(msgspec.Struct, array_like=True):
+    """Report the trials of a blocked request, and the age of the last."""
+
+    signature: int
+    count: int
+    age_ms: int
+
+
 class RateLimitRow(msgspec.Struct, array_like=True):
     """Report the limit that a server named; None if it names none any more."""
 
@@ -70,6 +85,8 @@
     # The store's era to which the end offsets belong; 0 if it is not known.
     era: int = 0
     leaving: list[LeavingRow] = []
+    survivals: list[SurvivalRow] = []
+    trials: list[TrialRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -143,12 +143,10 @@
     async def _forward(
         self, proxied: proxied_requests.ProxiedRequest
     ) -> answers.FinalAnswer:
-        if self._view.crashes.history.is_blocked(
-            proxied.signature,
-            self._view.clock.now(),
-        ):
+        now = self._view.clock.now()
+        if not self._view.may_send(proxied.signature, now):
             return self._failure_answer(
-                proxied, attempt_runner.BLOCKED, _RETRY_AFTER_MS
+                proxied, attempt_runner.BLOCKED, self._retry_after_ms(proxied)
             )
         queued = queueing.QueuedRequest(
             service=proxied.service,
@@ -216,6 +214,12 @@
         elif was_rejected:
             await asyncio.sleep(clock.seconds(_REJECTION_BACKOFF_MS))
 
+    def _retry_after_ms(self, proxied: proxied_requests.ProxiedRequest) -> int:
+        blocked_ms = self._view.crashes.retry_after_ms(
+            proxied.signature, self._view.clock.now()
+        )
+        return max(_RETRY_AFTER_MS, blocked_ms)
+
     def _back_off_ms(self, attempt: proxied_requests.Attempt) -> int:
         return self._loads.back_offs.remaining_ms(
             attempt.server.incarnation, self._view.clock.now()
@@ -258,7 +262,7 @@
         ):
             if attempt.reply.status not in request_headers.NOT_RUN_STATUSES:
                 return answers.forwarded(attempt.reply)
-        retry_after_ms = _RETRY_AFTER_MS
+        retry_after_ms = self._retry_after_ms(proxied)
         if proxied.key is not None:
             retry_after_ms = max(retry_after_ms, self._back_off_ms(attempt))
         return self._failure_answer(proxied, attempt.detail, retry_after_ms)
--- a/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
+++ b/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
@@ -11,7 +11,8 @@
 
 _Result = proxied_requests.AttemptResult
 # These results show that the server did not run the request, or survived it.
-_HARMLESS = frozenset((_Result.ANSWERED, _Result.NOT_RUN, _Result.NOT_SENT))
+_WITHOUT_RUN = frozenset((_Result.NOT_RUN, _Result.NOT_SENT))
+_HARMLESS = _WITHOUT_RUN | {_Result.ANSWERED}
 INTERRUPTED = 'interrupted'
 
 
@@ -42,13 +43,17 @@
         server: servers.BackendServer,
     ) -> typing.Iterator[RecordedRun]:
         """Record a run; its attempt stays None if it is interrupted."""
-        runs = self._view.crashes.runs
-        run = runs.begin(proxied.signature, server.incarnation)
+        guard = self._view.crashes
+        now = self._view.clock.now()
+        is_trial = guard.begin_trial(proxied.signature, now)
+        run = guard.runs.begin(proxied.signature, server.incarnation, now)
         recorded = RecordedRun()
         try:
             yield recorded
         finally:
             self._end(proxied, run, recorded.attempt)
+            if is_trial:
+                self._end_trial(run, recorded.attempt)
 
     def _end(
         self,
@@ -64,6 +69,8 @@
             runs.discard(run)
         else:
             runs.end(run, now)
+        if attempt is not None and attempt.result is _Result.ANSWERED:
+            self._view.crashes.record_answer(run.signature, now)
         if attempt is not None and _shows_life(attempt):
             runs.record_alive(run.incarnation, now)
         if not is_harmless:
@@ -77,6 +84,15 @@
                 is_suspect=not is_cut_off,
             )
 
+    def _end_trial(
+        self,
+        run: server_runs.Run,
+        attempt: proxied_requests.Attempt | None,
+    ) -> None:
+        now = self._view.clock.now()
+        if attempt is not None and attempt.result in _WITHOUT_RUN:
+            self._view.crashes.cancel_trial(run.signature, now)
+
 
 def _shows_life(attempt: proxied_requests.Attempt) -> bool:
     """Tell whether the server that was meant has answered."""
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -15,7 +15,7 @@
     store_records,
 )
 from sycamoreferry_core.keyspace import owners, pending_moves
-from sycamoreferry_core.traffic import crash_guard, routes
+from sycamoreferry_core.traffic import crash_guard, crashes, routes
 from sycamoreferry_gateway import (
     assignment,
     assignment_tracker,
@@ -144,6 +144,17 @@
         )
         self.on_change()
 
+    def may_send(self, signature: crashes.Signature, now: clock.Millis) -> bool:
+        """Return whether a request may be sent, if only as a trial."""
+        if not self.crashes.history.is_blocked(signature, now):
+            return True
+        return self.crashes.is_trial_due(
+            signature,
+            now,
+            self.deployment.instance,
+            self.peers.trial_members(now),
+        )
+
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of server entries."""
         self._last_outage = max(self._last_outage, moment)
@@ -242,9 +253,12 @@
             )
             return False
         known = self.fleet.get(server_id)
+        previous = known or self.fleet.last_entry_of(server_id)
         is_back = self.fleet.is_removal_scheduled(server_id)
         if not self.fleet.apply(entry):
             return False
+        if previous is not None and _is_heartbeat(previous, entry):
+            self.crashes.record_entry(entry.incarnation, self.clock.now())
         if entry.state is servers.ServerState.DRAINING:
             self.fleet.record_leaving(entry.incarnation, self.clock.now())
         entry = self.fleet.servers[server_id]
@@ -305,6 +319,15 @@
         )
 
 
+def _is_heartbeat(
+    previous: servers.BackendServer, entry: servers.BackendServer
+) -> bool:
+    return (
+        entry.incarnation == previous.incarnation
+        and entry.sequence > previous.sequence
+    )
+
+
 def _has_relevant_change(
     known: servers.BackendServer,
     entry: servers.BackendServer,
--- a/packages/gateway/tests/support/gateway_testing/crashing_server.py
+++ b/packages/gateway/tests/support/gateway_testing/crashing_server.py
@@ -64,6 +64,7 @@
         self.crash_after_s = crash_after_s
         self.down_s = down_s
         self.is_up = True
+        self.up_since = 0
         # Answers crashing requests at their deadline, before the crash.
         self.answers_deadline = False
         self._store = store
@@ -82,6 +83,7 @@
         self._port = listener.sockets[0].getsockname()[1]
         self.server.public_port = self._port
         self.is_up = True
+        self.up_since = self._log.clock.now()
         self.server.register()
 
     def stop(self) -> None:
