Count crashes whose server is known to be gone before the attempt ends

What callers saw: a request with a long deadline that crashes its host is sent on: its attempts hang at hosts that are gone, and end seconds after the entries of those servers did.

Cause: the end of a server was matched with attempts that had ended before it, once. An attempt in progress at that moment was counted neither then nor later. Class: two events that were expected in one order.

Change: the end of an incarnation also counts against attempts in progress, as long as the server was not leaving; that of a leaving one, if they fail later. The functions that join the guard with peers and the log move from the view to a module of their own.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -27,13 +27,17 @@
         self,
         incarnation: servers.ServerIncarnation,
         now: clock.Millis,
+        *,
+        was_leaving: bool = False,
     ) -> list[crashes.Crash]:
-        """Record and return the crashes that the end of a server confirms."""
-        confirmed = self.runs.confirm_end(incarnation, now)
-        for crash in confirmed:
-            self.history.record(crash)
+        """Record the crashes that a server's end confirms; return new ones."""
+        confirmed = self.runs.confirm_end(
+            incarnation, now, was_leaving=was_leaving
+        )
+        new = [crash for crash in confirmed if self.history.record(crash)]
+        for crash in new:
             self.selection.add(crash, now)
-        return confirmed
+        return new
 
     def record_answer(
         self, signature: crashes.Signature, now: clock.Millis
--- a/packages/core/src/sycamoreferry_core/traffic/server_runs.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_runs.py
@@ -35,6 +35,7 @@
 
     def __init__(self) -> None:
         self._runs: dict[servers.ServerIncarnation, list[Run]] = {}
+        self._ended_at: dict[servers.ServerIncarnation, clock.Millis] = {}
 
     def begin(
         self,
@@ -71,28 +72,45 @@
                 self.discard(run)
 
     def confirm_end(
-        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+        self,
+        incarnation: servers.ServerIncarnation,
+        now: clock.Millis,
+        *,
+        was_leaving: bool = False,
     ) -> list[crashes.Crash]:
-        """Return the crashes of an incarnation that ended, and drop its runs.
+        """Return the crashes that the end of an incarnation confirms.
 
-        Attempts in progress are kept: their connections are still in use.
+        Attempts in progress hang if the host is gone, so they count too. A
+        server that leaves ends its requests without its entry; they count only
+        if they fail.
         """
+        self._ended_at.setdefault(incarnation, now)
         confirmed: dict[crashes.Signature, crashes.Crash] = {}
         for run in list(self._runs.get(incarnation, ())):
-            if run.ended_at is None:
+            if run.ended_at is not None:
+                self.discard(run)
+            elif was_leaving:
                 continue
-            self.discard(run)
-            if now - run.ended_at <= _MAX_AGE_MS:
+            if _is_recent(run, now):
                 confirmed[run.signature] = crashes.Crash(
                     run.signature, incarnation, run.began_at
                 )
         return list(confirmed.values())
 
+    def has_ended(self, incarnation: servers.ServerIncarnation) -> bool:
+        """Return whether an incarnation is known to have ended."""
+        return incarnation in self._ended_at
+
     def prune(self, now: clock.Millis) -> None:
         """Drop the runs that are too old to be held against a server."""
+        for incarnation, ended_at in list(self._ended_at.items()):
+            if incarnation not in self._runs and now - ended_at > _MAX_AGE_MS:
+                self._ended_at.pop(incarnation)
         for runs in list(self._runs.values()):
             for run in list(runs):
-                if run.ended_at is not None and (
-                    now - run.ended_at > _MAX_AGE_MS
-                ):
+                if not _is_recent(run, now):
                     self.discard(run)
+
+
+def _is_recent(run: Run, now: clock.Millis) -> bool:
+    return run.ended_at is None or now - run.ended_at <= _MAX_AGE_MS
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -110,6 +110,22 @@
     assert not runs._runs
 
 
+@pytest.mark.parametrize('was_leaving', [True, False])
+def test_server_whose_end_is_known_before_the_attempt_ends_is_not_counted(
+    guard: _Guard, *, was_leaving: bool
+) -> None:
+    runs = guard.guard.runs
+    run = runs.begin(SIGNATURE, _incarnation(1), guard.clock.now())
+    guard.clock.advance(2_600)
+    at_end = guard.guard.confirm_crashes(
+        _incarnation(1), guard.clock.now(), was_leaving=was_leaving
+    )
+    runs.end(run, guard.clock.advance(1_000))
+    assert runs.has_ended(_incarnation(1))
+    assert len(at_end) + len(guard.confirm(1)) == 1
+    assert bool(at_end) is not was_leaving
+
+
 def _block(guard: _Guard) -> None:
     for number in range(3):
         guard.fail(number)
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -99,7 +99,7 @@
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
-        if not self._view.may_send(proxied.signature, started_at):
+        if not self._view.blocks.may_send(proxied.signature):
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.NOT_SENT, server, BLOCKED
             )
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
@@ -0,0 +1,52 @@
+"""Count the crashes of servers, and tell which requests may be sent."""
+
+from sycamoreferry_core import clock, ids
+from sycamoreferry_core.fleet import instances, servers
+from sycamoreferry_core.traffic import crash_guard, crashes
+from sycamoreferry_gateway import event_log
+
+
+class BlockedRequests:
+    """Apply what an instance knows of servers and peers to its guard."""
+
+    def __init__(
+        self,
+        own: ids.InstanceId,
+        guard: crash_guard.CrashGuard,
+        peers: instances.Peers,
+        time_source: clock.Clock,
+        log: event_log.EventLog,
+    ) -> None:
+        self._own = own
+        self._guard = guard
+        self._peers = peers
+        self._clock = time_source
+        self._log = log
+
+    def confirm_crashes(
+        self, ended: servers.ServerIncarnation, *, was_leaving: bool
+    ) -> None:
+        """Count the crashes of an incarnation that has ended; log new ones."""
+        for crash in self._guard.confirm_crashes(
+            ended, self._clock.now(), was_leaving=was_leaving
+        ):
+            self._log.write(
+                'crashes',
+                'request ended its server',
+                signature=crash.signature,
+                server=ended.server,
+                born=ended.born,
+            )
+
+    def may_send(self, signature: crashes.Signature) -> bool:
+        """Return whether a request may be sent, if only as a trial."""
+        now = self._clock.now()
+        if not self._guard.history.is_blocked(signature, now):
+            return True
+        return self._guard.is_trial_due(
+            signature, now, self._own, self._peers.trial_members(now)
+        )
+
+    def retry_after_ms(self, signature: crashes.Signature) -> int:
+        """Return the time until a request may be sent; 0 if it may."""
+        return self._guard.retry_after_ms(signature, self._clock.now())
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -143,8 +143,7 @@
     async def _forward(
         self, proxied: proxied_requests.ProxiedRequest
     ) -> answers.FinalAnswer:
-        now = self._view.clock.now()
-        if not self._view.may_send(proxied.signature, now):
+        if not self._view.blocks.may_send(proxied.signature):
             return self._failure_answer(
                 proxied, attempt_runner.BLOCKED, self._retry_after_ms(proxied)
             )
@@ -215,9 +214,7 @@
             await asyncio.sleep(clock.seconds(_REJECTION_BACKOFF_MS))
 
     def _retry_after_ms(self, proxied: proxied_requests.ProxiedRequest) -> int:
-        blocked_ms = self._view.crashes.retry_after_ms(
-            proxied.signature, self._view.clock.now()
-        )
+        blocked_ms = self._view.blocks.retry_after_ms(proxied.signature)
         return max(_RETRY_AFTER_MS, blocked_ms)
 
     def _back_off_ms(self, attempt: proxied_requests.Attempt) -> int:
--- a/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
+++ b/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
@@ -69,6 +69,10 @@
             runs.discard(run)
         else:
             runs.end(run, now)
+            if runs.has_ended(run.incarnation):
+                self._view.blocks.confirm_crashes(
+                    run.incarnation, was_leaving=False
+                )
         if attempt is not None and attempt.result is _Result.ANSWERED:
             self._view.crashes.record_answer(run.signature, now)
         if attempt is not None and _shows_life(attempt):
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -15,10 +15,11 @@
     store_records,
 )
 from sycamoreferry_core.keyspace import owners, pending_moves
-from sycamoreferry_core.traffic import crash_guard, crashes, routes
+from sycamoreferry_core.traffic import crash_guard, routes
 from sycamoreferry_gateway import (
     assignment,
     assignment_tracker,
+    blocked_requests,
     event_log,
     instance_records,
     read_offsets,
@@ -48,6 +49,9 @@
             settings.instance, settings.counting_weight
         )
         self.crashes = crash_guard.CrashGuard()
+        self.blocks = blocked_requests.BlockedRequests(
+            settings.instance, self.crashes, self.peers, time_source, log
+        )
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
         self.owners = assignment_tracker.AssignmentTracker(
@@ -120,7 +124,9 @@
                 server=gone.incarnation.server,
                 service=gone.service,
             )
-            _confirm_crashes(self, gone.incarnation)
+            self.blocks.confirm_crashes(
+                gone.incarnation, was_leaving=gone.leaving_since is not None
+            )
             self.on_change()
 
     def record_leaving(
@@ -144,17 +150,6 @@
         )
         self.on_change()
 
-    def may_send(self, signature: crashes.Signature, now: clock.Millis) -> bool:
-        """Return whether a request may be sent, if only as a trial."""
-        if not self.crashes.history.is_blocked(signature, now):
-            return True
-        return self.crashes.is_trial_due(
-            signature,
-            now,
-            self.deployment.instance,
-            self.peers.trial_members(now),
-        )
-
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of server entries."""
         self._last_outage = max(self._last_outage, moment)
@@ -265,7 +260,9 @@
         is_relevant = known is None or _has_relevant_change(known, entry)
         is_relevant = is_relevant or is_back
         if known is not None and known.incarnation != entry.incarnation:
-            _confirm_crashes(self, known.incarnation)
+            self.blocks.confirm_crashes(
+                known.incarnation, was_leaving=known.leaving_since is not None
+            )
         if known is not None and known.service != entry.service:
             self._by_service.get(known.service, {}).pop(server_id, None)
         self._by_service.setdefault(entry.service, {})[server_id] = entry
@@ -304,21 +301,6 @@
         return True
 
 
-def _confirm_crashes(
-    cluster_view: View, ended: servers.ServerIncarnation
-) -> None:
-    """Count the crashes of an incarnation that has ended, and log each."""
-    now = cluster_view.clock.now()
-    for crash in cluster_view.crashes.confirm_crashes(ended, now):
-        cluster_view.log.write(
-            'crashes',
-            'request ended its server',
-            signature=crash.signature,
-            server=ended.server,
-            born=ended.born,
-        )
-
-
 def _is_heartbeat(
     previous: servers.BackendServer, entry: servers.BackendServer
 ) -> bool:
--- a/packages/gateway/tests/support/gateway_testing/crash_play.py
+++ b/packages/gateway/tests/support/gateway_testing/crash_play.py
@@ -61,11 +61,14 @@
         kind: str = 'safe',
         *,
         is_keyed: bool = False,
+        config: bytes | None = None,
         **behaviour: typing.Any,
     ) -> None:
         """Start servers that crash, and instances in this process."""
         cluster = self._cluster
         await cluster.start(servers, 0, kind, is_keyed=is_keyed)
+        if config is not None:
+            cluster.store.put('keyed.op', 'config', config)
         for number, server in enumerate(cluster.servers):
             front = crashing_server.CrashingServer(
                 server, cluster.store, self.log, seed=number, **behaviour
