Lead from a rejected request to the crashes that block it

What operators saw: code 3008 and nothing that says which crashes are meant, nor when the block ends.

Change: the block of a request, its trials and its end have a line each, with the signature; ferryctl explain shows for a rejected request the crashes with its signature, the attempts at those servers with their request ids, and the blocks, from the logs of all instances.

Evidence: test_rejected_request_is_explained_by_the_crashes_that_block_it.

--- a/packages/ctl/src/sycamoreferry_ctl/explaining.py
+++ b/packages/ctl/src/sycamoreferry_ctl/explaining.py
@@ -13,6 +13,18 @@
 _REQUEST_UNANSWERED = 'request is unanswered at the end of the shutdown'
 _END_EVENTS = frozenset((_REQUEST_ENDED, _REQUEST_UNANSWERED))
 _STOPPING_REASON = 'instance is stopping'
+_BLOCKED_REASON = 'request ended the servers that ran it'
+# What is logged of the crashes of a request; several instances may log a crash.
+_CRASH_EVENT = 'request ended its server'
+_SUSPECT_EVENT = 'attempt ended without an answer'
+_MOST_CRASH_LINES = 6
+_BLOCK_EVENTS = frozenset(
+    (
+        'request is blocked',
+        'blocked request is sent as a trial',
+        'request is no longer blocked',
+    ),
+)
 # Events that say why a key has no owner, the newest before the request counts.
 _KEY_EVENTS = frozenset(('moving keys', 'keys are free'))
 _SERVER_EVENTS = frozenset(
@@ -95,6 +107,8 @@
     details = [_describe_end(end), *_describe_tries(end)]
     if end.relayed_to:
         details.extend(_describe_relays(request, lines))
+    if end.code == _Code.QUARANTINED or end.reason == _BLOCKED_REASON:
+        details.extend(_crash_history(end, lines[:index]))
     if cause is Cause.NO_OWNER:
         details.extend(_key_history(end, lines[:index]))
     if cause in _SERVER_CAUSES:
@@ -216,6 +230,34 @@
     return [_describe(line) for line in seen[-3:]]
 
 
+def _crash_history(
+    end: log_lines.LogLine,
+    earlier: typing.Sequence[log_lines.LogLine],
+) -> list[str]:
+    """Return the crashes that block a request, with the attempts at them."""
+    if end.signature is None:
+        return []
+    of_request = [line for line in earlier if line.signature == end.signature]
+    crashed = _of_event(of_request, _CRASH_EVENT)
+    servers = {line.server for line in crashed}
+    suspected = _of_event(of_request, _SUSPECT_EVENT)
+    attempts = [line for line in suspected if line.server in servers]
+    blocks = [line for line in of_request if line.event in _BLOCK_EVENTS]
+    if not crashed:
+        return ['no crash of this request is in these files']
+    newest = []
+    for rows in (crashed, attempts, blocks):
+        newest.extend(rows[-_MOST_CRASH_LINES:])
+    newest.sort(key=lambda line: line.at)
+    return [_describe(line) for line in newest]
+
+
+def _of_event(
+    lines: typing.Iterable[log_lines.LogLine], event: str
+) -> list[log_lines.LogLine]:
+    return [line for line in lines if line.event == event]
+
+
 def _covers(line: log_lines.LogLine, key: int | None) -> bool:
     if line.first is None or line.last is None or key is None:
         return False
@@ -230,6 +272,7 @@
         'to': line.destination,
         'term': line.term,
         'reason': line.reason,
+        'request': line.request,
     }
     told = [f'{name} {held}' for name, held in named.items() if held]
     return f'{line.at}: {line.event} ({", ".join(told)})'
--- a/packages/ctl/src/sycamoreferry_ctl/log_lines.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_lines.py
@@ -20,6 +20,8 @@
     config: int | None = None
     route: str | None = None
     service: str | None = None
+    # What a request and its repeats have in common.
+    signature: int | None = None
     waited_ms: int = 0
     tries: list[list[str]] = []
     sent_to: str | None = None
--- a/packages/ctl/tests/test_explaining.py
+++ b/packages/ctl/tests/test_explaining.py
@@ -227,3 +227,61 @@
     assert 'relayed to e2' in explained.details[0]
     assert 'relayed request at 2026-09-02T07:00:02' in explained.details[1]
     assert explained.details[2] == 'sent to b: not sent (connect)'
+
+
+def _crash(at: int, server: str, signature: int) -> list[str]:
+    suspect = _line(
+        at,
+        'crashes',
+        'attempt ended without an answer',
+        request=f'at-{server}',
+        signature=signature,
+        server=server,
+        reason='reset',
+    )
+    ended = _line(
+        at + 2,
+        'crashes',
+        'request ended its server',
+        signature=signature,
+        server=server,
+        born=1,
+    )
+    return [suspect, ended]
+
+
+@pytest.mark.parametrize(
+    ('code', 'reason', 'cause'),
+    [
+        (3008, 'blocked', explaining.Cause.QUARANTINED),
+        (
+            4001,
+            'request ended the servers that ran it',
+            explaining.Cause.UNKNOWN_OUTCOME,
+        ),
+    ],
+)
+def test_rejected_request_is_explained_by_the_crashes_that_block_it(
+    code: int, reason: str, cause: explaining.Cause
+) -> None:
+    texts = [
+        *_crash(1, 'a', 7),
+        *_crash(2, 'b', 7),
+        *_crash(3, 'other', 8),
+        _line(6, 'crashes', 'request is blocked', signature=7),
+        _ended(9, 'r', code, reason=reason, signature=7),
+    ]
+    lines = [log_lines.parse_line(text) for text in texts]
+    found = explaining.explain('r', [line for line in lines if line])
+    told = '\n'.join(found.details[1:])
+    assert found.cause == cause.value
+    for shown in ('server a', 'request at-a', 'server b', 'is blocked'):
+        assert shown in told
+    assert 'other' not in told
+
+
+def test_rejected_request_without_its_crashes_says_so() -> None:
+    line = log_lines.parse_line(_ended(1, 'r', 3008, signature=7))
+    assert line is not None
+    found = explaining.explain('r', [line])
+    assert found.details[-1] == 'no crash of this request is in these files'
--- a/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
@@ -22,6 +22,8 @@
         self._peers = peers
         self._clock = time_source
         self._log = log
+        # The last crash of each request whose block is logged.
+        self._logged: dict[crashes.Signature, crashes.Crash] = {}
 
     def confirm_crashes(
         self, ended: servers.ServerIncarnation, *, was_leaving: bool
@@ -43,6 +45,7 @@
         now = self._clock.now()
         if not self._guard.history.is_blocked(signature, now):
             return True
+        self._log_block(signature, now)
         return self._guard.is_trial_due(
             signature, now, self._own, self._peers.trial_members(now)
         )
@@ -50,3 +53,30 @@
     def retry_after_ms(self, signature: crashes.Signature) -> int:
         """Return the time until a request may be sent; 0 if it may."""
         return self._guard.retry_after_ms(signature, self._clock.now())
+
+    def drop_ended(self) -> None:
+        """Log the blocks that have ended."""
+        now = self._clock.now()
+        for signature in list(self._logged):
+            if not self._guard.history.is_blocked(signature, now):
+                self._logged.pop(signature)
+                self._log.write(
+                    'crashes',
+                    'request is no longer blocked',
+                    signature=signature,
+                )
+
+    def _log_block(
+        self, signature: crashes.Signature, now: clock.Millis
+    ) -> None:
+        blocking = self._guard.history.blocking_crashes(signature)
+        if self._logged.get(signature) == blocking[-1]:
+            return
+        self._logged[signature] = blocking[-1]
+        self._log.write(
+            'crashes',
+            'request is blocked',
+            signature=signature,
+            servers=[crash.incarnation.server for crash in blocking],
+            next_trial_ms=self._guard.retry_after_ms(signature, now),
+        )
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -335,5 +335,6 @@
             self._loads.rate_limits.keep_only(self._view.fleet.incarnations)
             self._loads.back_offs.keep_only(self._view.fleet.incarnations)
             self._view.crashes.prune(self._clock.now())
+            self._view.blocks.drop_ended()
             self._log.report_dropped()
             self._apply_view_change()
--- a/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
+++ b/packages/gateway/src/sycamoreferry_gateway/run_recorder.py
@@ -48,6 +48,14 @@
         is_trial = guard.begin_trial(proxied.signature, now)
         run = guard.runs.begin(proxied.signature, server.incarnation, now)
         recorded = RecordedRun()
+        if is_trial:
+            self._log.write(
+                'crashes',
+                'blocked request is sent as a trial',
+                request=proxied.request_id,
+                signature=proxied.signature,
+                server=server.incarnation.server,
+            )
         try:
             yield recorded
         finally:
