Play crashing requests beside other faults

The soak has such requests as a fault of a fourth series, which counts arrivals from instances that were not disrupted.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from gateway_testing import crash_play
 from sycamoreferry_core import http_messages, ids
 from sycamoreferry_core.fleet import deployment
 from sycamoreferry_gateway import (
@@ -906,3 +907,27 @@
 def encode_configuration() -> typing.Callable[..., bytes]:
     """Return the function that encodes a configuration."""
     return configuration
+
+
+@pytest.fixture
+async def play(
+    cluster: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> typing.AsyncIterator[crash_play.CrashPlay]:
+    """Yield a play whose silent servers answer no new connection."""
+    made = crash_play.CrashPlay(cluster)
+    opened = http_client.ConnectionPool._open
+
+    async def open_connection(
+        pool: http_client.ConnectionPool, address: typing.Any, timeout_ms: float
+    ) -> typing.Any:
+        if made.is_silent(address.port):
+            limit_ms = min(timeout_ms, http_client.CONNECT_TIMEOUT_MS)
+            await asyncio.sleep(limit_ms / 1_000)
+            return http_client.FailedExchange(
+                http_client.ExchangeFailure.CONNECT, was_sent=False
+            )
+        return await opened(pool, address, timeout_ms)
+
+    monkeypatch.setattr(http_client.ConnectionPool, '_open', open_connection)
+    yield made
+    made.stop()
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gateway_testing import restore_soak, soak
+from gateway_testing import crash_soak, restore_soak, soak
 
 _ALIKE_REQUESTS = 'requests that are alike were taken for one that ends servers'
 # Each seed that ever failed, with the cause of its failure.
@@ -91,3 +91,15 @@
     await _play(
         restore_soak.RestoreSoak(cluster, checked_calls, seed), tmp_path
     )
+
+
+@pytest.mark.processes
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', _short_seeds())
+async def test_promises_hold_while_requests_crash_servers(
+    cluster: typing.Any,
+    checked_calls: typing.Any,
+    tmp_path: pathlib.Path,
+    seed: int,
+) -> None:
+    await _play(crash_soak.CrashSoak(cluster, checked_calls, seed), tmp_path)
