Count crashes after time-outs and departed callers in the router

After a time-out, or once its caller left, a request could crash server after server.

Change: in both cases the server is probed a second later, in the background, as it may crash after the attempt has ended. A server that answers then is not counted.

Evidence: test_server_that_crashes_after_the_attempt_ended_is_not_counted fails on the parent in both cases and passes.

--- a/packages/router/src/sycamoreferry_router/crash_guard.py
+++ b/packages/router/src/sycamoreferry_router/crash_guard.py
@@ -21,6 +21,8 @@
 PUBLISH_RETRY_DELAY_MS = 1000
 MAX_UNPUBLISHED_CRASHES = 16
 RETRY_AFTER_MS = 1000
+# A server may crash this long after an attempt ended without it.
+LATE_CRASH_MS = 1000
 MAX_CACHED_QUARANTINES = 64
 
 _QuarantineEnds = dict[ids.RequestDigest, int]
@@ -112,6 +114,18 @@
         sending: typing.Awaitable[http_forward.ForwardOutcome],
     ) -> http_forward.ForwardOutcome:
         """Send a request, and record a crash if its server went down."""
+        try:
+            return await self._forward(selected, sending)
+        except asyncio.CancelledError:
+            # The caller left; its request may still crash the server.
+            self._start_task(self._check_later(selected))
+            raise
+
+    async def _forward(
+        self,
+        selected: messages.Selected,
+        sending: typing.Awaitable[http_forward.ForwardOutcome],
+    ) -> http_forward.ForwardOutcome:
         digest = digest_of(selected) if self.crash_book.crashes else None
         if digest is None or digest not in self._suspects:
             return await self._record_result(selected, await sending)
@@ -156,8 +170,14 @@
             self._answered_at[server] = self._dependencies.wall_clock.now()
         elif isinstance(outcome, http_forward.IncompleteAnswer):
             await self._check_for_crash(selected)
+        elif isinstance(outcome, http_forward.TimedOut):
+            self._start_task(self._check_later(selected))
         return outcome
 
+    async def _check_later(self, selected: messages.Selected) -> None:
+        await asyncio.sleep(clock.seconds(LATE_CRASH_MS))
+        await self._check_for_crash(selected)
+
     async def _check_for_crash(self, selected: messages.Selected) -> None:
         server = selected.server.server
         self._cut_off_digests.setdefault(server, set()).add(digest_of(selected))
--- a/packages/router/tests/test_crash_guard.py
+++ b/packages/router/tests/test_crash_guard.py
@@ -1,4 +1,7 @@
 import asyncio
+import contextlib
+
+import pytest
 
 from sycamoreferry_core import (
     clock,
@@ -197,3 +200,41 @@
     system.clock.advance(600_000)
     answered = await system.send(0, 's3', 'poison')
     assert isinstance(answered, http_forward.Received)
+
+
+@pytest.mark.parametrize('has_left', [True, False])
+async def test_server_that_crashes_after_the_attempt_ended_is_not_counted(
+    monkeypatch: pytest.MonkeyPatch, *, has_left: bool
+) -> None:
+    monkeypatch.setattr(crash_guard, 'LATE_CRASH_MS', 1)
+    system = CrashSystem(3)
+
+    async def end_early(server: str) -> http_forward.ForwardOutcome:
+        if has_left:
+            raise asyncio.CancelledError
+        return http_forward.TimedOut()
+
+    for instance, server in enumerate(('s1', 's2')):
+        selected = _select(server, 'poison')
+        with contextlib.suppress(asyncio.CancelledError):
+            await system.guards[instance].forward(selected, end_early(server))
+        system.gone.add(server)
+        await asyncio.sleep(0.02)
+    code = await system.send(2, 's3', 'poison')
+    assert code is result_codes.ResultCode.QUARANTINED
+
+
+async def test_server_that_is_up_after_a_time_out_was_not_crashed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(crash_guard, 'LATE_CRASH_MS', 1)
+    system = CrashSystem(1)
+
+    async def time_out() -> http_forward.ForwardOutcome:
+        return http_forward.TimedOut()
+
+    for server in ('s1', 's2'):
+        await system.guards[0].forward(_select(server, 'slow'), time_out())
+        await asyncio.sleep(0.02)
+    answered = await system.send(0, 's3', 'slow')
+    assert isinstance(answered, http_forward.Received)
