Delay trials by the servers that they crashed

Change: for a request that was answered lately the delay is 250 ms before the first trial, then a second, 15 s and a minute as trials crash servers; for others 15 s, then a minute.

--- a/packages/core/src/sycamoreferry_core/traffic/block_trials.py
+++ b/packages/core/src/sycamoreferry_core/traffic/block_trials.py
@@ -18,12 +18,13 @@
 _SLOT_MARGIN_MS = 50
 # Bounds the time until each of the chosen instances had a slot.
 _MAX_INSTANCES = 5
-_LONGEST_DELAY_MS = 60_000
-_DELAY_MS = 15_000
-_DELAY_FACTOR = 4
-# A request that servers answered lately is probably not the cause.
-_PROVEN_DELAY_MS = 250
-_PROVEN_DELAY_FACTOR = 4
+# The delay of the first trial, and of those after it.
+_FIRST_DELAY_MS = 15_000
+_DELAY_MS = 60_000
+# The same for a request that servers answered lately, so that it is probably
+# not the cause; the delay grows with the trials that crashed their servers.
+_FIRST_PROVEN_DELAY_MS = 250
+_PROVEN_DELAYS_MS = (1_000, 15_000, 60_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,17 +34,21 @@
     count: int
     # When the last one was sent, or found to have reached no server.
     last_at: clock.Millis
+    # When the first one was sent.
+    first_at: clock.Millis
 
 
-def delay_ms(count: int, *, is_proven: bool) -> int:
-    """Return the time from the last crash or trial to the next trial."""
-    base_ms, factor = _DELAY_MS, _DELAY_FACTOR
-    if is_proven:
-        base_ms, factor = _PROVEN_DELAY_MS, _PROVEN_DELAY_FACTOR
-    delay = base_ms
-    for _ in range(count):
-        delay = min(delay * factor, _LONGEST_DELAY_MS)
-    return delay
+def delay_ms(trials: Trials | None, crashes: int, *, is_proven: bool) -> int:
+    """Return the time from the last crash or trial to the next trial.
+
+    Crashes are those of servers that ran trials.
+    """
+    has_tried = trials is not None and trials.count > 0
+    if not has_tried:
+        return _FIRST_PROVEN_DELAY_MS if is_proven else _FIRST_DELAY_MS
+    if not is_proven:
+        return _DELAY_MS
+    return _PROVEN_DELAYS_MS[min(crashes, len(_PROVEN_DELAYS_MS) - 1)]
 
 
 def is_turn(
--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -103,7 +103,10 @@
         self, signature: crashes.Signature, now: clock.Millis, change: int
     ) -> None:
         known = self.history.trials.get(signature)
-        count = 0 if known is None else known.count
-        trials = block_trials.Trials(count + change, now)
+        trials = block_trials.Trials(change, now, now)
+        if known is not None:
+            trials = block_trials.Trials(
+                known.count + change, now, known.first_at
+            )
         self.history.trials[signature] = trials
         self.selection.add_trial(signature, now)
--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -106,12 +106,16 @@
         """Return when a blocked request may be sent again, as a trial."""
         answered_at = self._answered_at.get(signature, clock.LONG_AGO)
         trials = self.trials.get(signature)
-        if trials is None:
-            trials = block_trials.Trials(0, self._counted(signature)[-1].at)
+        counted = self._counted(signature)
+        last_at = counted[-1].at
+        crashes = 0
+        if trials is not None:
+            last_at = trials.last_at
+            crashes = sum(crash.at >= trials.first_at for crash in counted)
         delay = block_trials.delay_ms(
-            trials.count, is_proven=now - answered_at < _PROVEN_MS
+            trials, crashes, is_proven=now - answered_at < _PROVEN_MS
         )
-        return clock.later(trials.last_at, delay)
+        return clock.later(last_at, delay)
 
     def record_trial(
         self, signature: Signature, trials: block_trials.Trials
--- a/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
@@ -26,7 +26,12 @@
         for signature, at in selection.survivals(now).items()
     ]
     heartbeat.trials = [
-        peer_messages.TrialRow(signature, trials.count, now - trials.last_at)
+        peer_messages.TrialRow(
+            signature,
+            trials.count,
+            now - trials.last_at,
+            now - trials.first_at,
+        )
         for signature, trials in selection.trials(now).items()
     ]
 
@@ -56,5 +61,9 @@
     for trial in heartbeat.trials:
         history.record_trial(
             crashes.Signature(trial.signature),
-            block_trials.Trials(trial.count, clock.later(now, -trial.age_ms)),
+            block_trials.Trials(
+                trial.count,
+                clock.later(now, -trial.age_ms),
+                clock.later(now, -trial.first_age_ms),
+            ),
         )
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -37,11 +37,12 @@
 
 
 class TrialRow(msgspec.Struct, array_like=True):
-    """Report the trials of a blocked request, and the age of the last."""
+    """Report the trials of a blocked request; ages of the last and first."""
 
     signature: int
     count: int
     age_ms: int
+    first_age_ms: int
 
 
 class RateLimitRow(msgspec.Struct, array_like=True):
