Learn of crashes by probes, and share them before they are confirmed

What callers saw: a crash counts once the entry of its server expires, up to 2.6 s later, and not at all if the store is away or the instance that saw it ends before that.

Change: a server that has not answered since an attempt failed there is probed. Two failed connections, while other servers answer, count as its end; with the first one the failed attempts are reported to the other instances, which count them once they learn of the server's end themselves. Requests that are sent to a server which is gone don't count as its cause.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -39,6 +39,18 @@
             self.selection.add(crash, now)
         return new
 
+    def report_suspects(
+        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+    ) -> None:
+        """Tell other instances which runs failed at an unreachable server."""
+        for run in self.runs.failed_runs(incarnation):
+            self.selection.add_suspect(run, now)
+
+    def add_remote(self, run: server_runs.Run, now: clock.Millis) -> None:
+        """Add a run that another instance reports."""
+        if self.runs.add_remote(run) and self.runs.has_ended(run.incarnation):
+            self.confirm_crashes(run.incarnation, now)
+
     def record_answer(
         self, signature: crashes.Signature, now: clock.Millis
     ) -> None:
--- a/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
@@ -9,7 +9,7 @@
 import collections
 
 from sycamoreferry_core import clock
-from sycamoreferry_core.traffic import block_trials, crashes
+from sycamoreferry_core.traffic import block_trials, crashes, server_runs
 
 # A crash is reported for this long, so that lost datagrams do no harm.
 _NEW_MS = 3_000
@@ -31,6 +31,9 @@
         )
         self._survivals: _Timed = collections.deque(maxlen=_MOST_NEW)
         self._trials: _Timed = collections.deque(maxlen=_MOST_NEW)
+        self._suspects: collections.deque[
+            tuple[clock.Millis, server_runs.Run]
+        ] = collections.deque(maxlen=_MOST_NEW)
         self._blocked_at = clock.LONG_AGO
         self._position = 0
 
@@ -38,6 +41,14 @@
         """Add a crash that this instance has found itself."""
         self._new.append((now, crash))
 
+    def add_suspect(self, run: server_runs.Run, now: clock.Millis) -> None:
+        """Add a run whose server this instance cannot reach any more.
+
+        Others count it if the server's end is known, also if this instance
+        ends before that.
+        """
+        self._suspects.append((now, run))
+
     def add_survival(
         self, signature: crashes.Signature, now: clock.Millis
     ) -> None:
@@ -54,9 +65,18 @@
         """Return what changes if something new is to be reported."""
         return tuple(
             rows[-1] if rows else None
-            for rows in (self._new, self._survivals, self._trials)
+            for rows in (
+                self._new,
+                self._suspects,
+                self._survivals,
+                self._trials,
+            )
         )
 
+    def suspects(self, now: clock.Millis) -> list[server_runs.Run]:
+        """Return the newest runs at servers that cannot be reached."""
+        return [run for at, run in self._suspects if _is_new(at, now)]
+
     def survivals(
         self, now: clock.Millis
     ) -> dict[crashes.Signature, clock.Millis]:
--- a/packages/core/src/sycamoreferry_core/traffic/server_runs.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_runs.py
@@ -14,6 +14,8 @@
 
 # A run whose attempt has ended may crash its server for this long.
 _LATE_CRASH_MS = 1_000
+# A server may be back after this long; its answers then prove nothing.
+_RESTART_MS = 2_500
 # Older runs are not held against a server that ends.
 _MAX_AGE_MS = 15_000
 _MAX_RUNS_PER_SERVER = 256
@@ -28,6 +30,8 @@
     began_at: clock.Millis
     # None while the attempt is in progress.
     ended_at: clock.Millis | None = None
+    # Whether another instance reported it.
+    is_remote: bool = False
 
 
 class ServerRuns:
@@ -36,6 +40,10 @@
     def __init__(self) -> None:
         self._runs: dict[servers.ServerIncarnation, list[Run]] = {}
         self._ended_at: dict[servers.ServerIncarnation, clock.Millis] = {}
+        # The servers to which the last new connection failed.
+        self._unreachable: set[servers.ServerIncarnation] = set()
+        # When each server was last seen to be up.
+        self._alive_at: dict[servers.ServerIncarnation, clock.Millis] = {}
 
     def begin(
         self,
@@ -43,8 +51,13 @@
         incarnation: servers.ServerIncarnation,
         now: clock.Millis,
     ) -> Run:
-        """Record that a request is being sent to a server."""
+        """Record that a request is being sent to a server.
+
+        A request that is sent to a server which is gone did not end it.
+        """
         run = Run(signature, incarnation, now)
+        if incarnation in self._ended_at or incarnation in self._unreachable:
+            return run
         runs = self._runs.setdefault(incarnation, [])
         if len(runs) >= _MAX_RUNS_PER_SERVER:
             runs.pop(0)
@@ -67,10 +80,77 @@
         self, incarnation: servers.ServerIncarnation, now: clock.Millis
     ) -> None:
         """Drop the runs that an incarnation has survived by now."""
+        self._alive_at[incarnation] = now
+        self.record_reached(incarnation, now)
+
+    def record_reached(
+        self, incarnation: servers.ServerIncarnation, now: clock.Millis
+    ) -> None:
+        """Drop the runs that a server which takes connections has survived."""
+        self._unreachable.discard(incarnation)
         for run in list(self._runs.get(incarnation, ())):
-            if run.ended_at is not None and now - run.ended_at > _LATE_CRASH_MS:
+            if run.ended_at is None:
+                continue
+            if _LATE_CRASH_MS < now - run.ended_at < _RESTART_MS:
                 self.discard(run)
 
+    def record_unreachable(
+        self, incarnation: servers.ServerIncarnation
+    ) -> None:
+        """Record that a new connection to a server failed."""
+        self._unreachable.add(incarnation)
+
+    def suspects(
+        self, now: clock.Millis
+    ) -> dict[servers.ServerIncarnation, clock.Millis]:
+        """Return the servers that may have crashed, and since when.
+
+        They have not answered since an attempt failed, and are not known to
+        have ended.
+        """
+        found = {}
+        for incarnation, runs in self._runs.items():
+            if incarnation in self._ended_at:
+                continue
+            alive_at = self._alive_at.get(incarnation, clock.LONG_AGO)
+            failed_at = [
+                run.ended_at
+                for run in runs
+                if run.ended_at is not None and not run.is_remote
+            ]
+            since = min(failed_at, default=now)
+            if alive_at < since < now:
+                found[incarnation] = since
+        return found
+
+    def failed_runs(self, incarnation: servers.ServerIncarnation) -> list[Run]:
+        """Return the runs of this instance that may have crashed a server."""
+        return [
+            run
+            for run in self._runs.get(incarnation, ())
+            if run.ended_at is not None and not run.is_remote
+        ]
+
+    def add_remote(self, run: Run) -> bool:
+        """Add a run that another instance reports; return whether it is new."""
+        known = self._runs.get(run.incarnation, ())
+        if len(known) >= _MAX_RUNS_PER_SERVER or any(
+            other.is_remote and other.signature == run.signature
+            for other in known
+        ):
+            return False
+        self._runs.setdefault(run.incarnation, []).append(run)
+        return True
+
+    def has_answer_of_another(
+        self, incarnation: servers.ServerIncarnation, since: clock.Millis
+    ) -> bool:
+        """Return whether another server has answered since a time."""
+        return any(
+            alive_at > since and other != incarnation
+            for other, alive_at in self._alive_at.items()
+        )
+
     def confirm_end(
         self,
         incarnation: servers.ServerIncarnation,
@@ -106,6 +186,10 @@
         for incarnation, ended_at in list(self._ended_at.items()):
             if incarnation not in self._runs and now - ended_at > _MAX_AGE_MS:
                 self._ended_at.pop(incarnation)
+        self._unreachable.intersection_update(self._runs)
+        for incarnation, alive_at in list(self._alive_at.items()):
+            if now - alive_at > _MAX_AGE_MS:
+                self._alive_at.pop(incarnation)
         for runs in list(self._runs.values()):
             for run in list(runs):
                 if not _is_recent(run, now):
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -10,6 +10,7 @@
 
 SIGNATURE = crashes.Signature(7)
 SURVIVED_MS = 1_100
+STABILITY_MS = 3_000
 
 
 def _incarnation(number: int) -> servers.ServerIncarnation:
@@ -126,6 +127,17 @@
     assert bool(at_end) is not was_leaving
 
 
+def test_request_sent_to_a_server_that_is_gone_did_not_crash_it(
+    guard: _Guard,
+) -> None:
+    guard.fail(1)
+    guard.guard.runs.record_unreachable(_incarnation(1))
+    other = crashes.Signature(8)
+    run = guard.guard.runs.begin(other, _incarnation(1), guard.clock.now())
+    guard.guard.runs.end(run, guard.clock.advance(1_000))
+    assert [crash.signature for crash in guard.confirm(1)] == [SIGNATURE]
+
+
 def _block(guard: _Guard) -> None:
     for number in range(3):
         guard.fail(number)
@@ -220,6 +232,31 @@
     assert 1 <= len(fleet.sent) <= 3
 
 
+@pytest.mark.parametrize('is_answered', [True, False])
+def test_request_that_crashes_its_trials_is_tried_again_and_again(
+    guard: _Guard, *, is_answered: bool
+) -> None:
+    if is_answered:
+        guard.guard.record_answer(SIGNATURE, guard.clock.now())
+        guard.clock.advance(1)
+    _block(guard)
+    own = ids.InstanceId('i')
+    bound = guard.clock.now() + STABILITY_MS
+    late = 0
+    for number in range(3, 12_000):
+        now = guard.clock.advance(10)
+        if now < 120_000 and guard.guard.is_trial_due(
+            SIGNATURE, now, own, [own]
+        ):
+            late += now > bound
+            guard.guard.begin_trial(SIGNATURE, now)
+            guard.fail(number)
+            guard.clock.advance(SURVIVED_MS)
+            guard.confirm(number)
+    # As many sends as the platform allows after the third crash.
+    assert 1 <= late <= 3
+
+
 def test_no_trial_is_sent_by_an_instance_that_hears_few_others(
     guard: _Guard,
 ) -> None:
--- /dev/null
+++ b/packages/gateway/src/sycamoreferry_gateway/crash_monitor.py
@@ -0,0 +1,108 @@
+"""Probe servers after failed attempts, to learn of crashes soon.
+
+Their entries expire seconds after a crash, and later while the store is away.
+"""
+
+import asyncio
+import typing
+
+from sycamoreferry_core import clock
+from sycamoreferry_core.fleet import deployment, servers
+from sycamoreferry_core.traffic import server_load
+from sycamoreferry_gateway import http_client, view
+
+_CHECK_INTERVAL_MS = 50
+# A server may crash a while after its attempt ended, or be the last of all that
+# answer, so that it is probed again later in both cases.
+_PROBE_AFTER_MS = 100
+_NEXT_PROBE_MS = 250
+_LATE_PROBE_MS = 1_100
+_FAILED_PROBES = 2
+_MOST_PROBES = 8
+
+
+class CrashMonitor:
+    """Count a server as ended once new connections to it fail twice."""
+
+    def __init__(
+        self,
+        cluster_view: view.View,
+        loads: server_load.ServerLoads,
+        pool: http_client.ConnectionPool,
+    ) -> None:
+        self._view = cluster_view
+        self._loads = loads
+        self._pool = pool
+        self._next_at: dict[servers.ServerIncarnation, clock.Millis] = {}
+        self._failures: dict[servers.ServerIncarnation, int] = {}
+
+    async def watch_forever(self) -> None:
+        """Probe the servers that may have crashed."""
+        while True:
+            await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
+            suspects = self._view.crashes.runs.suspects(self._view.clock.now())
+            self._drop_others(suspects)
+            due = [one for one in suspects if self._is_due(one, suspects[one])]
+            if due:
+                await asyncio.gather(
+                    *(
+                        self._probe(one, suspects[one])
+                        for one in due[:_MOST_PROBES]
+                    )
+                )
+
+    def _is_due(
+        self, incarnation: servers.ServerIncarnation, since: clock.Millis
+    ) -> bool:
+        next_at = self._next_at.setdefault(
+            incarnation, clock.later(since, _PROBE_AFTER_MS)
+        )
+        return self._view.clock.now() >= next_at
+
+    async def _probe(
+        self, incarnation: servers.ServerIncarnation, since: clock.Millis
+    ) -> None:
+        server = self._view.fleet.get(incarnation.server)
+        if server is None or server.incarnation != incarnation:
+            return
+        is_up = await self._pool.can_connect(
+            deployment.Address(server.host, server.port)
+        )
+        now = self._view.clock.now()
+        if is_up:
+            self._view.crashes.runs.record_reached(incarnation, now)
+            self._failures.pop(incarnation, None)
+            self._next_at[incarnation] = clock.later(now, _LATE_PROBE_MS)
+            return
+        self._view.crashes.runs.record_unreachable(incarnation)
+        failures = self._failures.get(incarnation, 0) + 1
+        self._failures[incarnation] = failures
+        self._next_at[incarnation] = clock.later(
+            now,
+            _NEXT_PROBE_MS if failures < _FAILED_PROBES else _LATE_PROBE_MS,
+        )
+        if failures == 1:
+            self._view.crashes.report_suspects(incarnation, now)
+        if failures >= _FAILED_PROBES and self._has_own_links(
+            incarnation, since
+        ):
+            self._view.blocks.confirm_crashes(
+                incarnation, was_leaving=server.leaving_since is not None
+            )
+
+    def _has_own_links(
+        self, incarnation: servers.ServerIncarnation, since: clock.Millis
+    ) -> bool:
+        """Tell whether other servers still answer this instance."""
+        if self._loads.reachability.is_cut_off:
+            return False
+        runs = self._view.crashes.runs
+        return runs.has_answer_of_another(incarnation, since)
+
+    def _drop_others(
+        self, suspects: typing.Container[servers.ServerIncarnation]
+    ) -> None:
+        for known in (self._next_at, self._failures):
+            for incarnation in list(known):
+                if incarnation not in suspects:
+                    known.pop(incarnation)
--- a/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/crash_reports.py
@@ -2,7 +2,13 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import block_trials, crash_selection, crashes
+from sycamoreferry_core.traffic import (
+    block_trials,
+    crash_guard,
+    crash_selection,
+    crashes,
+    server_runs,
+)
 from sycamoreferry_gateway import peer_messages
 
 
@@ -34,14 +40,39 @@
         )
         for signature, trials in selection.trials(now).items()
     ]
+    heartbeat.suspects = [
+        peer_messages.SuspectRow(
+            run.signature,
+            run.incarnation.server,
+            run.incarnation.born,
+            now - run.began_at,
+            now - (run.ended_at or now),
+        )
+        for run in selection.suspects(now)
+    ]
 
 
 def merge(
     heartbeat: peer_messages.Heartbeat,
-    history: crashes.CrashHistory,
+    guard: crash_guard.CrashGuard,
     now: clock.Millis,
 ) -> None:
     """Record what another instance reports in a heartbeat."""
+    history = guard.history
+    for suspect in heartbeat.suspects:
+        guard.add_remote(
+            server_runs.Run(
+                crashes.Signature(suspect.signature),
+                servers.ServerIncarnation(
+                    ids.ServerId(suspect.server),
+                    servers.IncarnationNumber(suspect.born),
+                ),
+                clock.later(now, -suspect.began_age_ms),
+                clock.later(now, -suspect.ended_age_ms),
+                is_remote=True,
+            ),
+            now,
+        )
     for row in heartbeat.crashes:
         history.record(
             crashes.Crash(
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -13,6 +13,7 @@
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
+    crash_monitor,
     dispatcher,
     event_log,
     http_client,
@@ -57,6 +58,9 @@
         self._monitor = reachability_monitor.ReachabilityMonitor(
             self._view, self._loads, self._pool, log
         )
+        self._crash_monitor = crash_monitor.CrashMonitor(
+            self._view, self._loads, self._pool
+        )
         self._store = store_client.StoreClient(
             settings.store_address,
             self._clock,
@@ -173,6 +177,7 @@
             self._sync.load_owners,
             self._sync.register,
             self._monitor.watch_forever,
+            self._crash_monitor.watch_forever,
             self._coordinator.run,
             self._coordinator.prove_forever,
             self._dispatcher.tick_forever,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -101,7 +101,7 @@
             self._loads.rate_limits, heartbeat.rate_limits, now
         )
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
-        crash_reports.merge(heartbeat, self._view.crashes.history, now)
+        crash_reports.merge(heartbeat, self._view.crashes, now)
         self._request_newer(heartbeat, sender)
         self._view.on_change()
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -29,6 +29,16 @@
     age_ms: int = 0
 
 
+class SuspectRow(msgspec.Struct, array_like=True):
+    """Report a run at a server that cannot be reached since; ages in ms."""
+
+    signature: int
+    server: str
+    born: int
+    began_age_ms: int
+    ended_age_ms: int
+
+
 class SurvivalRow(msgspec.Struct, array_like=True):
     """Report that a server answered a request that has crashes."""
 
@@ -88,6 +98,7 @@
     leaving: list[LeavingRow] = []
     survivals: list[SurvivalRow] = []
     trials: list[TrialRow] = []
+    suspects: list[SuspectRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
