Tell instances that start late which blocked requests were answered

What callers saw: in a play of instances that restart in turn beside silent hosts a request that had been answered until then was rejected 432 times.

Cause: whether a request was answered lately, which shortens the delay of trials, was known to the instance that passed the answer on alone. An instance that started since waited 15 s, and instances disagreed on whose turn it was.

Change: the time of the last answer to a blocked request is reported with it.

Evidence: test_instance_that_starts_late_takes_an_answered_request_for_the_cause.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_selection.py
@@ -80,12 +80,25 @@
     def survivals(
         self, now: clock.Millis
     ) -> dict[crashes.Signature, clock.Millis]:
-        """Return the requests that were answered here lately, with times."""
-        return {
+        """Return when requests were answered here, and those that are blocked.
+
+        An instance that started since has not seen a blocked one answered.
+        """
+        answered = {
+            signature: self._history.answered_at(signature, now)
+            for signature in self._history.blocked(now)[:_MOST_BLOCKED]
+        }
+        known = {
             signature: at
+            for signature, at in answered.items()
+            if at is not None
+        }
+        known.update(
+            (signature, at)
             for at, signature in self._survivals
             if _is_new(at, now)
-        }
+        )
+        return known
 
     def trials(
         self, now: clock.Millis
--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -66,10 +66,7 @@
 
     def record_answer(self, signature: Signature, now: clock.Millis) -> bool:
         """Record that a server answered; return whether crashes are void."""
-        self._answered_at.pop(signature, None)
-        self._answered_at[signature] = now
-        if len(self._answered_at) > _MAX_ANSWERED:
-            self._answered_at.pop(next(iter(self._answered_at)))
+        self._note_answer(signature, now)
         return signature in self._crashes and self.record_survival(
             signature, now
         )
@@ -77,13 +74,27 @@
     def record_survival(self, signature: Signature, at: clock.Millis) -> bool:
         """Void the crashes by runs before a time; return whether any were."""
         before = self._survived_at.get(signature, clock.LONG_AGO)
-        self._survived_at[signature] = max(at, before)
-        self.trials.pop(signature, None)
+        if at <= before:
+            return False
+        self._note_answer(signature, at)
+        self._survived_at[signature] = at
+        trials = self.trials.get(signature)
+        if trials is not None and trials.last_at <= at:
+            self.trials.pop(signature)
         return any(
             before < crashed_at <= at
             for crashed_at in self._crashes.get(signature, {}).values()
         )
 
+    def answered_at(
+        self, signature: Signature, now: clock.Millis
+    ) -> clock.Millis | None:
+        """Return when a request was answered last, if that was lately."""
+        answered_at = self._answered_at.get(signature)
+        if answered_at is None or now - answered_at >= _PROVEN_MS:
+            return None
+        return answered_at
+
     def record_seen(
         self, incarnation: servers.ServerIncarnation, now: clock.Millis
     ) -> None:
@@ -104,7 +115,6 @@
         self, signature: Signature, now: clock.Millis
     ) -> clock.Millis:
         """Return when a blocked request may be sent again, as a trial."""
-        answered_at = self._answered_at.get(signature, clock.LONG_AGO)
         trials = self.trials.get(signature)
         counted = self._counted(signature)
         last_at = counted[-1].at
@@ -113,7 +123,9 @@
             last_at = trials.last_at
             crashes = sum(crash.at >= trials.first_at for crash in counted)
         delay = block_trials.delay_ms(
-            trials, crashes, is_proven=now - answered_at < _PROVEN_MS
+            trials,
+            crashes,
+            is_proven=self.answered_at(signature, now) is not None,
         )
         return clock.later(last_at, delay)
 
@@ -149,6 +161,12 @@
         self._survived_at = _drop_old(self._survived_at, now)
         self._seen_at = _drop_old(self._seen_at, now)
 
+    def _note_answer(self, signature: Signature, at: clock.Millis) -> None:
+        latest = max(at, self._answered_at.pop(signature, clock.LONG_AGO))
+        self._answered_at[signature] = latest
+        if len(self._answered_at) > _MAX_ANSWERED:
+            self._answered_at.pop(next(iter(self._answered_at)))
+
     def _counted(self, signature: Signature) -> list[Crash]:
         """Return the crashes that count against a request, the last last."""
         survived_at = self._survived_at.get(signature, clock.LONG_AGO)
--- a/packages/gateway/tests/test_crash_reports.py
+++ b/packages/gateway/tests/test_crash_reports.py
@@ -107,3 +107,23 @@
         pair.clock.advance(HEARTBEAT_MS)
         pair.exchange()
     assert pair.blocked(SIGNATURE) == [True, True]
+
+
+def test_instance_that_starts_late_takes_an_answered_request_for_the_cause(
+    pair: _Pair,
+) -> None:
+    first, second = (one._view.crashes for one in pair.instances)
+    first.record_answer(SIGNATURE, pair.clock.now())
+    pair.clock.advance(1)
+    for number in range(3):
+        pair.crash(number, SIGNATURE)
+    pair.clock.advance(BLOCK_S * clock.MILLIS_PER_SECOND // 10)
+    for _ in range(HEARTBEATS):
+        pair.clock.advance(HEARTBEAT_MS)
+        pair.exchange()
+    assert pair.blocked(SIGNATURE) == [True, True]
+    now = pair.clock.now()
+    due_at = [
+        guard.history.trial_due_at(SIGNATURE, now) for guard in (first, second)
+    ]
+    assert due_at[0] == due_at[1]
