--- a/packages/gateway/tests/support/gateway_testing/crash_soak.py
+++ b/packages/gateway/tests/support/gateway_testing/crash_soak.py
@@ -64,6 +64,10 @@
             calls.append(asyncio.create_task(exchange))
             await asyncio.sleep(_INTERVAL_S)
         await asyncio.gather(*calls)
+        # A server that is down is a part of this fault.
+        await self.cluster.wait_until(
+            lambda: all(front.is_up for front in self._fronts)
+        )
 
     def _late_arrivals(self, path: str) -> list[crashing_server.Arrival]:
         """Return the late arrivals, less those of disrupted senders."""
--- a/packages/gateway/tests/support/gateway_testing/crashing_server.py
+++ b/packages/gateway/tests/support/gateway_testing/crashing_server.py
@@ -155,6 +155,8 @@
         """End the process, let its entry expire, and start a new one."""
         self._life += 1
         self.is_up = False
+        self.server.granted.clear()
+        self.server.accepted.clear()
         self._end_connections()
         ended = self.server.name
         expiry_s = self._random.uniform(*ENTRY_EXPIRY_S)
@@ -164,8 +166,6 @@
         self._http.close_connections()
         self.server.born += 1
         self.server.name = f'{ended.partition("-")[0]}-{self.server.born}'
-        self.server.granted.clear()
-        self.server.accepted.clear()
         await self.start()
 
     def is_silent(self, port: int) -> bool:
