Recognise repeats of a crashing request by what it asks for

Cause: the signature of a request held the address of its connection. Callers connect through the platform, so repeats of one request came from 17 addresses, and the crashes of one path were counted for 12 signatures, none of which had three. Evidence: a trial that logged target and address of each request. Change: a signature is made of method, host, target and body. The host is taken without its port and in lower case, and escapes in the target have one spelling. Headers, the address and the instance do not count.

--- a/packages/core/src/sycamoreferry_core/traffic/routes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/routes.py
@@ -88,7 +88,7 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a path without its query, or None."""
-        name = host.partition(':')[0].lower()
+        name = host_name(host)
         end = path.rfind('/')
         while end >= 0:
             found = self._routes.get((name, path[: end + 1]))
@@ -98,6 +98,11 @@
         return None
 
 
+def host_name(host: str) -> str:
+    """Return the name in a Host header, without its port."""
+    return host.partition(':')[0].lower()
+
+
 class WeightedRoundRobin:
     """Split a route's requests with smooth weighted round robin."""
 
--- a/packages/gateway/src/sycamoreferry_gateway/request_preparation.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_preparation.py
@@ -1,16 +1,15 @@
 """Match callers' requests to routes and count the demand for keys."""
 
-import xxhash
-
 from sycamoreferry_adapter import request_headers
 from sycamoreferry_core import clock, ids, result_codes
 from sycamoreferry_core.keyspace import owners
-from sycamoreferry_core.traffic import crashes, retry_budget, routes
+from sycamoreferry_core.traffic import retry_budget, routes
 from sycamoreferry_gateway import (
     answers,
     http_server,
     proxied_requests,
     relay_messages,
+    request_signatures,
     view,
 )
 
@@ -85,7 +84,7 @@
             route=route,
             service=service,
             key=key,
-            signature=sign(request),
+            signature=request_signatures.sign(request),
             is_relayed=relayed is not None,
             earlier_runs=0 if relayed is None else relayed.earlier_runs,
         )
@@ -115,13 +114,3 @@
 
 def _starting(reason: str) -> answers.FinalAnswer:
     return answers.refusal(_Code.STARTING, reason, _STARTING_RETRY_AFTER_MS)
-
-
-def sign(request: http_server.CallerRequest) -> crashes.Signature:
-    """Return what a request and its repeats have in common."""
-    digest = xxhash.xxh3_64()
-    for part in (request.method, request.target, request.caller):
-        digest.update(part.encode('latin-1', 'replace'))
-        digest.update(b'\0')
-    digest.update(request.body)
-    return crashes.Signature(digest.intdigest())
--- a/packages/gateway/tests/support/gateway_testing/crash_play.py
+++ b/packages/gateway/tests/support/gateway_testing/crash_play.py
@@ -6,10 +6,9 @@
 import json
 import typing
 
-from gateway_testing import crashing_server
+from gateway_testing import caller_addresses, crashing_server
 from sycamoreferry_core import result_codes
 from sycamoreferry_gateway import http_client
-from sycamoreferry_ports import boot_clock
 
 # The platform's StabilityWindow, and the arrivals that it allows after it.
 STABILITY_MS = 3_000
@@ -22,6 +21,21 @@
 _KEY = 4_000
 
 
+def name_sender(instance: typing.Any) -> None:
+    """Name an instance in the requests that it sends to servers."""
+    pool = instance._pool
+    exchange = pool.exchange
+    header = f'\r\nSent-By: {instance._deployment.instance}\r\n'.encode()
+
+    async def exchange_named(
+        address: typing.Any, payload: bytes, *rest: typing.Any
+    ) -> typing.Any:
+        named = payload.replace(b'\r\n', header, 1)
+        return await exchange(address, named, *rest)
+
+    pool.exchange = exchange_named
+
+
 class CrashPlay:
     """Run crashing and other requests, and count what becomes of them."""
 
@@ -39,7 +53,7 @@
         # Who was disrupted (None for the store, so all), from when to when.
         self.disruptions: list[tuple[str | None, int, int]] = []
         self._cluster = cluster
-        self._pool = http_client.ConnectionPool(boot_clock.BootClock())
+        self._pools = caller_addresses.CallerPools()
         self._numbers = itertools.count()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -87,23 +101,9 @@
             await front.start()
             self.servers.append(front)
         for number in range(instances):
-            self.name_sender(cluster.add_instance(f'i{number}'))
+            name_sender(cluster.add_instance(f'i{number}'))
         await cluster.wait_until(self._is_ready, limit_s=20)
 
-    def name_sender(self, instance: typing.Any) -> None:
-        """Name an instance in the requests that it sends to servers."""
-        pool = instance._pool
-        exchange = pool.exchange
-        header = f'\r\nSent-By: {instance._deployment.instance}\r\n'.encode()
-
-        async def exchange_named(
-            address: typing.Any, payload: bytes, *rest: typing.Any
-        ) -> typing.Any:
-            named = payload.replace(b'\r\n', header, 1)
-            return await exchange(address, named, *rest)
-
-        pool.exchange = exchange_named
-
     def stop(self) -> None:
         """End the callers and servers."""
         for task in self._tasks:
@@ -247,7 +247,7 @@
         payload = self._cluster.encode_request(
             request_id, _KEY, path=path, deadline_ms=deadline_ms
         )
-        reply = await self._pool.exchange(
+        reply = await self._pools.choose().exchange(
             address, payload, deadline_ms + _LATE_MS
         )
         if isinstance(reply, http_client.FailedExchange):
--- a/packages/gateway/tests/test_crash_combinations.py
+++ b/packages/gateway/tests/test_crash_combinations.py
@@ -163,7 +163,7 @@
         with self._disruption(self._name(0)):
             await self._cluster.kill(0)
             await asyncio.sleep(0.5)
-            self._play.name_sender(self._cluster.restart(0))
+            crash_play.name_sender(self._cluster.restart(0))
         self._cluster.instances.pop(0)
         self._cluster._tasks.pop(0)
 
--- a/packages/gateway/tests/test_crashing_requests.py
+++ b/packages/gateway/tests/test_crashing_requests.py
@@ -11,7 +11,7 @@
 from sycamoreferry_core.traffic import crashes
 from sycamoreferry_gateway import (
     http_server,
-    request_preparation,
+    request_signatures,
 )
 
 INSTANCES = 3
@@ -91,9 +91,9 @@
 ) -> None:
     """Report three crashes of a request to an instance."""
     request = http_server.CallerRequest(
-        'GET', path, [], b'', '127.0.0.1', keep_alive=True
+        'GET', path, [('Host', 'h')], b'', '', keep_alive=True
     )
-    signature = request_preparation.sign(request)
+    signature = request_signatures.sign(request)
     for born in range(3):
         incarnation = servers.ServerIncarnation(
             ids.ServerId('gone'), servers.IncarnationNumber(born)
@@ -143,3 +143,17 @@
     }
     await asyncio.sleep(LONGEST_BLOCK_S)
     assert not play.unserved_since(play.log.clock.now() - 1_000)
+
+
+async def test_alike_requests_are_rejected_long_after_servers_were_lost(
+    play: crash_play.CrashPlay,
+) -> None:
+    await play.start(SERVERS, INSTANCES)
+    for _ in range(3):
+        play.repeat_other(interval_s=0.01)
+    await asyncio.sleep(1)
+    lost = [asyncio.create_task(front.crash()) for front in play.servers[:4]]
+    await asyncio.gather(*lost)
+    await asyncio.sleep(1)
+    assert not play.rejected_count
+    assert not play.unserved_since(play.log.clock.now() - 1_000)
