--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -23,6 +23,8 @@
 
 # Interval at which expired permits are freed and late requests rejected.
 _SWEEP_INTERVAL_MS = 50
+# An instance that granted nothing for so long no longer counts for a server.
+_COUNTING_MS = 4_000
 
 Post = typing.Callable[[ids.InstanceId, peer_messages.PeerMessage], None]
 
@@ -43,6 +45,8 @@
         self._desk = permits.PermitIssuer()
         self._random = random.Random()
         self._pacer = request_pacer.RequestPacer()
+        # When this instance last granted a request to each limited server.
+        self._granted_at: dict[ids.ServerId, clock.Millis] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -55,6 +59,7 @@
             await asyncio.sleep(clock.seconds(_SWEEP_INTERVAL_MS))
             self._send_decisions(self._desk.decide_due(self._clock.now()))
             self._pacer.keep_only(self._view.fleet.servers)
+            self._drop_old_grants()
 
     def handle_request(self, asked: peer_messages.PermitRequest) -> None:
         """Grant a permit, queue the request, or reject it."""
@@ -191,8 +196,26 @@
 
     def _record_grant(self, server: ids.ServerId) -> None:
         limit = self._rate_limit(server)
-        if limit is not None:
-            self._pacer.record_request(server, limit, self._clock.now())
+        if limit is None:
+            return
+        now = self._clock.now()
+        self._pacer.record_request(server, limit, now)
+        before = self._granted_at.get(server, clock.LONG_AGO)
+        self._granted_at[server] = now
+        if now - before > _COUNTING_MS:
+            self._view.log.write_rate_limited(
+                'permits',
+                'instance counts for a limited server',
+                server=server,
+                requests_per_s=limit,
+                instances_heard=self._view.peers.count(now),
+            )
+
+    def _drop_old_grants(self) -> None:
+        now = self._clock.now()
+        for server, granted_at in list(self._granted_at.items()):
+            if now - granted_at > _COUNTING_MS:
+                self._granted_at.pop(server)
 
     def _rate_limit(self, server: ids.ServerId) -> float | None:
         known = self._view.fleet.get(server)
