Keep named limits while entries lapse, and tell them to the instance that counts

Cause: a limit was kept by incarnation and dropped with the server's entry, and the instance that counts looked it up by the entry in its own view. Without the entry, or with that of another life, it granted without a limit; requests for permits did not name it. Change: limits are kept by server; a statement of a newer life replaces one of an earlier life, whose limit holds until the new one has answered. They outlast a lapsed entry by ten seconds, and requests for permits tell them. Tests: test_new_incarnation_has_no_limit took for granted that a server that starts again has no limit before it has answered. In its place the limit has to hold until an answer of the new life, and must not come back after it. Both new tests fail before the change, the second for want of the grace period.

--- a/packages/core/src/sycamoreferry_core/traffic/server_choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_choice.py
@@ -49,7 +49,7 @@
     loads: server_load.ServerLoads,
 ) -> float:
     """Return the slots that a server's rate limit lets it keep busy."""
-    limit = loads.rate_limits.get(server.incarnation)
+    limit = loads.rate_limits.get(server.incarnation.server)
     if limit is None:
         return server.slots
     busy = limit * loads.duration_ms(server) / clock.MILLIS_PER_SECOND
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -337,7 +337,9 @@
             self._request_handler.relay.pool.close_expired()
             self._loads.peers.drop_silent(self._clock.now())
             self._loads.keep_only(self._view.fleet.servers)
-            self._loads.rate_limits.keep_only(self._view.fleet.incarnations)
+            self._loads.rate_limits.keep_only(
+                self._view.fleet.servers, self._clock.now()
+            )
             self._loads.back_offs.keep_only(self._view.fleet.incarnations)
             self._view.crashes.prune(self._clock.now())
             self._view.blocks.drop_ended()
--- a/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
@@ -71,7 +71,7 @@
         self, server: servers.BackendServer, mean_ms: float
     ) -> float:
         limit = self._loads.rate_limits.get_confirmed(
-            server.incarnation, self._clock.now()
+            server.incarnation.server, self._clock.now()
         )
         if limit is None:
             return math.inf
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -175,6 +175,9 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitRequest, sender: _Address) -> None:
+        rate_limit_reports.merge_rows(
+            self._loads.rate_limits, message.rate_limits, self._clock.now()
+        )
         if self.counter is not None:
             self.counter.handle_request(message)
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -171,6 +171,8 @@
     has_large_answer: bool
     # Set if the instance that asks stops before the request's deadline.
     answer_in_ms: int | None = None
+    # What is known of the rate limits of the servers that are asked for.
+    rate_limits: list[RateLimitRow] = []
 
 
 class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -116,7 +116,8 @@
             owner = self._backlogs.owner_server(request)
             possible = () if owner is None else (owner,)
         return any(
-            limits.get(server.incarnation) is not None for server in possible
+            limits.get(server.incarnation.server) is not None
+            for server in possible
         )
 
     async def acquire(self, request: queueing.QueuedRequest) -> Placement:
@@ -151,9 +152,7 @@
             granted.answered_server = server if has_answered else None
             granted.failed_server = None if has_answered else server
         granted.rate_limits = rate_limit_reports.build_server_rows(
-            self._loads.rate_limits,
-            self._view.fleet.get(server),
-            self._clock.now(),
+            self._loads.rate_limits, (server,), self._clock.now()
         )
         self._end_wait(granted)
 
@@ -295,8 +294,26 @@
             excluded=list(excluded),
             has_large_answer=request.has_large_answer,
             answer_in_ms=answer_in_ms,
+            rate_limits=rate_limit_reports.build_server_rows(
+                self._loads.rate_limits,
+                self._limited_of(request.service, wait.target.server),
+                now,
+            ),
         )
 
+    def _limited_of(
+        self, service: ids.ServiceName, owner: ids.ServerId | None
+    ) -> list[ids.ServerId]:
+        """Return the limited servers that a request may be sent to."""
+        limited = self._loads.rate_limits.limited_servers()
+        if owner is not None:
+            return [server for server in limited if server == owner]
+        known = {
+            server.incarnation.server
+            for server in self._view.servers_of(service)
+        }
+        return [server for server in limited if server in known]
+
     def _end_wait(self, wait: _Wait | None) -> None:
         if wait is None or wait.is_over:
             return
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -191,11 +191,11 @@
 
     def _may_send(self, server: ids.ServerId, now: clock.Millis) -> bool:
         """Tell whether a server's rate limit allows a request now."""
-        limit = self._rate_limit(server)
+        limit = self._loads.rate_limits.get(server)
         return limit is None or self._pacer.is_due(server, now)
 
     def _record_grant(self, server: ids.ServerId) -> None:
-        limit = self._rate_limit(server)
+        limit = self._loads.rate_limits.get(server)
         if limit is None:
             return
         now = self._clock.now()
@@ -217,12 +217,6 @@
             if now - granted_at > _COUNTING_MS:
                 self._granted_at.pop(server)
 
-    def _rate_limit(self, server: ids.ServerId) -> float | None:
-        known = self._view.fleet.get(server)
-        if known is None:
-            return None
-        return self._loads.rate_limits.get(known.incarnation)
-
     def _send_decisions(self, decided: list[permits.PermitDecision]) -> None:
         for decision in decided:
             self._post(decision.permit.instance, _answer_of(decision))
--- a/packages/gateway/src/sycamoreferry_gateway/rate_limit_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/rate_limit_reports.py
@@ -28,16 +28,11 @@
 
 def build_server_rows(
     limits: rate_limits.RateLimits,
-    server: servers.BackendServer | None,
+    chosen: typing.Iterable[ids.ServerId],
     now: clock.Millis,
 ) -> list[peer_messages.RateLimitRow]:
-    """Return what one server said last; no rows if it said nothing."""
-    if server is None:
-        return []
-    statement = limits.statement(server.incarnation)
-    if statement is None:
-        return []
-    return build_rows({server.incarnation: statement}, now)
+    """Return the rows of some servers; those that said nothing have none."""
+    return build_rows(limits.statements_of(chosen), now)
 
 
 def merge_rows(
