Share a rate limit among the instances that count for its server

What callers saw: a server that had named a limit got several times as much, from instances that it had told. Cause: an instance that counts for a server grants its whole limit, and several may count at a time: those that don't hear each other, or whose views differ, or that some others skip. Each new one also began with the credit of a second. The log shows two instances that count, each with the whole limit. Change: each instance assigns its part of a limit to the one that it asks for permits, and says so in its heartbeats. One that counts grants the parts that are assigned to it by instances that it hears, out of all that it heard within 30 s. Parts add up to the limit, whatever the views. A token bucket whose rate follows the share replaces the spacing; it starts with the share of one token. The choice of the instance that counts has a module of its own.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -1,6 +1,7 @@
 """Track the other instances and decide which one claims coordination."""
 
 import dataclasses
+import typing
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import store_records
@@ -38,6 +39,10 @@
     # Whether it reaches no backend server.
     is_cut_off: bool = False
     store_era: store_records.StoreEra = store_records.NO_ERA
+    # The instances that it asks for permits, by the limited server.
+    counters: typing.Mapping[ids.ServerId, ids.InstanceId] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Peers:
@@ -47,6 +52,8 @@
         self._own = own
         self._own_weight = counting_weight
         self.peer_timeout_ms = PEER_TIMEOUT_MS
+        # A peer that was silent for so long may ask other instances by now.
+        self.share_timeout_ms = PEER_TIMEOUT_MS
         self._peers: dict[ids.InstanceId, PeerStatus] = {}
         # When each peer was heard again after a silence or a crash.
         self._returned_at: dict[ids.InstanceId, clock.Millis] = {}
@@ -93,14 +100,22 @@
         There are none while half of them or more are not heard, since the
         others may then take turns among themselves.
         """
-        members = [
+        members = self.members(now)
+        if 2 * self.count(now) <= len(members) + 1:
+            return []
+        return [self._own, *(peer.instance for peer in members)]
+
+    def members(self, now: clock.Millis) -> list[PeerStatus]:
+        """Return the peers that stay, with those that are silent lately."""
+        return [
             peer
             for peer in self._peers.values()
             if not peer.is_leaving and now - peer.received_at < _MEMBER_MS
         ]
-        if 2 * self.count(now) <= len(members) + 1:
-            return []
-        return [self._own, *(peer.instance for peer in members)]
+
+    def is_silent(self, peer: PeerStatus, now: clock.Millis) -> bool:
+        """Return whether a peer may have chosen other instances since."""
+        return now - peer.received_at >= self.share_timeout_ms
 
     def has_missed_any(self, since: clock.Millis, now: clock.Millis) -> bool:
         """Return whether a peer was silent or crashed at any time since."""
--- a/packages/core/src/sycamoreferry_core/fleet/message_intervals.py
+++ b/packages/core/src/sycamoreferry_core/fleet/message_intervals.py
@@ -18,6 +18,8 @@
 _HEARTBEAT_MS_PER_PEER = 20
 _MISSED_HEARTBEATS = 4
 _MESH_PEER_TIMEOUT_MS = 900
+# A peer that missed more heartbeats may ask other instances for permits.
+_SHARED_HEARTBEATS = 2.2
 # Above this many peers, each instance calls the store less often.
 _STORE_CALL_PEERS = 30
 
@@ -31,6 +33,7 @@
     heartbeat_ms: int
     summary_ms: int
     peer_timeout_ms: int
+    share_timeout_ms: int
 
 
 def choose_intervals(peers: int) -> MessageIntervals:
@@ -42,6 +45,7 @@
             heartbeat_ms=_MESH_INTERVAL_MS,
             summary_ms=_MESH_INTERVAL_MS,
             peer_timeout_ms=_MESH_PEER_TIMEOUT_MS,
+            share_timeout_ms=_MESH_PEER_TIMEOUT_MS,
         )
     heartbeat_ms = _HEARTBEAT_MS_PER_PEER * peers
     return MessageIntervals(
@@ -50,6 +54,7 @@
         heartbeat_ms=heartbeat_ms,
         summary_ms=_SUMMARY_INTERVAL_MS,
         peer_timeout_ms=_MISSED_HEARTBEATS * heartbeat_ms,
+        share_timeout_ms=int(_SHARED_HEARTBEATS * heartbeat_ms),
     )
 
 
--- a/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
+++ b/packages/core/src/sycamoreferry_core/traffic/request_pacer.py
@@ -1,43 +1,73 @@
 """Space the requests to servers that limit their rate.
 
-A generic cell rate algorithm: a request is due one interval after the last,
-and a bounded burst makes up for idle time, so that irregular arrivals reach the
-full rate.
+A token bucket for each server, whose rate may change at any time: a bounded
+burst makes up for idle time, so that irregular arrivals reach the full rate. A
+bucket starts without a burst, since another instance may have counted before.
 """
 
-import math
-import typing
+import dataclasses
 
 from sycamoreferry_core import clock, ids
 
 # Requests that were due this long ago may still be sent in a burst.
 _BURST_MS = 1_000
+# A bucket that was not used for so long may be dropped.
+_KEPT_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    requests_per_s: float
+    updated_at: clock.Millis
+
+    def refill(self, now: clock.Millis) -> None:
+        """Add what the rate has allowed since the last call."""
+        elapsed_s = clock.seconds(now - self.updated_at)
+        most = max(1, self.requests_per_s * clock.seconds(_BURST_MS))
+        refilled = self.tokens + elapsed_s * self.requests_per_s
+        self.tokens = min(most, refilled)
+        self.updated_at = now
 
 
 class RequestPacer:
     """Track when each server is due for its next request."""
 
     def __init__(self) -> None:
-        self._due_at: dict[ids.ServerId, clock.Millis] = {}
-
-    def is_due(self, server: ids.ServerId, now: clock.Millis) -> bool:
-        """Return whether a server may get a request now."""
-        return self._due_at.get(server, clock.LONG_AGO) <= now
+        self._buckets: dict[ids.ServerId, _Bucket] = {}
 
-    def record_request(
+    def set_rate(
         self,
         server: ids.ServerId,
-        requests_per_s: float,
+        limit_per_s: float,
+        share: float,
         now: clock.Millis,
     ) -> None:
+        """Set the share of a server's limit that is granted here."""
+        bucket = self._buckets.get(server)
+        if bucket is None:
+            # Buckets of several instances hold one token together.
+            bucket = _Bucket(share, 0, now)
+            self._buckets[server] = bucket
+        bucket.refill(now)
+        bucket.requests_per_s = limit_per_s * share
+
+    def is_due(self, server: ids.ServerId, now: clock.Millis) -> bool:
+        """Return whether a server may get a request now."""
+        bucket = self._buckets.get(server)
+        if bucket is None:
+            return True
+        bucket.refill(now)
+        return bucket.tokens >= 1
+
+    def record_request(self, server: ids.ServerId) -> None:
         """Count a request that is sent now."""
-        interval_ms = math.ceil(clock.MILLIS_PER_SECOND / requests_per_s)
-        earliest = clock.later(now, -_BURST_MS)
-        due_at = max(earliest, self._due_at.get(server, earliest))
-        self._due_at[server] = clock.later(due_at, interval_ms)
-
-    def keep_only(self, known: typing.Container[ids.ServerId]) -> None:
-        """Drop servers that are not known."""
-        for server in list(self._due_at):
-            if server not in known:
-                self._due_at.pop(server)
+        bucket = self._buckets.get(server)
+        if bucket is not None:
+            bucket.tokens -= 1
+
+    def drop_unused(self, now: clock.Millis) -> None:
+        """Drop the buckets of servers that were not asked for lately."""
+        for server, bucket in list(self._buckets.items()):
+            if now - bucket.updated_at > _KEPT_MS:
+                self._buckets.pop(server)
--- a/packages/core/tests/traffic/test_rate_limits.py
+++ b/packages/core/tests/traffic/test_rate_limits.py
@@ -36,28 +36,26 @@
     assert (limits.get(SERVER.server) is None) == is_lifted
 
 
-def test_new_life_is_held_to_the_limit_of_the_earlier_one_until_it_answers() -> (
-    None
-):
+def test_new_life_has_no_limit_before_it_has_answered() -> None:
     limits = rate_limits.RateLimits()
-    limits.record_limit(SERVER, 2.5, _at(0))
+    limits.record_limit(SERVER, 2, _at(0))
     fresh = servers.ServerIncarnation(
         SERVER.server, servers.IncarnationNumber(2)
     )
-    assert limits.get(SERVER.server) == 2.5
+    assert limits.get(SERVER.server) == 2
     assert limits.record_no_limit(fresh, _at(100))
     assert limits.get(SERVER.server) is None
-    assert not limits.merge(SERVER, rate_limits.RateStatement(2.5, _at(200)))
+    assert not limits.merge(SERVER, rate_limits.RateStatement(2, _at(200)))
     assert limits.get(SERVER.server) is None
 
 
 def test_limit_is_lost_while_the_entry_of_its_server_lapses() -> None:
     limits = rate_limits.RateLimits()
-    limits.record_limit(SERVER, 2.5, _at(0))
+    limits.record_limit(SERVER, 2, _at(0))
     limits.keep_only((), _at(5_000))
-    assert limits.get(SERVER.server) == 2.5
+    assert limits.get(SERVER.server) == 2
     limits.keep_only({SERVER.server}, _at(60_000))
-    assert limits.get(SERVER.server) == 2.5
+    assert limits.get(SERVER.server) == 2
     limits.keep_only((), _at(60_000))
     assert limits.get(SERVER.server) is None
 
--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from sycamoreferry_core import ids
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
@@ -28,12 +29,14 @@
         store: store_client.StoreClient,
         incarnation: int,
         get_coordinator: typing.Callable[[], coordinator.Coordinator],
+        get_counters: typing.Callable[[], dict[ids.ServerId, ids.InstanceId]],
     ) -> None:
         self._view = cluster_view
         self._loads = loads
         self._store = store
         self._incarnation = incarnation
         self._get_coordinator = get_coordinator
+        self._get_counters = get_counters
         self._heartbeat_count = 0
 
     def load_rows(self) -> list[peer_messages.LoadRow]:
@@ -80,6 +83,10 @@
             is_cut_off=self._loads.reachability.is_cut_off,
             era=self._view.offsets.era,
             leaving=leaving_reports.build_rows(self._view),
+            counters=[
+                peer_messages.CounterRow(server, counter)
+                for server, counter in self._get_counters().items()
+            ],
         )
 
     def with_crashes(
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -100,6 +100,7 @@
             self._view,
             self._loads,
             self._exchange.post,
+            self._dispatcher.permits.counting.of_server,
         )
         self._exchange.message_handler.counter = self._permit_service
         self._exchange.message_handler.permits = self._dispatcher.permits
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -49,7 +49,12 @@
         self._clock = cluster_view.clock
         self._loads = loads
         self._heartbeats = heartbeats.HeartbeatBuilder(
-            cluster_view, loads, store, incarnation, get_coordinator
+            cluster_view,
+            loads,
+            store,
+            incarnation,
+            get_coordinator,
+            lambda: self.message_handler.counters(),
         )
         self._take_demand = take_demand
         self._get_coordinator = get_coordinator
@@ -86,6 +91,7 @@
         while True:
             plan = self._spread_plan()
             self._view.peers.peer_timeout_ms = plan.peer_timeout_ms
+            self._view.peers.share_timeout_ms = plan.share_timeout_ms
             await asyncio.sleep(clock.seconds(plan.report_ms))
             self.send_heartbeat()
 
@@ -241,6 +247,7 @@
             heartbeat.loads,
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
             heartbeat.leaving,
+            heartbeat.counters,
             self._view.crashes.selection.changes(),
         )
         if (
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -59,6 +59,12 @@
         self.counter: permit_service.PermitService | None = None
         self.permits: permit_client.PermitClient | None = None
 
+    def counters(self) -> dict[ids.ServerId, ids.InstanceId]:
+        """Return the instances that this one asks, by the limited server."""
+        if self.permits is None:
+            return {}
+        return self.permits.counting.of_limited_servers()
+
     @functools.singledispatchmethod
     def handle(self, message: object, sender: _Address) -> None:
         """Handle a message; raise TypeError if no handler takes its type."""
@@ -87,6 +93,10 @@
                 heartbeat.counting_weight,
                 heartbeat.is_cut_off,
                 store_records.StoreEra(heartbeat.era),
+                {
+                    ids.ServerId(row.server): ids.InstanceId(row.instance)
+                    for row in heartbeat.counters
+                },
             ),
         )
         if heartbeat.given_up_term:
@@ -183,6 +193,9 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
+        rate_limit_reports.merge_rows(
+            self._loads.rate_limits, message.rate_limits, self._clock.now()
+        )
         if self.counter is not None:
             self.counter.handle_return(message)
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -64,6 +64,13 @@
     age_ms: int
 
 
+class CounterRow(msgspec.Struct, array_like=True):
+    """Report the instance that the sender asks for a server's permits."""
+
+    server: str
+    instance: str
+
+
 class LeavingRow(msgspec.Struct, array_like=True):
     """Report an incarnation of a server that is leaving."""
 
@@ -99,6 +106,7 @@
     survivals: list[SurvivalRow] = []
     trials: list[TrialRow] = []
     suspects: list[SuspectRow] = []
+    counters: list[CounterRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -13,8 +13,8 @@
 from sycamoreferry_core.traffic import permits, queueing, server_load
 from sycamoreferry_gateway import (
     backlogs,
+    counting_instances,
     event_log,
-    issuer_health,
     peer_messages,
     permit_returns,
     rate_limit_reports,
@@ -26,8 +26,6 @@
 _RESEND_INTERVAL_MS = 120
 # An instance that leaves this many permit requests unanswered is skipped.
 _MAX_UNANSWERED = 3
-# Interval at which counting instances are chosen again from those alive.
-_HOMES_REFRESH_MS = 200
 # Interval at which a request whose key has no owner looks for one.
 _OWNER_CHECK_MS = 20
 
@@ -79,14 +77,14 @@
         self._backlogs = estimates
         self._log = log
         self._own_instance = cluster_view.deployment.instance
-        self._homes = permit_issuers.IssuerCache()
-        self._homes_at = clock.LONG_AGO
+        self.counting = counting_instances.CountingInstances(
+            cluster_view, loads
+        )
         self._random = random.Random()
         self._next_number = 0
         self._waits: dict[permits.PermitNumber, _Wait] = {}
         self._granted: dict[queueing.QueuedRequest, _Wait] = {}
         self.returns = permit_returns.PermitReturns()
-        self._issuer_health = issuer_health.IssuerHealth()
 
     @property
     def is_in_use(self) -> bool:
@@ -162,7 +160,7 @@
         if wait is None:
             return
         wait.last_answer_at = self._clock.now()
-        self._issuer_health.record_answer(wait.target.home, self._clock.now())
+        self.counting.record_answer(wait.target.home)
         verdict = permits.PermitVerdict(answer.verdict)
         if verdict is permits.PermitVerdict.QUEUED or wait.answer.done():
             return
@@ -337,9 +335,8 @@
             or home == self._own_instance
         ):
             return
-        if not self._issuer_health.skip(home, self._clock.now()):
+        if not self.counting.skip(home):
             return
-        self._homes_at = clock.LONG_AGO
         self._log.write_rate_limited(
             'permits',
             'counting instance skipped after unanswered permit requests',
@@ -353,15 +350,12 @@
         draw: float,
     ) -> _Target | None:
         """Return where to ask; None while no server may be sent to."""
-        self._refresh_homes()
         if request.key is None:
             pool = self._choose_pool(request, draw)
             if pool is None:
                 return None
-            line = permits.QueueName(f'{request.service} {pool}')
-            return _Target(
-                self._homes.get(line) or self._own_instance, line, None, pool
-            )
+            line = counting_instances.pool_line(request.service, pool)
+            return _Target(self.counting.of_line(line), line, None, pool)
         owner = self._backlogs.owner_server(request)
         if owner is None or self._loads.back_offs.remaining_ms(
             owner.incarnation, self._clock.now()
@@ -369,9 +363,7 @@
             return None
         server = owner.incarnation.server
         line = permits.QueueName(server)
-        return _Target(
-            self._homes.get(line) or self._own_instance, line, server, 0
-        )
+        return _Target(self.counting.of_line(line), line, server, 0)
 
     def _choose_pool(
         self, request: queueing.QueuedRequest, draw: float
@@ -391,25 +383,6 @@
             [server.incarnation.server for server in usable], count, drawn
         )
 
-    def _refresh_homes(self) -> None:
-        now = self._clock.now()
-        if now - self._homes_at >= _HOMES_REFRESH_MS:
-            self._homes_at = now
-            self._homes.update_weights(self._weights(now))
-
-    def _weights(
-        self,
-        now: clock.Millis,
-    ) -> dict[ids.InstanceId, float]:
-        weights = {
-            peer.instance: peer.counting_weight
-            for peer in self._view.peers.alive(now)
-            if not peer.is_leaving
-            and not self._issuer_health.is_skipped(peer.instance, now)
-        }
-        weights[self._own_instance] = self._view.deployment.counting_weight
-        return weights
-
 
 def _leaving_servers(
     known: typing.Iterable[servers.BackendServer],
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -9,6 +9,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import permit_issuers, servers
 from sycamoreferry_core.traffic import (
+    limit_shares,
     permits,
     queueing,
     request_pacer,
@@ -17,7 +18,6 @@
 )
 from sycamoreferry_gateway import (
     peer_messages,
-    rate_limit_reports,
     view,
 )
 
@@ -27,6 +27,7 @@
 _COUNTING_MS = 4_000
 
 Post = typing.Callable[[ids.InstanceId, peer_messages.PeerMessage], None]
+CounterOf = typing.Callable[[ids.ServerId], ids.InstanceId]
 
 
 class PermitService:
@@ -37,14 +38,17 @@
         cluster_view: view.View,
         loads: server_load.ServerLoads,
         post: Post,
+        counter_of: CounterOf,
     ) -> None:
         self._view = cluster_view
         self._clock = cluster_view.clock
         self._loads = loads
         self._post = post
+        self._counter_of = counter_of
         self._desk = permits.PermitIssuer()
         self._random = random.Random()
         self._pacer = request_pacer.RequestPacer()
+        self._shares: dict[ids.ServerId, float] = {}
         # When this instance last granted a request to each limited server.
         self._granted_at: dict[ids.ServerId, clock.Millis] = {}
 
@@ -58,8 +62,9 @@
         while True:
             await asyncio.sleep(clock.seconds(_SWEEP_INTERVAL_MS))
             self._send_decisions(self._desk.decide_due(self._clock.now()))
-            self._pacer.keep_only(self._view.fleet.servers)
+            self._pacer.drop_unused(self._clock.now())
             self._drop_old_grants()
+            self._shares.clear()
 
     def handle_request(self, asked: peer_messages.PermitRequest) -> None:
         """Grant a permit, queue the request, or reject it."""
@@ -81,9 +86,6 @@
     def handle_return(self, returned: peer_messages.PermitReturn) -> None:
         """Take a permit back, confirm it, and grant the next in turn."""
         now = self._clock.now()
-        rate_limit_reports.merge_rows(
-            self._loads.rate_limits, returned.rate_limits, now
-        )
         if returned.failed:
             self._loads.record_failure(ids.ServerId(returned.failed), now)
         if returned.answered:
@@ -192,14 +194,31 @@
     def _may_send(self, server: ids.ServerId, now: clock.Millis) -> bool:
         """Tell whether a server's rate limit allows a request now."""
         limit = self._loads.rate_limits.get(server)
-        return limit is None or self._pacer.is_due(server, now)
+        if limit is None:
+            return True
+        self._pacer.set_rate(server, limit, self._share_of(server, now), now)
+        return self._pacer.is_due(server, now)
+
+    def _share_of(self, server: ids.ServerId, now: clock.Millis) -> float:
+        """Return the share of a limit that is counted here until a sweep."""
+        share = self._shares.get(server)
+        if share is None:
+            share = limit_shares.share_of(
+                server,
+                self._view.deployment.instance,
+                self._counter_of(server),
+                self._view.peers,
+                now,
+            )
+            self._shares[server] = share
+        return share
 
     def _record_grant(self, server: ids.ServerId) -> None:
         limit = self._loads.rate_limits.get(server)
         if limit is None:
             return
         now = self._clock.now()
-        self._pacer.record_request(server, limit, now)
+        self._pacer.record_request(server)
         before = self._granted_at.get(server, clock.LONG_AGO)
         self._granted_at[server] = now
         if now - before > _COUNTING_MS:
@@ -208,6 +227,7 @@
                 'instance counts for a limited server',
                 server=server,
                 requests_per_s=limit,
+                share=self._share_of(server, now),
                 instances_heard=self._view.peers.count(now),
             )
 
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -96,6 +96,13 @@
         """Return the known servers of a service."""
         return self._by_service.get(service, {}).values()
 
+    def is_keyed(self, service: ids.ServiceName) -> bool:
+        """Tell whether the servers of a service hold keys."""
+        policy = None
+        if self.config is not None:
+            policy = self.config.services.get(service)
+        return policy is not None and policy.is_keyed
+
     def apply(
         self,
         topic: store_records.TopicName,
--- a/packages/gateway/tests/test_permits.py
+++ b/packages/gateway/tests/test_permits.py
@@ -99,8 +99,7 @@
     await _start(cluster)
     requester = cluster.instances[0]
     server_name = _owner(cluster).name
-    requester._dispatcher.permits._refresh_homes()
-    home = requester._dispatcher.permits._homes.get(server_name)
+    home = requester._dispatcher.permits.counting.of_line(server_name)
     number = [one._deployment.instance for one in cluster.instances].index(home)
     others = [index for index in range(INSTANCES) if index != number]
     await cluster.kill(number)
@@ -146,9 +145,8 @@
     await _start(cluster)
     requester = cluster.instances[0]
     server_name = _owner(cluster).name
-    requester._dispatcher.permits._refresh_homes()
     if (
-        requester._dispatcher.permits._homes.get(server_name)
+        requester._dispatcher.permits.counting.of_line(server_name)
         == requester._deployment.instance
     ):
         requester = cluster.instances[1]
