Date statements of rate limits by when they were sent

What callers saw: a limit may be lifted by a statement older than the limit. Cause: ages in messages counted from their receipt. One that waited at a frozen or slow instance looked new, and was passed on as such. Change: messages with such statements tell the sender's clock. The receiver compares its own clock with the fastest message of that sender, and takes the rest for a delay. Messages of earlier versions count from their receipt as before.

--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -87,6 +87,7 @@
                 peer_messages.CounterRow(server, counter)
                 for server, counter in self._get_counters().items()
             ],
+            sent_at=now,
         )
 
     def with_crashes(
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -4,7 +4,11 @@
 import typing
 
 from sycamoreferry_core import clock, ids
-from sycamoreferry_core.fleet import instances, store_records
+from sycamoreferry_core.fleet import (
+    instances,
+    message_delays,
+    store_records,
+)
 from sycamoreferry_core.keyspace import owners
 from sycamoreferry_core.traffic import peer_loads, server_load
 from sycamoreferry_gateway import (
@@ -28,6 +32,11 @@
 _SHARED_TOPICS = frozenset((store_sync.OWNERS_TOPIC, store_sync.SERVERS_TOPIC))
 
 _Address = tuple[str, int]
+_WithRateLimits = (
+    peer_messages.Heartbeat
+    | peer_messages.PermitRequest
+    | peer_messages.PermitReturn
+)
 _OnTopic = typing.Callable[[store_records.TopicName], None]
 _Send = typing.Callable[[peer_messages.PeerMessage, _Address], None]
 
@@ -50,6 +59,7 @@
         self._get_coordinator = get_coordinator
         self._send = send
         self._requested_at: dict[store_records.TopicName, clock.Millis] = {}
+        self._delays = message_delays.MessageDelays()
         self.on_new_peer: typing.Callable[[_Address], None] = _ignore_new_peer
         self.on_peer_offset: store_sync.OnPeerOffset = _ignore_peer_offset
         # Called if a peer has read the store in a newer era.
@@ -107,9 +117,7 @@
         if heartbeat.loads is not None:
             rows = _reports(heartbeat.loads)
             self._loads.peers.replace_report(instance, rows, now)
-        rate_limit_reports.merge_rows(
-            self._loads.rate_limits, heartbeat.rate_limits, now
-        )
+        self._merge_rate_limits(heartbeat)
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
         crash_reports.merge(heartbeat, self._view.crashes, now)
         self._request_newer(heartbeat, sender)
@@ -185,17 +193,13 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitRequest, sender: _Address) -> None:
-        rate_limit_reports.merge_rows(
-            self._loads.rate_limits, message.rate_limits, self._clock.now()
-        )
+        self._merge_rate_limits(message)
         if self.counter is not None:
             self.counter.handle_request(message)
 
     @handle.register
     def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
-        rate_limit_reports.merge_rows(
-            self._loads.rate_limits, message.rate_limits, self._clock.now()
-        )
+        self._merge_rate_limits(message)
         if self.counter is not None:
             self.counter.handle_return(message)
 
@@ -213,6 +217,22 @@
         if self.permits is not None:
             self.permits.returns.confirm(message)
 
+    def _merge_rate_limits(self, message: _WithRateLimits) -> None:
+        """Apply statements; those that waited on their way are older."""
+        now = self._clock.now()
+        sender = ids.InstanceId(message.instance)
+        status = self._view.peers.status(sender)
+        delay_ms = 0
+        if status is not None:
+            delay_ms = self._delays.delay_ms(
+                sender, status.incarnation, message.sent_at, now
+            )
+        rate_limit_reports.merge_rows(
+            self._loads.rate_limits,
+            message.rate_limits,
+            clock.later(now, -delay_ms),
+        )
+
     def _request_newer(
         self,
         heartbeat: peer_messages.Heartbeat,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -107,6 +107,8 @@
     trials: list[TrialRow] = []
     suspects: list[SuspectRow] = []
     counters: list[CounterRow] = []
+    # The sender's clock; 0 if it is of an earlier version.
+    sent_at: int = 0
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
@@ -181,6 +183,8 @@
     answer_in_ms: int | None = None
     # What is known of the rate limits of the servers that are asked for.
     rate_limits: list[RateLimitRow] = []
+    # The sender's clock; 0 if it is of an earlier version.
+    sent_at: int = 0
 
 
 class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
@@ -208,6 +212,8 @@
     answered: str
     # What the server said last about its rate limit.
     rate_limits: list[RateLimitRow] = []
+    # The sender's clock; 0 if it is of an earlier version.
+    sent_at: int = 0
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -297,6 +297,7 @@
                 self._limited_of(request.service, wait.target.server),
                 now,
             ),
+            sent_at=now,
         )
 
     def _limited_of(
@@ -324,6 +325,7 @@
             wait.failed_server or '',
             wait.answered_server or '',
             wait.rate_limits,
+            self._clock.now(),
         )
         self.returns.start(wait.target.home, message)
 
