Block requests after two crashes while most instances can't report theirs

What callers saw: an instance that loses the datagrams of all others, while it reaches servers and store, sent a crashing request 8 to 11 times after the bound, 3 allowed. Cause: it knows only the crashes that it saw itself, and needed three of them, each after two attempts. Change: while an instance hears half of the others or fewer, two crashes block a request there. It sends no trials in that state, as before; hearing the others again ends it. Tests: the unit test fails before the change.

--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -17,6 +17,8 @@
 Signature = typing.NewType('Signature', int)
 
 _CRASHES_TO_BLOCK = 3
+# The same while most other instances can't report theirs.
+_OWN_CRASHES_TO_BLOCK = 2
 _BLOCK_MS = 120_000
 # Instances of an earlier version report crashes without their age. One that is
 # still known here does not count again.
@@ -45,6 +47,8 @@
 
     def __init__(self) -> None:
         self._crashes: dict[Signature, _Crashes] = collections.defaultdict(dict)
+        # Whether most other instances report their crashes here.
+        self.hears_most = True
         # The requests with crashes enough to block them, now or earlier.
         self._repeated: dict[Signature, None] = {}
         # When requests were answered, the latest last.
@@ -60,7 +64,7 @@
         incarnations = self._crashes[crash.signature]
         is_new = crash.incarnation not in incarnations
         incarnations.setdefault(crash.incarnation, crash.at)
-        if len(incarnations) >= _CRASHES_TO_BLOCK:
+        if len(incarnations) >= _OWN_CRASHES_TO_BLOCK:
             self._repeated[crash.signature] = None
         return is_new
 
@@ -106,10 +110,8 @@
         if signature not in self._repeated:
             return False
         counted = self._counted(signature)
-        return (
-            len(counted) >= _CRASHES_TO_BLOCK
-            and now - counted[-1].at < _BLOCK_MS
-        )
+        needed = _CRASHES_TO_BLOCK if self.hears_most else _OWN_CRASHES_TO_BLOCK
+        return len(counted) >= needed and now - counted[-1].at < _BLOCK_MS
 
     def trial_due_at(
         self, signature: Signature, now: clock.Millis
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -267,3 +267,16 @@
         assert not guard.guard.is_trial_due(
             SIGNATURE, now, ids.InstanceId('i'), []
         )
+
+
+def test_instance_that_hears_no_others_waits_for_a_third_crash(
+    guard: _Guard,
+) -> None:
+    guard.guard.history.hears_most = False
+    for number in range(2):
+        assert not guard.is_blocked
+        guard.fail(number)
+        guard.confirm(number)
+    assert guard.is_blocked
+    guard.guard.history.hears_most = True
+    assert not guard.is_blocked
--- a/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
@@ -54,9 +54,11 @@
         """Return the time until a request may be sent; 0 if it may."""
         return self._guard.retry_after_ms(signature, self._clock.now())
 
-    def drop_ended(self) -> None:
-        """Log the blocks that have ended."""
+    def update(self) -> None:
+        """Note whether most instances are heard; log blocks that ended."""
         now = self._clock.now()
+        is_heard = bool(self._peers.trial_members(now))
+        self._guard.history.hears_most = is_heard
         for signature in list(self._logged):
             if not self._guard.history.is_blocked(signature, now):
                 self._logged.pop(signature)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -343,6 +343,6 @@
             )
             self._loads.back_offs.keep_only(self._view.fleet.incarnations)
             self._view.crashes.prune(self._clock.now())
-            self._view.blocks.drop_ended()
+            self._view.blocks.update()
             self._log.report_dropped()
             self._apply_view_change()
--- a/packages/gateway/tests/test_crash_combinations.py
+++ b/packages/gateway/tests/test_crash_combinations.py
@@ -104,7 +104,14 @@
     ),
 ]
 # The first case of each kind; the rest take minutes.
-_SHORT = ('at once', 'cut off', 'restart in turn', 'several', 'store away')
+_SHORT = (
+    'at once',
+    'cut off',
+    'no peers',
+    'restart in turn',
+    'several',
+    'store away',
+)
 
 
 def _cases() -> list[_Case]:
