Send a trial only to a server that takes a connection

What callers saw: requests that crash nothing were rejected for up to half a second longer than the second that is allowed, after hosts had gone silent. Cause: a trial counted from the moment it was tried. One to a host that is gone hangs for 0.45 s, reaches no server, and delays the next one at all instances; an instance that the store refuses knows of no others, and took the first turn again and again. Change: the connection is tried before the trial begins and before it is reported, and the turn is looked at again after it.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -24,6 +24,9 @@
 # so that time is left for another.
 _ATTEMPT_SHARE = 0.5
 _MIN_ATTEMPT_MS = 250
+_UNREACHABLE = http_client.FailedExchange(
+    http_client.ExchangeFailure.CONNECT, was_sent=False
+)
 
 
 class AttemptRunner:
@@ -100,9 +103,15 @@
                 proxied_requests.AttemptResult.NOT_SENT, server, detail
             )
         if not self._view.blocks.may_send(proxied.signature):
-            return proxied_requests.Attempt(
-                proxied_requests.AttemptResult.NOT_SENT, server, BLOCKED
-            )
+            return _blocked(server)
+        if self._view.blocks.is_blocked(proxied.signature):
+            # A trial that reaches no server would delay those of others.
+            if not await self._pool.can_connect(_address_of(server)):
+                return self._classifier.classify(
+                    proxied, server, _UNREACHABLE, started_at
+                )
+            if not self._view.blocks.may_send(proxied.signature):
+                return _blocked(server)
         payload = http_client.encode_request(
             proxied.request.method,
             proxied.request.target,
@@ -115,7 +124,7 @@
         )
         with self._runs.record(proxied, server) as run:
             outcome = await self._pool.exchange(
-                deployment.Address(server.host, server.port),
+                _address_of(server),
                 payload,
                 self._attempt_timeout_ms(proxied, server, started_at),
                 lambda reply: answers.matches_request(
@@ -146,6 +155,16 @@
         return min(remaining, attempt_ms)
 
 
+def _address_of(server: servers.BackendServer) -> deployment.Address:
+    return deployment.Address(server.host, server.port)
+
+
+def _blocked(server: servers.BackendServer) -> proxied_requests.Attempt:
+    return proxied_requests.Attempt(
+        proxied_requests.AttemptResult.NOT_SENT, server, BLOCKED
+    )
+
+
 def _interrupted(server: servers.BackendServer) -> proxied_requests.Attempt:
     return proxied_requests.Attempt(
         proxied_requests.AttemptResult.UNKNOWN, server, run_recorder.INTERRUPTED
--- a/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/blocked_requests.py
@@ -40,6 +40,10 @@
                 born=ended.born,
             )
 
+    def is_blocked(self, signature: crashes.Signature) -> bool:
+        """Return whether a request may be sent as a trial only."""
+        return self._guard.history.is_blocked(signature, self._clock.now())
+
     def may_send(self, signature: crashes.Signature) -> bool:
         """Return whether a request may be sent, if only as a trial."""
         now = self._clock.now()
--- a/packages/gateway/tests/test_crash_combinations.py
+++ b/packages/gateway/tests/test_crash_combinations.py
@@ -111,6 +111,7 @@
     'restart in turn',
     'several',
     'store away',
+    'store refuses one silent',
 )
 
 
