--- a/packages/gateway/src/sycamoreferry_gateway/rate_limit_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/rate_limit_reports.py
@@ -38,9 +38,9 @@
 def merge_rows(
     limits: rate_limits.RateLimits,
     rows: typing.Iterable[peer_messages.RateLimitRow],
-    now: clock.Millis,
+    sent_at: clock.Millis,
 ) -> None:
-    """Apply the statements that a peer reports."""
+    """Apply the statements of a peer, whose ages count from a time."""
     for row in rows:
         server = servers.ServerIncarnation(
             ids.ServerId(row.server),
@@ -49,6 +49,6 @@
         limits.merge(
             server,
             rate_limits.RateStatement(
-                row.requests_per_s, clock.later(now, -row.age_ms)
+                row.requests_per_s, clock.later(sent_at, -row.age_ms)
             ),
         )
