Excuse a trial whose server another request has crashed

What callers saw: in the soak with three servers nothing was served for a second after the faults, as the callers' alike requests stayed blocked. Cause: a trial of them was at a server as a crashing request ended it. That crash counted against the trial, so the next one came 15 s later. Change: a crash does not delay the trials of a request that was answered within a minute if a blocked request without an answer ran on the same server. Two requests without answers don't excuse each other. Tests: the unit test fails before the change.

--- a/packages/core/src/sycamoreferry_core/traffic/crashes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crashes.py
@@ -123,7 +123,11 @@
         crashes = 0
         if trials is not None:
             last_at = trials.last_at
-            crashes = sum(crash.at >= trials.first_at for crash in counted)
+            crashes = sum(
+                crash.at >= trials.first_at
+                and not self._is_explained(crash, now)
+                for crash in counted
+            )
         delay = block_trials.delay_ms(
             trials,
             crashes,
@@ -163,6 +167,20 @@
         self._survived_at = _drop_old(self._survived_at, now)
         self._seen_at = _drop_old(self._seen_at, now)
 
+    def _is_explained(self, crash: Crash, now: clock.Millis) -> bool:
+        """Return whether a request that was not answered ran there as well.
+
+        Only a request that servers answered is excused by another one, so that
+        two that crash servers do not excuse each other.
+        """
+        if self.answered_at(crash.signature, now) is None:
+            return False
+        return any(
+            crash.incarnation in self._crashes[other]
+            and self.answered_at(other, now) is None
+            for other in self.blocked(now)
+        )
+
     def _note_answer(self, signature: Signature, at: clock.Millis) -> None:
         latest = max(at, self._answered_at.pop(signature, clock.LONG_AGO))
         self._answered_at[signature] = latest
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -280,3 +280,29 @@
     assert guard.is_blocked
     guard.guard.history.hears_most = True
     assert not guard.is_blocked
+
+
+def test_trial_beside_a_request_that_crashes_servers_delays_the_next(
+    guard: _Guard,
+) -> None:
+    other = crashes.Signature(8)
+    guard.guard.record_answer(SIGNATURE, guard.clock.now())
+    guard.clock.advance(1)
+    _block(guard)
+    own = ids.InstanceId('i')
+    for number in range(10, 13):
+        now = guard.clock.now()
+        guard.guard.history.record(
+            crashes.Crash(other, _incarnation(number), now)
+        )
+    guard.guard.begin_trial(SIGNATURE, guard.clock.now())
+    guard.guard.history.record(
+        crashes.Crash(SIGNATURE, _incarnation(12), guard.clock.now())
+    )
+    served_at = None
+    for _ in range(300):
+        now = guard.clock.advance(10)
+        if guard.guard.is_trial_due(SIGNATURE, now, own, [own]):
+            served_at = now
+            break
+    assert served_at is not None
