--- a/packages/gateway/tests/support/gateway_testing/crash_soak.py
+++ b/packages/gateway/tests/support/gateway_testing/crash_soak.py
@@ -6,9 +6,13 @@
 import signal
 import typing
 
-from gateway_testing import crash_play, crashing_server, link_proxy, soak
-from sycamoreferry_gateway import http_client
-from sycamoreferry_ports import boot_clock
+from gateway_testing import (
+    caller_addresses,
+    crash_play,
+    crashing_server,
+    link_proxy,
+    soak,
+)
 
 _INTERVAL_S = 0.1
 _DOWN_S = 2.0
@@ -26,6 +30,7 @@
         self._store_links: dict[str, link_proxy.Proxy] = {}
         self._disrupted: dict[str, list[int]] = {}
         self._numbers = itertools.count()
+        self._pools = caller_addresses.CallerPools(seed)
 
     def stop(self) -> None:
         super().stop()
@@ -46,7 +51,6 @@
         """Repeat a request for a while that crashes the servers that run it."""
         path = f'{crashing_server.CRASHING_PATH}/{next(self._numbers)}'
         deadline_ms = self._random.choice((20, 200, 1_000))
-        pool = http_client.ConnectionPool(boot_clock.BootClock())
         calls = []
         for _ in range(int(self._random.uniform(2, 8) / _INTERVAL_S)):
             instance = self._random.choice(self.cluster.processes)
@@ -58,7 +62,7 @@
                 deadline_ms=deadline_ms,
                 method='POST',
             )
-            exchange = pool.exchange(
+            exchange = self._pools.choose().exchange(
                 instance.deployment.request_address, payload, deadline_ms
             )
             calls.append(asyncio.create_task(exchange))
