Limit the rate of all servers in a series of the soak

Arrivals in any 4 s are counted against the bound, while peers are cut off from each other and all other faults go on. Counting is split from the load of the plays.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -514,12 +514,30 @@
 __main__.run()
 """
 
-# Names the process in each request that it sends.
+# Names the process in each request that it sends, and hears no peer from one
+# SIGUSR2 to the next.
 _WITH_SENDER = """
 import os
+import signal
+
+from sycamoreferry_gateway import __main__, http_client, peer_socket
+
+is_cut = False
+
+
+def toggle(*_):
+    global is_cut
+    is_cut = not is_cut
+
+
+def unless_cut(method):
+    return lambda *args: None if is_cut else method(*args)
 
-from sycamoreferry_gateway import __main__, http_client
 
+peers = peer_socket.PeerSocket
+peers.send_all = unless_cut(peers.send_all)
+peers.datagram_received = unless_cut(peers.datagram_received)
+signal.signal(signal.SIGUSR2, toggle)
 sender = (('Sent-By', f"{os.environ['FERRY_TEST_NAME']}/{os.getpid()}"),)
 encode = http_client.encode_request
 http_client.encode_request = lambda method, target, headers, body: encode(
--- a/packages/gateway/tests/support/gateway_testing/limit_faults.py
+++ b/packages/gateway/tests/support/gateway_testing/limit_faults.py
@@ -135,7 +135,7 @@
 
     async def changing(self) -> None:
         for limit in (1, 6, 2, 8, 3):
-            self._play.limit(self._cluster.servers[0], limit)
+            self._play.watch.limit(self._cluster.servers[0], limit)
             await asyncio.sleep(1)
 
     def _limited(self) -> list[typing.Any]:
@@ -148,11 +148,11 @@
     async def _start_again(self, pause_s: float) -> None:
         """Kill the first instance and start it again as the last."""
         name = self._play.name(0)
-        began_at = self._play.clock.now()
+        began_at = self._play.watch.clock.now()
         await self._cluster.kill(0)
         crash_play.name_sender(self._cluster.restart(0))
         self._cluster.instances.pop(0)
         self._cluster._tasks.pop(0)
         await asyncio.sleep(pause_s)
-        ended_at = self._play.clock.now()
-        self._play.disruptions.append((name, began_at, ended_at))
+        ended_at = self._play.watch.clock.now()
+        self._play.watch.disruptions.append((name, began_at, ended_at))
--- a/packages/gateway/tests/test_rate_limit_faults.py
+++ b/packages/gateway/tests/test_rate_limit_faults.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gateway_testing import limit_faults, limit_play
+from gateway_testing import limit_faults, limit_play, limit_watch
 
 _INSTANCES = 10
 _SERVERS = 6
@@ -94,12 +94,12 @@
     play.load(_LOAD_PER_S)
     await asyncio.sleep(1.5)
     for server, limit in zip(cluster.servers, case.limits, strict=False):
-        play.limit(server, limit)
+        play.watch.limit(server, limit)
     await asyncio.sleep(2.5)
     await limit_faults.LimitFaults(play).play(case.fault)
-    await asyncio.sleep(limit_play.WINDOW_MS / 1_000)
+    await asyncio.sleep(limit_watch.WINDOW_MS / 1_000)
     play.stop()
     for server in cluster.servers[: len(case.limits)]:
-        record_property(server.name, play.worst_window(server.name))
+        record_property(server.name, play.watch.worst_window(server.name))
     record_property('statuses', dict(play.statuses))
-    assert not play.excess()
+    assert not play.watch.excess()
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gateway_testing import crash_soak, restore_soak, soak
+from gateway_testing import crash_soak, limit_soak, restore_soak, soak
 
 _ALIKE_REQUESTS = 'requests that are alike were taken for one that ends servers'
 # Each seed that ever failed, with the cause of its failure.
@@ -22,6 +22,8 @@
     98: _ALIKE_REQUESTS,
 }
 SHORT_SEEDS = (2,)
+# A limit was granted in several places.
+LIMIT_SEEDS = (1,)
 
 
 def _seeds() -> list[int]:
@@ -31,10 +33,10 @@
     return [*SHORT_SEEDS, *REGRESSION_SEEDS]
 
 
-def _short_seeds() -> list[int]:
+def _short_seeds(usual: tuple[int, ...] = SHORT_SEEDS) -> list[int]:
     if os.environ.get('FERRY_SOAK_SEEDS'):
         return _seeds()
-    return list(SHORT_SEEDS)
+    return list(usual)
 
 
 async def _play(played: soak.Soak, folder: pathlib.Path) -> None:
@@ -103,3 +105,15 @@
     seed: int,
 ) -> None:
     await _play(crash_soak.CrashSoak(cluster, checked_calls, seed), tmp_path)
+
+
+@pytest.mark.processes
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', _short_seeds(LIMIT_SEEDS))
+async def test_promises_hold_while_servers_limit_their_rate(
+    cluster: typing.Any,
+    checked_calls: typing.Any,
+    tmp_path: pathlib.Path,
+    seed: int,
+) -> None:
+    await _play(limit_soak.LimitSoak(cluster, checked_calls, seed), tmp_path)
