Share the budget for retries among members, heard lately or not

What callers saw: nothing yet; found while looking for the cause of limits that are granted in several places. Cause: the extra retries were divided by the number of instances that are heard, so each of two halves that don't hear each other used all of them. Change: they are divided by the number of members, as the shares of limits are. Test: fails before the change, since nothing counts silent peers. The effect on a budget was not played.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -113,6 +113,14 @@
             if not peer.is_leaving and now - peer.received_at < _MEMBER_MS
         ]
 
+    def member_count(self, now: clock.Millis) -> int:
+        """Return the number of members, this instance included.
+
+        Shares of a bound on all instances go by it: those that are not heard
+        may use theirs.
+        """
+        return 1 + len(self.members(now))
+
     def is_silent(self, peer: PeerStatus, now: clock.Millis) -> bool:
         """Return whether a peer may have chosen other instances since."""
         return now - peer.received_at >= self.share_timeout_ms
--- a/packages/core/tests/fleet/test_instances.py
+++ b/packages/core/tests/fleet/test_instances.py
@@ -170,3 +170,13 @@
     peers = instances.Peers(OWN, 1)
     peers.update(_status(COORDINATOR, START, is_cut_off=True))
     assert peers.rank(START) == 0
+
+
+def test_silent_peers_leave_their_share_of_a_bound_to_the_others() -> None:
+    peers = instances.Peers(ids.InstanceId('i0'), 1)
+    for number in range(1, 10):
+        peers.update(_status(ids.InstanceId(f'i{number}'), 0))
+    assert peers.member_count(clock.Millis(500)) == 10
+    assert peers.count(clock.Millis(5_000)) == 1
+    assert peers.member_count(clock.Millis(5_000)) == 10
+    assert peers.member_count(clock.Millis(60_000)) == 1
--- a/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
+++ b/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
@@ -73,7 +73,7 @@
             return False
         return self._budget.spend(
             proxied.service,
-            self._view.peers.count(now),
+            self._view.peers.member_count(now),
             now,
         )
 
@@ -83,7 +83,7 @@
         if now >= proxied.answer_by or not self.may_rerun(proxied):
             return False
         return self._budget.spend(
-            proxied.service, self._view.peers.count(now), now
+            proxied.service, self._view.peers.member_count(now), now
         )
 
     def may_rerun(self, proxied: proxied_requests.ProxiedRequest) -> bool:
