Void crashes only by entries that were written after them

Cause: an entry with a higher sequence number shows that its server is up, as it was read at most two seconds after it was written. An instance that does not coordinate reads entries each 2.5 s, and in an outage later. It read the last entry that a server wrote before its crash after it, and voided that crash. In the log eight instances list the first, third and fourth crash as those that block the request, from 21.1 s on; the coordinator, which polls twice a second, lists the second too, and rejects the request at 18.6 s. Change: an entry that is read was written after the reading before it began, and voids the crashes of runs that began before that. Tests: the new test fails before the change. The guard's two tests set the time of reading that they took for granted; what they expect is the same.

--- a/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
+++ b/packages/core/src/sycamoreferry_core/traffic/crash_guard.py
@@ -11,9 +11,6 @@
     server_runs,
 )
 
-# An entry may be read this long after its server wrote it.
-_ENTRY_DELAY_MS = 2_000
-
 
 class CrashGuard:
     """Join the runs at servers with the crashes that all instances know."""
@@ -22,6 +19,8 @@
         self.runs = server_runs.ServerRuns()
         self.history = crashes.CrashHistory()
         self.selection = crash_selection.CrashSelection(self.history)
+        # All entries of servers that were written before this were read.
+        self.entries_read_at = clock.LONG_AGO
 
     def confirm_crashes(
         self,
@@ -58,13 +57,9 @@
         if self.history.record_answer(signature, now):
             self.selection.add_survival(signature, now)
 
-    def record_entry(
-        self, incarnation: servers.ServerIncarnation, now: clock.Millis
-    ) -> None:
-        """Record that a server has written an entry, so that it is up."""
-        self.history.record_seen(
-            incarnation, clock.later(now, -_ENTRY_DELAY_MS)
-        )
+    def record_entry(self, incarnation: servers.ServerIncarnation) -> None:
+        """Record that a server has written an entry since the last reading."""
+        self.history.record_seen(incarnation, self.entries_read_at)
 
     def is_trial_due(
         self,
--- a/packages/core/tests/traffic/test_crash_guard.py
+++ b/packages/core/tests/traffic/test_crash_guard.py
@@ -169,7 +169,8 @@
 def test_server_that_is_seen_again_was_not_crashed(guard: _Guard) -> None:
     _block(guard)
     guard.clock.advance(4_000)
-    guard.guard.record_entry(_incarnation(0), guard.clock.now())
+    guard.guard.entries_read_at = guard.clock.now()
+    guard.guard.record_entry(_incarnation(0))
     assert not guard.is_blocked
 
 
@@ -177,7 +178,8 @@
     guard: _Guard,
 ) -> None:
     _block(guard)
-    guard.guard.record_entry(_incarnation(2), guard.clock.now())
+    guard.guard.entries_read_at = clock.later(guard.clock.now(), -4_000)
+    guard.guard.record_entry(_incarnation(2))
     assert guard.is_blocked
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -87,8 +87,11 @@
     async def follow_servers(self) -> None:
         """Poll the entries of backend servers and forward changes to peers."""
         while True:
+            asked_at = self._view.clock.now()
             was_read = await self._read_topic(store_calls.SERVERS_TOPIC, 0)
-            if not was_read:
+            if was_read:
+                self._view.crashes.entries_read_at = asked_at
+            else:
                 # The connection of the configuration's long poll may have
                 # stalled as well.
                 self._wakes[store_calls.CONFIG_TOPIC].set()
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -260,7 +260,7 @@
         if not self.fleet.apply(entry):
             return False
         if previous is not None and _is_heartbeat(previous, entry):
-            self.crashes.record_entry(entry.incarnation, self.clock.now())
+            self.crashes.record_entry(entry.incarnation)
         if entry.state is servers.ServerState.DRAINING:
             self.fleet.record_leaving(entry.incarnation, self.clock.now())
         entry = self.fleet.servers[server_id]
--- a/packages/gateway/tests/test_view.py
+++ b/packages/gateway/tests/test_view.py
@@ -11,6 +11,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import deployment, servers, store_records
 from sycamoreferry_core.keyspace import owners
+from sycamoreferry_core.traffic import crashes
 from sycamoreferry_gateway import assignment, event_log, view
 
 SERVICE = ids.ServiceName('v')
@@ -223,3 +224,28 @@
     known = logged.view.servers_of(ids.ServiceName('service1'))
     assert not any(server.is_ready for server in known)
     assert len(logged.lines('server is leaving')) == 1
+
+
+@pytest.mark.parametrize('read_again', [False, True])
+def test_entry_written_before_a_crash_and_read_late_voids_it(
+    logged: LoggedView, *, read_again: bool
+) -> None:
+    clock_of_view = typing.cast(clock.ManualClock, logged.view.clock)
+    request = crashes.Signature(7)
+    logged.forward(_server_record(1))
+    logged.view.crashes.entries_read_at = clock_of_view.now()
+    history = logged.view.crashes.history
+    for born in (1, 2, 3):
+        incarnation = servers.ServerIncarnation(
+            ids.ServerId(f's{born}'), servers.IncarnationNumber(1)
+        )
+        history.record(
+            crashes.Crash(request, incarnation, clock_of_view.advance(10))
+        )
+    # A follower reads entries at intervals of seconds.
+    clock_of_view.advance(2_500)
+    if read_again:
+        logged.view.crashes.entries_read_at = clock_of_view.now()
+    logged.forward(_server_record(1, Seq=2, offset=SERVER_COUNT))
+    is_blocked = history.is_blocked(request, clock_of_view.now())
+    assert is_blocked != read_again
