Review: show a planned stop that cuts requests because of a foreign entry

Cause: an entry of another writer with a born above 64 bits can't be encoded in heartbeats, and the exception ends a stopping instance before it has drained.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -603,6 +603,8 @@
         self.sent: dict[str, str] = {}
         self.unsafe: set[str] = set()
         self.refused: dict[str, str] = {}
+        # Requests whose connection ended without a complete answer.
+        self.cut: dict[str, str] = {}
         self.servers: list[Server] = []
 
     def report(self, rule: str, text: str) -> None:
@@ -958,10 +960,12 @@
                 )
                 if reply is None:
                     reply = 'a closed connection'
+                    self.judge.cut[name] = reply
         except TimeoutError:
             reply = 'nothing by the deadline'
         except (ConnectionError, OSError) as error:
             reply = f'a broken connection ({error})'
+            self.judge.cut[name] = reply
         finally:
             if writer is not None:
                 writer.close()
