Review: show a request that runs without its body behind an offered upgrade

Cause: the parser ends a request that offers an upgrade after its headers, and the reader passes it on as complete; then it answers 400 as well. The case was first taken for a wrong 400 only.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -613,6 +613,7 @@
         self.broken: list[str] = []
         self.ran: dict[str, list[str]] = collections.defaultdict(list)
         self.sent: dict[str, str] = {}
+        self.bodies: dict[str, bytes] = {}
         self.unsafe: set[str] = set()
         self.refused: dict[str, str] = {}
         # Requests whose connection ended without a complete answer.
@@ -664,6 +665,13 @@
         sent = self.sent.get(name)
         if sent != f'{request.method} {request.target}':
             self.report('UNASKED', f'{name} {request.start}, sent was {sent}')
+        body = self.bodies.get(name, b'')
+        if request.body != body:
+            self.report(
+                'UNASKED',
+                f'{name} runs with a body of {len(request.body)} bytes, '
+                f'{len(body)} bytes were sent',
+            )
         if name in self.unsafe and len(self.ran[name]) > 1:
             self.report('TWICE', f'{name} ran at {self.ran[name]}')
         for other in self.servers:
@@ -954,6 +962,7 @@
     ) -> bytes:
         """Encode a request and note that it is sent."""
         self.judge.sent[name] = f'{method} {path}'
+        self.judge.bodies[name] = body
         if is_unsafe:
             self.judge.unsafe.add(name)
         lines = [
