--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,11 +1,15 @@
 """A second rejection is taken for the answer to the next try of a request.
 
-Servers of a keyed service reject requests while their queues are full (503
-with Not-Executed). Some of them send 3 in 100 of their answers twice, the
-second at the point where the next answer on the connection is expected.
+A server of a keyed service sheds part of its requests (503 with Not-Executed).
+Some servers, it among them, send 3 in 100 of their answers twice, the second at
+the point where the next answer on the connection is expected.
+
+With SHORT_QUEUE=1 no server sheds. They have a queue of two instead and reject
+requests while it is full.
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -17,17 +21,22 @@
 
 # The dose of `garble`, `extra late` in the site file: 0.6 of the servers of a
 # service send a second answer to 0.03 of what they answer, for 5 s.
-FAULTY = 3
-SERVERS = 5
+IS_QUEUE_SHORT = os.environ.get('SHORT_QUEUE') == '1'
+SERVERS = 5 if IS_QUEUE_SHORT else 10
+FAULTY = SERVERS * 6 // 10
 DOSE = 0.03
 WINDOW_S = 5
-WINDOWS = 3
+WINDOWS = 6
 PAUSE_S = 3
 
 GATEWAYS = 4
 WORK_S = 0.084
-# Four fifths of what the servers can run.
-REQUESTS_PER_S = 95
+REQUESTS_PER_S = 95 if IS_QUEUE_SHORT else 150
+SLOTS = 2 if IS_QUEUE_SHORT else 4
+QUEUE = 2 if IS_QUEUE_SHORT else 16
+# `srv_grey`, `shed` in the site file: 0.14 of the servers fail 0.45 of their
+# requests for up to 6.5 s. Here it is one server.
+SHED_SHARE = 0.0 if IS_QUEUE_SHORT else 0.45
 
 
 class DoublingServer(world.Server):
@@ -38,7 +47,10 @@
         self.is_faulty = False
         self.answered_before = 0
         self.doubled = 0
-        self.queue = 2
+        self.slots = SLOTS
+        self.queue = QUEUE
+        self.shed_share = 0.0
+        self._draw = random.Random(2)
 
     def begin_window(self):
         """Begin to send some answers twice."""
@@ -46,6 +58,11 @@
         self.answered_before = self.answers
         self.doubled = 0
 
+    async def _serve_request(self, request):
+        if self._draw.random() < self.shed_share:
+            return self.answer(request, 503, {'Not-Executed': '1'})
+        return await super()._serve_request(request)
+
     def doubles(self, request, status):
         """Double rejections, up to the dose of the window."""
         allowed = int(DOSE * (self.answers - self.answered_before))
@@ -71,9 +88,11 @@
         if world.has_trouble():
             for server in scene.servers[:FAULTY]:
                 server.begin_window()
+            scene.servers[0].shed_share = SHED_SHARE
         await asyncio.sleep(WINDOW_S)
         for server in scene.servers[:FAULTY]:
             server.is_faulty = False
+        scene.servers[0].shed_share = 0.0
         await asyncio.sleep(PAUSE_S)
     load.cancel()
     await asyncio.sleep(2)
