Use records of other writers only within bounds, and let a part fail alone

Cause: decoders took what no later use can bear (numbers above 64 bits, ports above 65535, names for addresses, endless durations, long texts), or raised what callers don't catch (RecursionError, ValueError for long numbers), so that records behind a bad one were lost. One part that raised stopped others: the drain, the receivers of a heartbeat, the steps of the housekeeping. An assignment that can't be read counted as none, so keys were granted that servers still held.

Change: bounded types for the fields of all decoders; nesting is reported as malformed. Records, datagrams, receivers and steps fail alone. An entry that can't be used leaves the known server as it was; one of a service that is not configured is no server. Three entries in a row show that an incarnation is up, whatever a later number says. A heartbeat that can't be encoded is sent without reports. A claim behind an assignment that can't be read waits for all leases.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -8,6 +8,11 @@
 
 IncarnationNumber = typing.NewType('IncarnationNumber', int)
 
+# Servers are numbered by the Unix millisecond of their start; none starts after
+# the year 9999.
+_LAST_SECOND = 253_402_300_799
+LATEST_INCARNATION = IncarnationNumber(_LAST_SECOND * clock.MILLIS_PER_SECOND)
+
 
 @enum.unique
 class ServerState(enum.Enum):
@@ -53,6 +58,27 @@
     since: clock.Millis
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heartbeats:
+    """Count the entries of an incarnation in a row that rise in number."""
+
+    incarnation: ServerIncarnation
+    sequence: int
+    count: int = 1
+
+    def with_entry(self, entry: 'BackendServer') -> '_Heartbeats':
+        goes_on = (
+            entry.incarnation == self.incarnation
+            and entry.sequence > self.sequence
+        )
+        return _Heartbeats(
+            entry.incarnation, entry.sequence, self.count + 1 if goes_on else 1
+        )
+
+
+# An incarnation that writes so many entries in a row is up. A later one that
+# was read before is another writer's.
+_HEARTBEATS_OF_LIVE = 3
 # Servers resume heartbeats within two seconds of the store's recovery.
 RECOVERY_GRACE_MS = 2_500
 
@@ -67,6 +93,7 @@
         self._removed: dict[ids.ServerId, BackendServer] = {}
         # Kept after a removal, since a copy of the store may list them again.
         self._departures: dict[ids.ServerId, _Departure] = {}
+        self._heartbeats: dict[ids.ServerId, _Heartbeats] = {}
 
     @property
     def servers(self) -> typing.Mapping[ids.ServerId, BackendServer]:
@@ -130,16 +157,21 @@
         return True
 
     def apply(self, entry: BackendServer) -> bool:
-        """Store an entry and return True unless a newer one is known."""
-        known = self._servers.get(entry.incarnation.server)
-        if known is not None and _is_older(entry, known):
+        """Store an entry and return True unless a newer one is known.
+
+        The caller passes the entries of a server in the order of the store,
+        except that the store may return to an older copy.
+        """
+        server_id = entry.incarnation.server
+        known = self._servers.get(server_id)
+        if known is not None and _contradicts(entry, known):
             return False
-        removed = self._removed.get(entry.incarnation.server)
-        if removed is not None and not _is_older(removed, entry):
-            # The store may return to a copy that still has the entry.
+        if self._is_live(entry):
+            self._drop_later_incarnations(entry.incarnation)
+        elif self._is_superseded(entry, known):
             return False
-        self._servers[entry.incarnation.server] = self._with_departure(entry)
-        self._removal_times.pop(entry.incarnation.server, None)
+        self._servers[server_id] = self._with_departure(entry)
+        self._removal_times.pop(server_id, None)
         return True
 
     def schedule_removal(
@@ -155,6 +187,12 @@
             now, clock.later(last_outage, RECOVERY_GRACE_MS)
         )
 
+    def drop(self, server: ids.ServerId) -> None:
+        """Forget a server that is none."""
+        self._servers.pop(server, None)
+        self._removal_times.pop(server, None)
+        self._departures.pop(server, None)
+
     def is_removal_scheduled(self, server: ids.ServerId) -> bool:
         """Return whether a server is removed unless an entry comes back."""
         return server in self._removal_times
@@ -172,6 +210,31 @@
             removed.append(gone)
         return removed
 
+    def _is_live(self, entry: BackendServer) -> bool:
+        """Count an entry; return whether its incarnation is certainly up."""
+        server_id = entry.incarnation.server
+        beats = self._heartbeats.get(server_id)
+        if beats is None:
+            beats = _Heartbeats(entry.incarnation, entry.sequence)
+        else:
+            beats = beats.with_entry(entry)
+        self._heartbeats[server_id] = beats
+        return beats.count >= _HEARTBEATS_OF_LIVE
+
+    def _is_superseded(
+        self, entry: BackendServer, known: BackendServer | None
+    ) -> bool:
+        if known is not None:
+            return entry.incarnation.born < known.incarnation.born
+        removed = self._removed.get(entry.incarnation.server)
+        # The store may return to a copy that still has the entry.
+        return removed is not None and not _is_older(removed, entry)
+
+    def _drop_later_incarnations(self, live: ServerIncarnation) -> None:
+        departure = self._departures.get(live.server)
+        if departure is not None and departure.born > live.born:
+            self._departures.pop(live.server)
+
     def _with_departure(self, entry: BackendServer) -> BackendServer:
         since = self.leaving_since(entry.incarnation)
         if since is None:
@@ -179,6 +242,15 @@
         return dataclasses.replace(entry, leaving_since=since)
 
 
+def _contradicts(entry: BackendServer, known: BackendServer) -> bool:
+    """Return whether an entry moves an incarnation to another service."""
+    return (
+        entry.incarnation == known.incarnation
+        and entry.incarnation.born > 0
+        and entry.service != known.service
+    )
+
+
 def _is_older(entry: BackendServer, known: BackendServer) -> bool:
     if entry.incarnation.born != known.incarnation.born:
         return entry.incarnation.born < known.incarnation.born
--- a/packages/core/tests/fleet/test_servers.py
+++ b/packages/core/tests/fleet/test_servers.py
@@ -116,3 +116,46 @@
     fleet.schedule_removal(ENTRY.incarnation.server, NOW, clock.LONG_AGO)
     assert fleet.remove_due(NOW)
     assert fleet.apply(_entry(born, sequence)) is is_taken
+
+
+@pytest.mark.parametrize('is_leaving', [False, True])
+def test_server_stays_unknown_behind_an_entry_of_another_writer(
+    fleet: servers.ServerFleet, *, is_leaving: bool
+) -> None:
+    # The entry names a later incarnation than the server is.
+    # The last millisecond of the year 9999.
+    odd = _entry(born=253_402_300_799_999)
+    fleet.apply(odd)
+    if is_leaving:
+        fleet.record_leaving(odd.incarnation, NOW)
+    for sequence in (2, 3, 4):
+        fleet.apply(_entry(sequence=sequence))
+    assert fleet.is_ready(ENTRY.incarnation)
+
+
+def test_entry_of_an_earlier_incarnation_replaces_no_later_one(
+    fleet: servers.ServerFleet,
+) -> None:
+    assert fleet.apply(_entry(born=8))
+    for sequence in (2, 3):
+        assert not fleet.apply(_entry(sequence=sequence))
+    assert fleet.is_ready(_incarnation(8))
+
+
+def test_number_of_another_writer_stops_no_later_entries(
+    fleet: servers.ServerFleet,
+) -> None:
+    fleet.apply(_entry(sequence=2**50))
+    draining = dataclasses.replace(
+        _entry(sequence=2), state=servers.ServerState.DRAINING
+    )
+    assert fleet.apply(draining)
+    assert not fleet.is_ready(ENTRY.incarnation)
+
+
+def test_incarnation_stays_with_its_service(fleet: servers.ServerFleet) -> None:
+    moved = dataclasses.replace(
+        _entry(sequence=2), service=ids.ServiceName('other')
+    )
+    assert not fleet.apply(moved)
+    assert fleet.servers[ENTRY.incarnation.server].service == 'v'
--- a/packages/gateway/src/sycamoreferry_gateway/assignment.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment.py
@@ -5,24 +5,25 @@
 
 import msgspec
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import decoding, ids
 from sycamoreferry_core.fleet import servers, store_records
 from sycamoreferry_core.keyspace import owners
+from sycamoreferry_gateway import peer_messages
 
 ASSIGNMENT_KEY = store_records.RecordKey('assignment')
 
 
 class _Row(msgspec.Struct, array_like=True):
-    first: int
-    last: int
+    first: peer_messages.Key
+    last: peer_messages.Key
     server: str
     born: int
-    fence: int
+    fence: decoding.WholeNumber
     handover: str
 
 
 class _Record(msgspec.Struct, array_like=True):
-    term: int
+    term: decoding.Count
     coordinator: str
     # Unique id of this write, by which the coordinator recognises its own
     # record after the reply was lost.
@@ -78,9 +79,9 @@
 
 def decode_assignment(content: bytes) -> Assignment:
     """Decode an assignment; raise MsgspecError if it is malformed."""
-    record = _decoder.decode(content)
+    record = decoding.decode(_decoder, content)
     tables = {
-        ids.ServiceName(service): owners.OwnerTable(map(_decode_row, rows))
+        ids.ServiceName(service): _decode_table(rows)
         for service, rows in record.services.items()
     }
     return Assignment(
@@ -102,6 +103,19 @@
     )
 
 
+def _decode_table(rows: list[_Row]) -> owners.OwnerTable:
+    table = owners.OwnerTable(map(_decode_row, rows))
+    next_key: int = owners.FIRST_KEY
+    for row in table.rows:
+        if not next_key <= row.keys.first <= row.keys.last:
+            raise msgspec.ValidationError(
+                f'keys {row.keys.first} to {row.keys.last} have two owners, '
+                'or are in the wrong order'
+            )
+        next_key = row.keys.last + 1
+    return table
+
+
 def _decode_row(row: _Row) -> owners.Ownership:
     keys = owners.KeyRange(owners.Key(row.first), owners.Key(row.last))
     life = servers.ServerIncarnation(
--- a/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment_tracker.py
@@ -25,6 +25,7 @@
         self._current = assignment.NO_ASSIGNMENT
         self._term_since = time_source.now()
         self._lost_since: clock.Millis | None = None
+        self._is_unreadable = False
         # When the leases of terms that were given up have expired.
         self.given_up_lease_ends: dict[ids.Term, clock.Millis] = {}
 
@@ -59,6 +60,14 @@
         """
         return self._lost_since
 
+    @property
+    def is_unreadable(self) -> bool:
+        """Return whether the store's assignment could not be decoded.
+
+        The owners that it names, or that it replaced, are not known then.
+        """
+        return self._is_unreadable
+
     def check_for_loss(self) -> None:
         """Find out from the mirror whether the store lost an assignment."""
         if not self._is_older_copy():
@@ -73,6 +82,7 @@
         try:
             decoded = assignment.decode_assignment(record.content)
         except msgspec.MsgspecError as error:
+            self._is_unreadable = True
             self._log.write(
                 'owners',
                 'assignment is malformed',
@@ -80,6 +90,7 @@
                 reason=str(error),
             )
             return False
+        self._is_unreadable = False
         if self._is_outdated(decoded):
             self._log.write(
                 'owners',
--- a/packages/gateway/src/sycamoreferry_gateway/claim_records.py
+++ b/packages/gateway/src/sycamoreferry_gateway/claim_records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sycamoreferry_core import decoding
 from sycamoreferry_core.fleet import store_records
 
 # Holds the era of the store in which a term was last claimed.
@@ -13,7 +14,7 @@
 # A record without content that only takes up an offset.
 _FILLER = store_records.NewRecord(store_records.RecordKey('0'), b'')
 
-_decoder = msgspec.msgpack.Decoder(int)
+_decoder: msgspec.msgpack.Decoder[int] = msgspec.msgpack.Decoder(decoding.Count)
 
 
 def build_era_records(
@@ -35,6 +36,6 @@
     if record is None or record.content is None:
         return store_records.NO_ERA
     try:
-        return store_records.StoreEra(_decoder.decode(record.content))
+        return store_records.StoreEra(decoding.decode(_decoder, record.content))
     except msgspec.MsgspecError:
         return store_records.NO_ERA
--- a/packages/gateway/src/sycamoreferry_gateway/earlier_terms.py
+++ b/packages/gateway/src/sycamoreferry_gateway/earlier_terms.py
@@ -36,7 +36,8 @@
         Takes the last term that it gave up, and when the store last confirmed
         that term.
         """
-        if self._view.owners.lost_since is None:
+        tracked = self._view.owners
+        if tracked.lost_since is None and not tracked.is_unreadable:
             return term_claims.OwnerKnowledge.STORED
         is_own = self.is_own(self._view.assignment, given_up)
         if is_own and not self._may_be_superseded(confirmed_at):
--- a/packages/gateway/src/sycamoreferry_gateway/event_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/event_log.py
@@ -6,9 +6,9 @@
 import typing
 
 import logbook
-import msgspec
 
 from sycamoreferry_core import clock
+from sycamoreferry_gateway import log_fields
 
 # Lines that are buffered while the reader of the descriptor is slow.
 _MAX_PENDING_LINES = 2_000
@@ -19,8 +19,6 @@
 _CLOSE_LIMIT_MS = 50
 _STDOUT = 1
 
-_encoder = msgspec.json.Encoder()
-
 
 class _LineHandler(logbook.Handler):  # type: ignore[misc]
     """Write records as JSON lines to a non-blocking descriptor."""
@@ -44,9 +42,7 @@
         if len(self._pending) >= _MAX_PENDING_LINES:
             self.dropped += 1
             return
-        encoded = bytearray(_encoder.encode(line))
-        encoded.extend(b'\n')
-        self._pending.append(bytes(encoded))
+        self._pending.append(log_fields.encode_line(line))
         self.flush()
 
     def flush(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from sycamoreferry_core import ids
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
@@ -99,6 +101,23 @@
             reports_often=True,
         )
 
+    def without_reports(
+        self, heartbeat: peer_messages.Heartbeat
+    ) -> peer_messages.Heartbeat:
+        """Return a heartbeat that tells of the sender alone."""
+        return msgspec.structs.replace(
+            heartbeat,
+            loads=None,
+            crashes=[],
+            survivals=[],
+            trials=[],
+            suspects=[],
+            rate_limits=[],
+            leaving=[],
+            counters=[],
+            silent=[],
+        )
+
     def with_crashes(
         self, heartbeat: peer_messages.Heartbeat
     ) -> peer_messages.Heartbeat:
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -28,7 +28,8 @@
 
 _NO_BODY_STATUSES = frozenset((204, 304))
 _INTERIM_STATUSES = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
-_STATUS_END = 600
+_LAST_STATUS = 599
+STATUSES = range(http.HTTPStatus.CONTINUE, _LAST_STATUS + 1)
 
 
 @enum.unique
@@ -122,7 +123,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the status and find out how the body is delimited."""
-        if not http.HTTPStatus.CONTINUE <= self.status < _STATUS_END:
+        if self.status not in STATUSES:
             raise httptools.HttpParserError(f'status {self.status}')
         self.is_headers_done = True
         names = dict(self.headers)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -1,9 +1,9 @@
 """Run the parts of a gateway instance on one event loop."""
 
 import asyncio
+import functools
 import signal
 import time
-import typing
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.fleet import (
@@ -13,33 +13,29 @@
 from sycamoreferry_core.traffic import server_load
 from sycamoreferry_gateway import (
     coordinator,
-    crash_monitor,
     dispatcher,
     event_log,
+    housekeeping,
     http_client,
     http_server,
+    part_runner,
     peer_exchange,
     permit_service,
-    reachability_monitor,
     relay_service,
     request_handler,
+    server_monitors,
     status_pages,
     store_client,
     store_sync,
-    telemetry,
     view,
 )
 from sycamoreferry_ports import boot_clock
 
 _DRAIN_HEARTBEAT_MS = 50
-_MAINTENANCE_INTERVAL_MS = 500
 _LAST_ANSWERS_MS = 100
 _LAST_ANSWERS_STEP_MS = 5
 
 
-_Work = typing.Callable[[], typing.Coroutine[None, None, None]]
-
-
 class Instance:
     """Build the parts of an instance, connect them and run them."""
 
@@ -50,31 +46,29 @@
     ) -> None:
         self._deployment = settings
         self._log = log
+        self._parts = part_runner.PartRunner(log)
         self._clock = boot_clock.BootClock()
         self._incarnation = time.time_ns()
         self._view = view.View(settings, self._clock, log)
         self._loads = server_load.ServerLoads()
         self._pool = http_client.ConnectionPool(self._clock)
-        self._monitor = reachability_monitor.ReachabilityMonitor(
+        reachability, crashes = server_monitors.build(
             self._view, self._loads, self._pool, log
         )
-        self._crash_monitor = crash_monitor.CrashMonitor(
-            self._view, self._loads, self._pool
-        )
+        self._monitor = reachability
+        self._crash_monitor = crashes
         self._store = store_client.StoreClient(
             settings.store_address,
             self._clock,
             log,
         )
         self._dispatcher = dispatcher.Dispatcher(self._view, self._loads)
-        self._telemetry = telemetry.Telemetry()
         self._request_handler = request_handler.RequestHandler(
             self._view,
             self._loads,
             self._dispatcher,
             self._pool,
             log,
-            self._telemetry,
         )
         self._exchange = peer_exchange.PeerExchange(
             self._view,
@@ -123,9 +117,16 @@
         )
         pages = status_pages.StatusPages(
             lambda: self.is_ready,
-            lambda: self._telemetry.render(self._gauges()),
+            lambda: self._request_handler.telemetry.render(self._gauges()),
         )
         self._status = http_server.HttpServer(pages.serve, self._clock)
+        self._housekeeping = housekeeping.Housekeeping(
+            self._view,
+            self._loads,
+            (self._pool, self._request_handler.relay.pool),
+            self._parts,
+            self._apply_view_change,
+        )
         self._stop = asyncio.Event()
         self._stop_requested_at: clock.Millis | None = None
         self._was_ready = False
@@ -143,6 +144,7 @@
         """Serve until SIGTERM, then drain and stop."""
         settings = self._deployment
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._parts.log_unhandled)
         # Unlike the loop's own handlers it runs also while the loop is busy.
         signal.signal(signal.SIGTERM, lambda *_: self.request_stop(loop))
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
@@ -157,7 +159,7 @@
             incarnation=self._incarnation,
         )
         tasks = [
-            loop.create_task(self._run_restarting(work))
+            loop.create_task(self._parts.run_restarting(work))
             for work in self._work()
         ]
         try:
@@ -176,7 +178,7 @@
     def _coordination(self) -> coordinator.Coordinator:
         return self._coordinator
 
-    def _work(self) -> list[_Work]:
+    def _work(self) -> list[part_runner.Work]:
         return [
             self._sync.follow_config,
             self._sync.follow_servers,
@@ -193,28 +195,9 @@
             self._server.sweep_forever,
             self._relay_server.sweep_forever,
             self._exchange.send_forever,
-            self._keep_house,
+            self._housekeeping.run_forever,
         ]
 
-    async def _run_restarting(
-        self,
-        work: _Work,
-    ) -> None:
-        """Run a part; restart it after a delay when it raises, and log why."""
-        while True:
-            try:
-                await work()
-            except Exception as error:
-                self._log.write(
-                    'instance',
-                    'part failed; restarting it',
-                    work=work.__name__,
-                    reason=repr(error),
-                )
-                await asyncio.sleep(clock.seconds(_MAINTENANCE_INTERVAL_MS))
-            else:
-                return
-
     async def _listen(self) -> None:
         settings = self._deployment
         await self._server.listen(
@@ -266,11 +249,13 @@
     async def _drain(self, requested_at: clock.Millis) -> None:
         """Drain: announce the stop, finish requests in flight, then close."""
         self._announce_stop()
-        self._request_handler.open_requests.finish_by(
-            graceful_shutdown.answers_due_at(
-                requested_at,
-                self._deployment.bounds.grace_ms,
-            ),
+        answers_due_at = graceful_shutdown.answers_due_at(
+            requested_at, self._deployment.bounds.grace_ms
+        )
+        open_requests = self._request_handler.open_requests
+        self._parts.run_step(
+            'limit requests',
+            functools.partial(open_requests.finish_by, answers_due_at),
         )
         phase = graceful_shutdown.ShutdownPhase.ACCEPTING
         while phase is not graceful_shutdown.ShutdownPhase.DONE:
@@ -278,7 +263,7 @@
                 self._stop_listening()
                 self._server.close_idle()
                 self._relay_server.close_idle()
-            self._exchange.send_heartbeat()
+            self._parts.run_step('heartbeat', self._exchange.send_heartbeat)
             await asyncio.sleep(clock.seconds(_DRAIN_HEARTBEAT_MS))
             phase = graceful_shutdown.shutdown_phase(
                 requested_at,
@@ -289,7 +274,9 @@
             )
         self._stop_listening()
         await self._send_last_answers()
-        self._request_handler.request_log.log_unanswered()
+        self._parts.run_step(
+            'log unanswered', self._request_handler.request_log.log_unanswered
+        )
         self._log.write(
             'instance',
             'stopped',
@@ -312,8 +299,8 @@
         self._server.is_draining = True
         self._relay_server.is_draining = True
         self._exchange.is_leaving = True
-        self._coordinator.resign()
-        self._exchange.send_heartbeat()
+        self._parts.run_step('resign', self._coordinator.resign)
+        self._parts.run_step('heartbeat', self._exchange.send_heartbeat)
 
     async def _send_last_answers(self) -> None:
         """Let due answers be written if the loop was busy until now."""
@@ -328,22 +315,3 @@
             'settings file changed',
             effect='identity and addresses take effect after a restart',
         )
-
-    async def _keep_house(self) -> None:
-        while True:
-            await self._view.ticks.wait(_MAINTENANCE_INTERVAL_MS)
-            self._pool.close_expired()
-            self._request_handler.relay.pool.close_expired()
-            self._loads.peers.drop_silent(self._clock.now())
-            self._loads.keep_only(self._view.fleet.servers)
-            self._loads.durations.update_services(
-                self._view.fleet.servers.values(), self._clock.now()
-            )
-            self._loads.rate_limits.keep_only(
-                self._view.fleet.servers, self._clock.now()
-            )
-            self._loads.back_offs.keep_only(self._view.fleet.incarnations)
-            self._view.crashes.prune(self._clock.now())
-            self._view.blocks.update()
-            self._log.report_dropped()
-            self._apply_view_change()
--- a/packages/gateway/src/sycamoreferry_gateway/instance_records.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance_records.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from sycamoreferry_core import decoding
+from sycamoreferry_core.fleet import addresses
+
 
 class _Record(msgspec.Struct, array_like=True):
     host: str
@@ -18,5 +21,10 @@
 
 def decode_address(content: bytes) -> tuple[str, int]:
     """Decode an address; raise MsgspecError if it is malformed."""
-    record = _decoder.decode(content)
+    record = decoding.decode(_decoder, content)
+    if not addresses.can_be_called(record.host, record.port):
+        host = decoding.quote(record.host)
+        raise msgspec.ValidationError(
+            f'{host} with port {record.port} is not an address'
+        )
     return record.host, record.port
--- a/packages/gateway/src/sycamoreferry_gateway/leaving_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/leaving_reports.py
@@ -22,6 +22,9 @@
 ) -> None:
     """Record the leaving servers that another instance reports."""
     for row in rows:
+        if not 0 <= row.born <= servers.LATEST_INCARNATION:
+            # An earlier version reports what another writer's entry says.
+            continue
         incarnation = servers.ServerIncarnation(
             ids.ServerId(row.server),
             servers.IncarnationNumber(row.born),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -187,7 +187,7 @@
         )
         if plan.is_mesh:
             if self._is_due(heartbeat, plan):
-                self.announce(self._heartbeats.with_crashes(heartbeat))
+                self._announce_heartbeat(heartbeat)
             return
         now = self._clock.now()
         self._silence.fill(heartbeat, plan)
@@ -217,7 +217,7 @@
             self._sent_state = state
             self._sent_at = now
             heartbeat.loads = None
-            self.announce(self._heartbeats.with_crashes(heartbeat))
+            self._announce_heartbeat(heartbeat)
 
     def _send_heartbeat_to(self, address: _Address) -> None:
         """Send a heartbeat to an instance that has just started.
@@ -230,6 +230,21 @@
             )
             self._socket.send(heartbeat, address)
 
+    def _announce_heartbeat(self, heartbeat: peer_messages.Heartbeat) -> None:
+        """Send a heartbeat to all; leave reports out that can't be encoded.
+
+        Others take an instance without heartbeats as down.
+        """
+        try:
+            self.announce(self._heartbeats.with_crashes(heartbeat))
+        except (OverflowError, ValueError, TypeError) as error:
+            self._view.log.write_rate_limited(
+                'peers',
+                'heartbeat is sent without reports',
+                reason=repr(error),
+            )
+            self.announce(self._heartbeats.without_reports(heartbeat))
+
     def _spread_plan(self) -> message_intervals.MessageIntervals:
         return message_intervals.choose_intervals(
             len(self._view.peer_addresses)
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -1,26 +1,39 @@
-"""Define and encode the messages between instances."""
+"""Define and encode the messages between instances.
+
+Incarnations of servers and instances and signatures of requests have 64 bits;
+they are compared and sent on, but not calculated with.
+"""
+
+import typing
 
 import msgspec
 
+from sycamoreferry_core import decoding
+from sycamoreferry_core.keyspace import owners
+
+Key = typing.Annotated[
+    int, msgspec.Meta(ge=owners.FIRST_KEY, le=owners.LAST_KEY)
+]
+
 
 class LoadRow(msgspec.Struct, array_like=True):
     """Report one server's load, as counted by the sender or summed up."""
 
     server: str
-    in_flight: int
-    waiting: int
-    duration_ms: float
+    in_flight: decoding.Count
+    waiting: decoding.Count
+    duration_ms: decoding.Amount
     # The number of requests of which the duration is the mean; 0 if the sender
     # is of an earlier version.
-    samples: float = 0
+    samples: decoding.Amount = 0
 
 
 class DemandRow(msgspec.Struct, array_like=True):
     """Count requests for a key since the last heartbeat."""
 
     service: str
-    key: int
-    count: int
+    key: Key
+    count: decoding.Count
 
 
 class CrashRow(msgspec.Struct, array_like=True):
@@ -29,7 +42,7 @@
     signature: int
     server: str
     born: int
-    age_ms: int = 0
+    age_ms: decoding.WholeNumber = 0
 
 
 class SuspectRow(msgspec.Struct, array_like=True):
@@ -38,24 +51,24 @@
     signature: int
     server: str
     born: int
-    began_age_ms: int
-    ended_age_ms: int
+    began_age_ms: decoding.WholeNumber
+    ended_age_ms: decoding.WholeNumber
 
 
 class SurvivalRow(msgspec.Struct, array_like=True):
     """Report that a server answered a request that has crashes."""
 
     signature: int
-    age_ms: int
+    age_ms: decoding.WholeNumber
 
 
 class TrialRow(msgspec.Struct, array_like=True):
     """Report the trials of a blocked request; ages of the last and first."""
 
     signature: int
-    count: int
-    age_ms: int
-    first_age_ms: int
+    count: decoding.WholeNumber
+    age_ms: decoding.WholeNumber
+    first_age_ms: decoding.WholeNumber
 
 
 class RateLimitRow(msgspec.Struct, array_like=True):
@@ -63,8 +76,8 @@
 
     server: str
     born: int
-    requests_per_s: float | None
-    age_ms: int
+    requests_per_s: decoding.Amount | None
+    age_ms: decoding.WholeNumber
 
 
 class CounterRow(msgspec.Struct, array_like=True):
@@ -87,16 +100,16 @@
     instance: str
     incarnation: int
     is_leaving: bool
-    store_age_ms: int
+    store_age_ms: decoding.WholeNumber
     has_authority: bool
     # Instances with a higher weight are preferred for counting permits.
-    counting_weight: float
+    counting_weight: decoding.Amount
     # The last term that the sender gave up, and the ms until its leases
     # expire.
-    given_up_term: int
-    leases_ms: int
+    given_up_term: decoding.Count
+    leases_ms: decoding.WholeNumber
     # The end offset of each topic, in the order of the view's mirrors.
-    ends: list[int]
+    ends: list[decoding.WholeNumber]
     # None where the sender reports its load to the coordinator alone.
     loads: list[LoadRow] | None
     crashes: list[CrashRow]
@@ -104,19 +117,19 @@
     # Whether the sender reaches no backend server.
     is_cut_off: bool = False
     # The store's era to which the end offsets belong; 0 if it is not known.
-    era: int = 0
+    era: decoding.WholeNumber = 0
     leaving: list[LeavingRow] = []
     survivals: list[SurvivalRow] = []
     trials: list[TrialRow] = []
     suspects: list[SuspectRow] = []
     counters: list[CounterRow] = []
     # The sender's clock; 0 if it is of an earlier version.
-    sent_at: int = 0
+    sent_at: decoding.WholeNumber = 0
     # Whether the sender sends the coordinator heartbeats at short intervals.
     reports_often: bool = False
     # The instances that the coordinator has not heard for `silent_ms`.
     silent: list[str] = []
-    silent_ms: int = 0
+    silent_ms: decoding.Count = 0
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
@@ -136,7 +149,7 @@
     """Forward a record of the store; content None marks a removed key."""
 
     key: str
-    offset: int
+    offset: decoding.WholeNumber
     content: bytes | None
 
 
@@ -144,10 +157,10 @@
     """Forward the newest records of a topic."""
 
     topic: str
-    end: int
+    end: decoding.WholeNumber
     rows: list[RecordRow]
     # The store's era to which the offsets belong; 0 if it is not known.
-    era: int = 0
+    era: decoding.WholeNumber = 0
 
 
 class RecordPatch(msgspec.Struct, array_like=True, tag='patch'):
@@ -159,11 +172,11 @@
     topic: str
     key: str
     # The offset of the record that the patch applies to.
-    base: int
-    offset: int
-    end: int
+    base: decoding.WholeNumber
+    offset: decoding.WholeNumber
+    end: decoding.WholeNumber
     # The store's era to which the offsets belong.
-    era: int
+    era: decoding.WholeNumber
     patch: bytes
 
 
@@ -171,17 +184,17 @@
     """Request the records of a topic from offset `end` on."""
 
     topic: str
-    end: int
+    end: decoding.WholeNumber
     # The store's era to which the offset belongs; 0 if it is not known.
-    era: int = 0
+    era: decoding.WholeNumber = 0
 
 
 class KeysMoving(msgspec.Struct, array_like=True, tag='moving'):
     """Announce that a move of keys has begun, or that it is over."""
 
     service: str
-    first: int
-    last: int
+    first: Key
+    last: Key
     is_over: bool
 
 
@@ -189,48 +202,48 @@
     """Request a permit; times are in milliseconds from now."""
 
     instance: str
-    number: int
+    number: decoding.WholeNumber
     line: str
     # Any server of the service's pool will do if no server is named.
     server: str
     service: str
-    pool: int
-    slots: int
-    duration_ms: float
-    priority: int
-    waited_ms: int
-    objective_in_ms: int
-    ends_in_ms: int
+    pool: decoding.Count
+    slots: decoding.Count
+    duration_ms: decoding.Amount
+    priority: decoding.WholeNumber
+    waited_ms: decoding.WholeNumber
+    objective_in_ms: decoding.WholeNumber
+    ends_in_ms: decoding.WholeNumber
     data_centre: str
     excluded: list[str]
     has_large_answer: bool
     # Set if the instance that asks stops before the request's deadline.
-    answer_in_ms: int | None = None
+    answer_in_ms: decoding.WholeNumber | None = None
     # What is known of the rate limits of the servers that are asked for.
     rate_limits: list[RateLimitRow] = []
     # The sender's clock; 0 if it is of an earlier version.
-    sent_at: int = 0
+    sent_at: decoding.WholeNumber = 0
 
 
 class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
     """Report the verdict on a permit request."""
 
-    number: int
+    number: decoding.WholeNumber
     verdict: str
     server: str
     # Earlier versions read whole numbers only.
-    ahead: float
-    slots: float
-    duration_ms: float
+    ahead: decoding.Amount
+    slots: decoding.Amount
+    duration_ms: decoding.Amount
     # What is to be added to the number ahead.
-    ahead_rest: float = 0
+    ahead_rest: decoding.Number = 0
 
 
 class PermitReturn(msgspec.Struct, array_like=True, tag='permit-return'):
     """Return a permit, or cancel a request that still waits."""
 
     instance: str
-    number: int
+    number: decoding.WholeNumber
     line: str
     # The server that failed or answered the request, if one did.
     failed: str
@@ -238,13 +251,13 @@
     # What the server said last about its rate limit.
     rate_limits: list[RateLimitRow] = []
     # The sender's clock; 0 if it is of an earlier version.
-    sent_at: int = 0
+    sent_at: decoding.WholeNumber = 0
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
     """Confirm that a permit return was received."""
 
-    number: int
+    number: decoding.WholeNumber
 
 
 PeerMessage = (
@@ -274,4 +287,4 @@
 
 def decode(datagram: bytes) -> PeerMessage:
     """Decode a message; raise MsgspecError if it is malformed."""
-    return _decoder.decode(datagram)
+    return decoding.decode(_decoder, datagram)
--- a/packages/gateway/src/sycamoreferry_gateway/peer_socket.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_socket.py
@@ -63,7 +63,8 @@
     ) -> None:
         """Send a message to several instances, without waiting for delivery.
 
-        A message above the datagram limit is logged and dropped.
+        A message above the datagram limit is logged and dropped. Raises
+        OverflowError or MsgspecError if it can't be encoded.
         """
         datagram = _pack(peer_messages.encode(message))
         if len(datagram) > MAX_DATAGRAM_BYTES:
@@ -73,10 +74,8 @@
                 bytes=len(datagram),
             )
             return
-        if self._transport is None:
-            return
         for receiver in receivers:
-            self._transport.sendto(datagram, receiver)
+            self._send_datagram(datagram, receiver)
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Decode a datagram for the handler; log and drop a malformed one."""
@@ -90,7 +89,16 @@
                 reason=str(error),
             )
             return
-        self._handler(message, (addr[0], addr[1]))
+        try:
+            self._handler(message, (addr[0], addr[1]))
+        except Exception as error:
+            self._log.write_rate_limited(
+                'peers',
+                'message could not be handled',
+                sender=str(addr),
+                type=type(message).__name__,
+                reason=repr(error),
+            )
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
@@ -98,6 +106,20 @@
             'peers', 'datagram could not be delivered', reason=str(exc)
         )
 
+    def _send_datagram(self, datagram: bytes, receiver: _Address) -> None:
+        """Send to one receiver; one that can't be reached stops no other."""
+        if self._transport is None:
+            return
+        try:
+            self._transport.sendto(datagram, receiver)
+        except (OSError, ValueError, OverflowError) as error:
+            self._log.write_rate_limited(
+                'peers',
+                'datagram could not be sent',
+                receiver=str(receiver),
+                reason=repr(error),
+            )
+
 
 def _pack(payload: bytes) -> bytes:
     if len(payload) > _COMPRESS_ABOVE_BYTES:
--- a/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
@@ -1,12 +1,21 @@
 """Define and encode requests that one instance relays to another."""
 
+import typing
+
 import msgspec
 
-from sycamoreferry_gateway import peer_messages
+from sycamoreferry_core import decoding
+from sycamoreferry_gateway import http_client, peer_messages
 
 RELAY_PATH = '/relay'
 
 
+_Status = typing.Annotated[
+    int,
+    msgspec.Meta(ge=http_client.STATUSES.start, lt=http_client.STATUSES.stop),
+]
+
+
 class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
     """Hold a caller's request and what its first instance decided."""
 
@@ -16,17 +25,17 @@
     body: bytes
     caller: str
     # Time since the first instance received the request.
-    elapsed_ms: int
+    elapsed_ms: decoding.WholeNumber
     service: str
     # Earlier attempts that may have run the request.
-    earlier_runs: int
-    config_version: int
+    earlier_runs: decoding.Count
+    config_version: decoding.Count
 
 
 class RelayedAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Hold the answer for the caller, with its result code and reason."""
 
-    status: int
+    status: _Status
     headers: list[tuple[str, str]]
     body: bytes
     code: int
@@ -47,9 +56,9 @@
 
 def decode_request(encoded: bytes) -> RelayedRequest:
     """Decode a request; raise MsgspecError if it is malformed."""
-    return _request_decoder.decode(encoded)
+    return decoding.decode(_request_decoder, encoded)
 
 
 def decode_answer(encoded: bytes) -> RelayedAnswer:
     """Decode an answer; raise MsgspecError if it is malformed."""
-    return _answer_decoder.decode(encoded)
+    return decoding.decode(_answer_decoder, encoded)
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -52,7 +52,6 @@
         placement: dispatcher.Dispatcher,
         pool: http_client.ConnectionPool,
         log: event_log.EventLog,
-        metrics: telemetry.Telemetry,
     ) -> None:
         self._view = cluster_view
         self._loads = loads
@@ -70,8 +69,9 @@
             cluster_view, self.retry_budget
         )
         self.open_requests = open_requests.OpenRequests(cluster_view.clock)
+        self.telemetry = telemetry.Telemetry()
         self.request_log = request_log.RequestLog(
-            cluster_view, self.open_requests, log, metrics
+            cluster_view, self.open_requests, log, self.telemetry
         )
         self._policy = retry_policy.RetryPolicy(
             cluster_view, loads, self.retry_budget
--- a/packages/gateway/src/sycamoreferry_gateway/request_relay.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_relay.py
@@ -120,6 +120,14 @@
         caller_messages.CallerAnswer(
             answer.status, tuple(answer.headers), answer.body
         ),
-        result_codes.ResultCode(answer.code),
+        _code_of(answer),
         answer.reason,
     )
+
+
+def _code_of(answer: relay_messages.RelayedAnswer) -> result_codes.ResultCode:
+    """Return the result code, unless a later version has defined it."""
+    try:
+        return result_codes.ResultCode(answer.code)
+    except ValueError:
+        return result_codes.ResultCode.OUTCOME_UNKNOWN
--- a/packages/gateway/src/sycamoreferry_gateway/server_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_log.py
@@ -61,6 +61,39 @@
             offset=self._mirror.end,
         )
 
+    def log_malformed(
+        self, record: store_records.StoredRecord, reason: str
+    ) -> None:
+        """Log an entry that can't be used."""
+        self._log.write_rate_limited(
+            _PART,
+            'server entry is malformed',
+            server=record.key,
+            offset=record.offset,
+            reason=reason,
+        )
+
+    def log_leaving(
+        self, incarnation: servers.ServerIncarnation, source: str
+    ) -> None:
+        """Log that a server leaves, and who said so."""
+        self._log.write(
+            _PART,
+            'server is leaving',
+            server=incarnation.server,
+            born=incarnation.born,
+            source=source,
+        )
+
+    def log_gone(self, gone: servers.BackendServer) -> None:
+        """Log that the entry of a server has expired."""
+        self._log.write(
+            _PART,
+            'server is gone',
+            server=gone.incarnation.server,
+            service=gone.service,
+        )
+
     @property
     def _is_first_listing(self) -> bool:
         """Tell whether the first listing is being applied."""
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -91,7 +91,11 @@
                 return store_records.RecordPage(
                     tuple(records), first.end, era=first.era
                 )
-            after = page.records[-1].key
+            last = page.records[-1].key
+            if last in {after, ''}:
+                # The next page would be this one again.
+                return self._record_failure(_endless_listing())
+            after = last
 
     async def read(
         self,
@@ -256,6 +260,13 @@
     )
 
 
+def _endless_listing() -> store_records.StoreFailure:
+    return store_records.StoreFailure(
+        store_records.StoreFailureReason.MALFORMED,
+        'listing does not go on after its last key',
+    )
+
+
 def _failure_of(
     failed: http_client.FailedExchange,
 ) -> store_records.StoreFailure:
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -1,11 +1,10 @@
 """Hold an instance's view of the cluster, folded from store records."""
 
-import dataclasses
 import typing
 
 import msgspec
 
-from sycamoreferry_adapter import operator_config, server_entries, store_calls
+from sycamoreferry_adapter import operator_config, store_calls
 from sycamoreferry_adapter import units as platform_units
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import (
@@ -24,6 +23,7 @@
     instance_records,
     read_offsets,
     server_log,
+    server_records,
     tick_timer,
 )
 
@@ -44,9 +44,6 @@
         self.mirrors = {topic: store_records.TopicMirror() for topic in _TOPICS}
         self.offsets = read_offsets.ReadOffsets(self.mirrors)
         self.fleet = servers.ServerFleet()
-        self._server_log = server_log.ServerLog(
-            log, self.mirrors[store_calls.SERVERS_TOPIC]
-        )
         self.peers = instances.Peers(
             settings.instance, settings.counting_weight
         )
@@ -54,6 +51,14 @@
         self.blocks = blocked_requests.BlockedRequests(
             settings.instance, self.crashes, self.peers, time_source, log
         )
+        self._server_records: server_records.ServerRecords
+        self._server_records = server_records.ServerRecords(
+            self.fleet,
+            self.crashes,
+            self.blocks,
+            time_source,
+            server_log.ServerLog(log, self.mirrors[store_calls.SERVERS_TOPIC]),
+        )
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
         self.owners = assignment_tracker.AssignmentTracker(
@@ -63,11 +68,6 @@
             is_first_start=settings.is_first_start,
         )
         self.peer_addresses: dict[ids.InstanceId, tuple[str, int]] = {}
-        self._by_service: dict[
-            ids.ServiceName,
-            dict[ids.ServerId, servers.BackendServer],
-        ] = {}
-        self._last_outage = clock.LONG_AGO
         self._servers_era = store_records.NO_ERA
         self._moving = pending_moves.PendingMoves()
         self._changed_servers: list[store_records.StoredRecord] = []
@@ -94,7 +94,7 @@
         service: ids.ServiceName,
     ) -> typing.Collection[servers.BackendServer]:
         """Return the known servers of a service."""
-        return self._by_service.get(service, {}).values()
+        return self._server_records.of_service(service)
 
     def is_keyed(self, service: ids.ServiceName) -> bool:
         """Tell whether the servers of a service hold keys."""
@@ -121,19 +121,7 @@
 
     def remove_expired_servers(self) -> None:
         """Remove servers whose entries have expired, and log each."""
-        for gone in self.fleet.remove_due(self.clock.now()):
-            self._by_service.get(gone.service, {}).pop(
-                gone.incarnation.server, None
-            )
-            self.log.write(
-                'servers',
-                'server is gone',
-                server=gone.incarnation.server,
-                service=gone.service,
-            )
-            self.blocks.confirm_crashes(
-                gone.incarnation, was_leaving=gone.leaving_since is not None
-            )
+        if self._server_records.remove_expired():
             self.on_change()
 
     def record_leaving(
@@ -142,24 +130,12 @@
         source: str,
     ) -> None:
         """Record that a server leaves, by an answer or by another instance."""
-        if not self.fleet.record_leaving(incarnation, self.clock.now()):
-            return
-        known = self.fleet.get(incarnation.server)
-        if known is not None:
-            listed = self._by_service.setdefault(known.service, {})
-            listed[incarnation.server] = known
-        self.log.write(
-            'servers',
-            'server is leaving',
-            server=incarnation.server,
-            born=incarnation.born,
-            source=source,
-        )
-        self.on_change()
+        if self._server_records.record_leaving(incarnation, source):
+            self.on_change()
 
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of server entries."""
-        self._last_outage = max(self._last_outage, moment)
+        self._server_records.record_outage(moment)
 
     def mark_moving(
         self,
@@ -197,14 +173,33 @@
         if topic == store_calls.OWNERS_TOPIC:
             self.owners.check_for_loss()
         for record in changed:
-            is_relevant = _FOLDS[topic](self, record)
-            if is_relevant and topic == store_calls.SERVERS_TOPIC:
-                self._changed_servers.append(record)
-                self.offsets.note_server_change(record.offset)
-        self._server_log.log_listing(self.fleet.servers.values())
+            self._fold_record(topic, record)
+        self._server_records.log_listing()
         if changed:
             self.on_change()
 
+    def _fold_record(
+        self,
+        topic: store_records.TopicName,
+        record: store_records.StoredRecord,
+    ) -> None:
+        """Apply a record; one that can't be applied doesn't stop later ones."""
+        try:
+            is_relevant = _FOLDS[topic](self, record)
+        except Exception as error:
+            self.log.write_rate_limited(
+                'store',
+                'record could not be applied',
+                topic=topic,
+                key=record.key,
+                offset=record.offset,
+                reason=repr(error),
+            )
+            return
+        if is_relevant and topic == store_calls.SERVERS_TOPIC:
+            self._changed_servers.append(record)
+            self.offsets.note_server_change(record.offset)
+
     def _fold_config(self, record: store_records.StoredRecord) -> bool:
         if record.key != store_calls.CONFIG_KEY or record.content is None:
             return False
@@ -235,47 +230,12 @@
             offset=record.offset,
             routes=len(config.routes),
         )
+        known = self.mirrors[store_calls.SERVERS_TOPIC].records
+        unnamed = self._server_records.name_services(config.services)
+        for key in unnamed & known.keys():
+            self._fold_record(store_calls.SERVERS_TOPIC, known[key])
         return True
 
-    def _fold_server(self, record: store_records.StoredRecord) -> bool:
-        server_id = ids.ServerId(record.key)
-        if record.content is None:
-            now = self.clock.now()
-            self.fleet.schedule_removal(server_id, now, self._last_outage)
-            return True
-        try:
-            entry = server_entries.decode_entry(server_id, record.content)
-        except platform_units.FormatError as error:
-            self.log.write_rate_limited(
-                'servers',
-                'server entry is malformed',
-                server=record.key,
-                offset=record.offset,
-                reason=str(error),
-            )
-            return False
-        known = self.fleet.get(server_id)
-        previous = known or self.fleet.last_entry_of(server_id)
-        is_back = self.fleet.is_removal_scheduled(server_id)
-        if not self.fleet.apply(entry):
-            return False
-        if previous is not None and _is_heartbeat(previous, entry):
-            self.crashes.record_entry(entry.incarnation)
-        if entry.state is servers.ServerState.DRAINING:
-            self.fleet.record_leaving(entry.incarnation, self.clock.now())
-        entry = self.fleet.servers[server_id]
-        is_relevant = known is None or _has_relevant_change(known, entry)
-        is_relevant = is_relevant or is_back
-        if known is not None and known.incarnation != entry.incarnation:
-            self.blocks.confirm_crashes(
-                known.incarnation, was_leaving=known.leaving_since is not None
-            )
-        if known is not None and known.service != entry.service:
-            self._by_service.get(known.service, {}).pop(server_id, None)
-        self._by_service.setdefault(entry.service, {})[server_id] = entry
-        self._server_log.log_change(known, entry, record.offset)
-        return is_relevant
-
     def _fold_owners(self, record: store_records.StoredRecord) -> bool:
         known_term = self.assignment.term
         is_applied = self.owners.apply(record)
@@ -308,32 +268,6 @@
         return True
 
 
-def _is_heartbeat(
-    previous: servers.BackendServer, entry: servers.BackendServer
-) -> bool:
-    return (
-        entry.incarnation == previous.incarnation
-        and entry.sequence > previous.sequence
-    )
-
-
-def _has_relevant_change(
-    known: servers.BackendServer,
-    entry: servers.BackendServer,
-) -> bool:
-    """Tell whether an entry has changes that other instances act on.
-
-    A new sequence number is not relevant, nor is a new warm-up time that
-    neither starts nor ends the warm-up.
-    """
-    warms_up = (known.warmup_ms > 0, entry.warmup_ms > 0)
-    return warms_up[0] != warms_up[1] or entry != dataclasses.replace(
-        known,
-        sequence=entry.sequence,
-        warmup_ms=entry.warmup_ms,
-    )
-
-
 def _ignore_change() -> None:
     """Ignore changes until the instance sets its own callback."""
 
@@ -349,7 +283,9 @@
     typing.Callable[[View, store_records.StoredRecord], bool],
 ] = {
     store_calls.CONFIG_TOPIC: View._fold_config,
-    store_calls.SERVERS_TOPIC: View._fold_server,
+    store_calls.SERVERS_TOPIC: lambda view, record: view._server_records.apply(
+        record
+    ),
     store_calls.OWNERS_TOPIC: View._fold_owners,
     store_calls.INSTANCES_TOPIC: View._fold_instance,
 }
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -110,6 +110,13 @@
         settings_file.parse_settings(text, 9464)
 
 
+@pytest.mark.parametrize('ports', ['', 'x', '65536,65537', '9' * 5_000])
+def test_odd_port_is_named_in_the_error(ports: str) -> None:
+    text = SETTINGS.replace('=7620,7635', f'={ports}')
+    with pytest.raises(units.FormatError, match='Network.InternalPortRange'):
+        settings_file.parse_settings(text, 9464)
+
+
 def test_entry_is_decoded() -> None:
     entry = server_entries.decode_entry('i', json.dumps(ENTRY).encode())
     assert entry.incarnation == servers.ServerIncarnation(
