Bind an answer to one exchange, not to the ID that all sends share

Cause: answers were told apart by the Request-Id, or by nothing. A request that was rejected went out again on the connection used last, and a second copy of the rejection counted as the answer to that send. Answers without an ID were taken for those of any request.

Change: an answer is a request's if it names its ID on a connection that never carried that ID, or if the connection carried nothing else. A reply of the store to an append has to name its offset. The stand-in servers of the tests name the request in each answer, as the users' servers do.

--- a/packages/gateway/src/sycamoreferry_gateway/answers.py
+++ b/packages/gateway/src/sycamoreferry_gateway/answers.py
@@ -21,12 +21,6 @@
     reason: str
 
 
-def matches_request(reply: http_messages.HttpResponse, request_id: str) -> bool:
-    """Tell whether a reply has the ID of the request, or no request ID."""
-    reply_id = reply.header(request_headers.REQUEST_ID)
-    return reply_id is None or reply_id == request_id
-
-
 def is_intact(reply: http_messages.HttpResponse) -> bool:
     """Tell whether a reply is complete and comes from the server itself."""
     if reply.header('content-encoding') is not None:
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -7,12 +7,12 @@
 from sycamoreferry_core.fleet import deployment, servers
 from sycamoreferry_core.traffic import queueing, server_load
 from sycamoreferry_gateway import (
-    answers,
     attempt_classifier,
     dispatcher,
     event_log,
     http_client,
     proxied_requests,
+    request_identity,
     retry_policy,
     run_recorder,
     view,
@@ -127,8 +127,8 @@
                 _address_of(server),
                 payload,
                 self._attempt_timeout_ms(proxied, server, started_at),
-                lambda reply: answers.matches_request(
-                    reply, proxied.request_id
+                request_identity.RequestIdentity(
+                    request_headers.REQUEST_ID, proxied.request_id
                 ),
             )
             run.attempt = self._classifier.classify(
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import enum
-import http
 import socket
 import struct
 import typing
@@ -12,7 +11,11 @@
 
 from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.fleet import deployment
-from sycamoreferry_gateway import body_budget, received_bytes
+from sycamoreferry_gateway import (
+    body_budget,
+    reply_reader,
+    request_identity,
+)
 
 # A round trip between data centres takes some 10 ms; a lost packet is
 # retransmitted after 200 ms or more.
@@ -26,10 +29,8 @@
 # A linger time of zero makes a close send a reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
-_NO_BODY_STATUSES = frozenset((204, 304))
-_INTERIM_STATUSES = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
-_LAST_STATUS = 599
-STATUSES = range(http.HTTPStatus.CONTINUE, _LAST_STATUS + 1)
+# Bounds the IDs that are kept of a connection.
+_MAX_EXCHANGES = 128
 
 
 @enum.unique
@@ -52,103 +53,6 @@
 
 
 ExchangeResult = http_messages.HttpResponse | FailedExchange
-AcceptsReply = typing.Callable[[http_messages.HttpResponse], bool]
-
-
-def _accept_any(_reply: http_messages.HttpResponse) -> bool:
-    return True
-
-
-class _ReplyReader:
-    """Parse the answers of a connection, one at a time."""
-
-    def __init__(self, on_reply: typing.Callable[[], None]) -> None:
-        self._on_reply = on_reply
-        self._parser = httptools.HttpResponseParser(self)
-        self._received = received_bytes.ReceivedBytes()
-        self.headers: list[tuple[str, str]] = []
-        self.body = bytearray()
-        self.has_begun = False
-        self.is_headers_done = False
-        self.is_framed = False
-        self.closes = False
-
-    @property
-    def status(self) -> int:
-        """Return the status of the answer being read."""
-        return int(self._parser.get_status_code())
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Tell whether the body being read ends when the connection closes."""
-        return self.is_headers_done and not self.is_framed
-
-    def feed(self, received: bytes) -> None:
-        """Parse received bytes; raise HttpParserError if they are malformed."""
-        part_bytes = received_bytes.MAX_FRAMING_BYTES
-        for start in range(0, len(received), part_bytes):
-            part = received[start : start + part_bytes]
-            self._parser.feed_data(part)
-            self._received.count_received(len(part))
-
-    def take_reply(self) -> http_messages.HttpResponse:
-        """Return the complete answer and reset for the next one."""
-        reply = http_messages.HttpResponse(
-            self.status,
-            tuple(self.headers),
-            bytes(self.body),
-        )
-        self.reset()
-        return reply
-
-    def reset(self) -> None:
-        """Discard what was read of an answer."""
-        self.headers = []
-        self.body = bytearray()
-        self.has_begun = False
-        self.is_headers_done = False
-        self.is_framed = False
-
-    def on_message_begin(self) -> None:
-        """Record that an answer has begun."""
-        self.has_begun = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; drop trailers."""
-        if self.is_headers_done:
-            return
-        self.headers.append(
-            (name.decode('latin-1').lower(), value.decode('latin-1')),
-        )
-
-    def on_headers_complete(self) -> None:
-        """Check the status and find out how the body is delimited."""
-        if self.status not in STATUSES:
-            raise httptools.HttpParserError(f'status {self.status}')
-        self.is_headers_done = True
-        names = dict(self.headers)
-        self.is_framed = (
-            'content-length' in names
-            or 'chunked' in names.get('transfer-encoding', '').lower()
-            or self.status in _NO_BODY_STATUSES
-        )
-        if 'content-length' in names and self.status not in _NO_BODY_STATUSES:
-            self._received.check_length(names['content-length'])
-        if names.get('connection', '').lower() == 'close':
-            self.closes = True
-
-    def on_body(self, body: bytes) -> None:
-        """Collect a part of the body."""
-        self._received.count_body(len(body))
-        self.body.extend(body)
-
-    def on_message_complete(self) -> None:
-        """Report a complete answer; skip interim (1xx) ones."""
-        self._received.count_answer()
-        if self.status in _INTERIM_STATUSES:
-            self.reset()
-        else:
-            self._on_reply()
 
 
 class Connection(asyncio.Protocol):
@@ -163,8 +67,11 @@
         self._budget = budget
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[ExchangeResult] | None = None
-        self._accepts: AcceptsReply = _accept_any
-        self._reader = _ReplyReader(self._complete)
+        self._identity: request_identity.RequestIdentity | None = None
+        self._exchange_count = 0
+        # The IDs of the requests that were sent.
+        self._carried: set[str] = set()
+        self._reader = reply_reader.ReplyReader(self._complete)
         self._is_reusable = True
         self._expires_at = clock.LONG_AGO
 
@@ -186,6 +93,10 @@
         """Tell whether it ended before the server would time it out."""
         return not self.is_open and now < self._expires_at
 
+    def has_carried(self, identity: request_identity.RequestIdentity) -> bool:
+        """Tell whether a late answer may name the ID of a request."""
+        return identity.request_id in self._carried
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -193,14 +104,20 @@
     async def exchange(
         self,
         payload: bytes,
-        accepts: AcceptsReply,
+        identity: request_identity.RequestIdentity | None,
     ) -> ExchangeResult:
-        """Send a request and return its complete answer, or the failure."""
+        """Send a request and return its complete answer, or the failure.
+
+        Without an identity, the first answer is taken for that of the request.
+        """
         if not self.is_open or self._transport is None:
             return FailedExchange(ExchangeFailure.CLOSED, was_sent=False)
         self._waiter = asyncio.get_running_loop().create_future()
-        self._accepts = accepts
-        self._reader = _ReplyReader(self._complete)
+        self._identity = identity
+        self._exchange_count += 1
+        if identity is not None:
+            self._carried.add(identity.request_id)
+        self._reader = reply_reader.ReplyReader(self._complete)
         self._transport.write(payload)
         try:
             outcome = await self._waiter
@@ -274,7 +191,7 @@
             # A second answer to one request; nothing waits for it.
             self.close()
             return
-        if not self._accepts(reply):
+        if not self._belongs(reply):
             self._is_reusable = False
             return
         transport = self._transport
@@ -285,6 +202,21 @@
         if not self._is_reusable:
             self.close()
 
+    def _belongs(self, reply: http_messages.HttpResponse) -> bool:
+        """Tell whether an answer is certainly that of the request sent last.
+
+        A server that names no ID gets each request on a connection of its own.
+        """
+        if self._identity is None:
+            return True
+        match = self._identity.match(reply)
+        if match is request_identity.Match.UNNAMED:
+            self._is_reusable = False
+            return self._exchange_count == 1
+        if self._exchange_count >= _MAX_EXCHANGES:
+            self._is_reusable = False
+        return match is request_identity.Match.OWN
+
     def _update_expiry(self, reply: http_messages.HttpResponse) -> None:
         keep_ms = _MAX_IDLE_MS
         keep_alive = reply.header('keep-alive')
@@ -318,10 +250,10 @@
         address: deployment.Address,
         payload: bytes,
         timeout_ms: float,
-        accepts: AcceptsReply = _accept_any,
+        identity: request_identity.RequestIdentity | None = None,
     ) -> ExchangeResult:
         """Send a request; return its answer, or a failure after timeout_ms."""
-        connection = self._take_idle(address)
+        connection = self._take_idle(address, identity)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout_ms / clock.MILLIS_PER_SECOND
         if connection is None:
@@ -332,7 +264,7 @@
             connection = opened
         try:
             async with asyncio.timeout_at(ends_at):
-                outcome = await connection.exchange(payload, accepts)
+                outcome = await connection.exchange(payload, identity)
         except TimeoutError:
             self._lost.add(address)
             return FailedExchange(ExchangeFailure.TIMEOUT, was_sent=True)
@@ -365,10 +297,19 @@
         for address in list(self._idle):
             self._drop_stale(address)
 
-    def _take_idle(self, address: deployment.Address) -> Connection | None:
+    def _take_idle(
+        self,
+        address: deployment.Address,
+        identity: request_identity.RequestIdentity | None,
+    ) -> Connection | None:
+        """Return the connection used last that did not carry the same ID."""
         self._drop_stale(address)
-        connections = self._idle.get(address)
-        return connections.pop() if connections else None
+        connections = self._idle.get(address, [])
+        for connection in reversed(connections):
+            if identity is None or not connection.has_carried(identity):
+                connections.remove(connection)
+                return connection
+        return None
 
     def _drop_stale(self, address: deployment.Address) -> None:
         """Close idle connections that are too old; note those that ended."""
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -60,9 +60,14 @@
     rejection_backlog: queueing.Backlog | None = None
 
     @property
-    def may_have_run(self) -> bool:
-        """Tell whether a server may have run it; errors count as run."""
-        return self.earlier_runs > 0 or any(
+    def run_count(self) -> int:
+        """Return how often servers may have run it; errors count as runs."""
+        return self.earlier_runs + sum(
             one.result in {AttemptResult.UNKNOWN, AttemptResult.SERVER_ERROR}
             for one in self.attempts
         )
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a server may have run it; errors count as run."""
+        return self.run_count > 0
--- a/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
@@ -5,14 +5,14 @@
 import msgspec
 
 from sycamoreferry_core import decoding
-from sycamoreferry_gateway import http_client, peer_messages
+from sycamoreferry_gateway import peer_messages, reply_reader
 
 RELAY_PATH = '/relay'
 
 
 _Status = typing.Annotated[
     int,
-    msgspec.Meta(ge=http_client.STATUSES.start, lt=http_client.STATUSES.stop),
+    msgspec.Meta(ge=reply_reader.STATUSES.start, lt=reply_reader.STATUSES.stop),
 ]
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/relay_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from sycamoreferry_core import clock
+from sycamoreferry_adapter import request_headers
+from sycamoreferry_core import clock, http_messages
 from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import (
     answers,
@@ -76,7 +77,9 @@
             leaving_reports.build_rows(self._view),
         )
         return caller_messages.CallerAnswer(
-            int(http.HTTPStatus.OK), (), relay_messages.encode(answer)
+            int(http.HTTPStatus.OK),
+            _relay_id(envelope),
+            relay_messages.encode(answer),
         )
 
 
@@ -95,5 +98,15 @@
     )
 
 
+def _relay_id(
+    envelope: caller_messages.CallerRequest,
+) -> http_messages.Headers:
+    """Return the ID of a relayed request, for the header of its answer."""
+    relay_id = envelope.header(request_headers.REQUEST_ID)
+    if relay_id is None:
+        return ()
+    return ((request_headers.REQUEST_ID, relay_id),)
+
+
 def _empty(status: http.HTTPStatus) -> caller_messages.CallerAnswer:
     return caller_messages.CallerAnswer(int(status), (), b'')
--- a/packages/gateway/src/sycamoreferry_gateway/request_relay.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_relay.py
@@ -3,9 +3,11 @@
 import enum
 import http
 import random
+import uuid
 
 import msgspec
 
+from sycamoreferry_adapter import request_headers
 from sycamoreferry_core import ids, result_codes
 from sycamoreferry_core.fleet import deployment
 from sycamoreferry_core.traffic import server_load
@@ -16,6 +18,7 @@
     leaving_reports,
     proxied_requests,
     relay_messages,
+    request_identity,
     retry_policy,
     view,
 )
@@ -60,13 +63,17 @@
     ) -> answers.FinalAnswer | RelayFailure:
         """Return the answer that another instance gives to a request."""
         peer = self._random.choice(self._peers(proxied))
-        payload = self._encode(proxied)
+        identity = request_identity.RequestIdentity(
+            request_headers.REQUEST_ID, uuid.uuid4().hex
+        )
+        payload = self._encode(proxied, identity.request_id)
         proxied.relays.append(peer)
         proxied.earlier_runs += 1
         outcome = await self.pool.exchange(
             deployment.Address(*self._view.peer_addresses[peer]),
             payload,
             max(0, proxied.answer_by - self._view.clock.now()),
+            identity,
         )
         if isinstance(outcome, http_client.FailedExchange):
             if outcome.was_sent:
@@ -93,7 +100,9 @@
             and peer.instance not in proxied.relays
         ]
 
-    def _encode(self, proxied: proxied_requests.ProxiedRequest) -> bytes:
+    def _encode(
+        self, proxied: proxied_requests.ProxiedRequest, relay_id: str
+    ) -> bytes:
         request = proxied.request
         config = self._view.config
         message = relay_messages.RelayedRequest(
@@ -104,13 +113,16 @@
             caller=request.caller,
             elapsed_ms=self._view.clock.now() - proxied.arrived,
             service=proxied.service,
-            earlier_runs=proxied.earlier_runs,
+            earlier_runs=proxied.run_count,
             config_version=0 if config is None else config.version,
         )
         return http_client.encode_request(
             'POST',
             relay_messages.RELAY_PATH,
-            (('Host', self._view.deployment.instance),),
+            (
+                ('Host', self._view.deployment.instance),
+                (request_headers.REQUEST_ID, relay_id),
+            ),
             relay_messages.encode(message),
         )
 
--- a/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
+++ b/packages/gateway/src/sycamoreferry_gateway/retry_policy.py
@@ -88,14 +88,7 @@
 
     def may_rerun(self, proxied: proxied_requests.ProxiedRequest) -> bool:
         """Tell whether a request that may have run may run once more."""
-        runs = proxied.earlier_runs + sum(
-            1
-            for one in proxied.attempts
-            if one.result
-            in {
-                proxied_requests.AttemptResult.UNKNOWN,
-                proxied_requests.AttemptResult.SERVER_ERROR,
-            }
+        route = proxied.route
+        return (
+            route.kind.is_retryable and proxied.run_count < route.max_attempts
         )
-        kind = proxied.route.kind
-        return kind.is_retryable and runs < proxied.route.max_attempts
--- a/packages/gateway/src/sycamoreferry_gateway/store_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_client.py
@@ -149,6 +149,12 @@
         appended = store_calls.parse_append_reply(reply)
         if isinstance(appended, store_records.StoreFailure):
             return self._record_failure(appended)
+        if (
+            isinstance(appended, store_records.Appended)
+            and at is not None
+            and appended.offset != at
+        ):
+            return self._record_failure(_foreign_reply(appended.offset, at))
         return appended
 
     def close_expired(self) -> None:
@@ -260,6 +266,15 @@
     )
 
 
+def _foreign_reply(
+    offset: ids.Offset, at: ids.Offset
+) -> store_records.StoreFailure:
+    return store_records.StoreFailure(
+        store_records.StoreFailureReason.MALFORMED,
+        f'reply names offset {offset}, the append was to be at {at}',
+    )
+
+
 def _endless_listing() -> store_records.StoreFailure:
     return store_records.StoreFailure(
         store_records.StoreFailureReason.MALFORMED,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -273,6 +273,8 @@
         self.turned_away: list[tuple[str, int]] = []
         # Turns requests away and asks for this back-off in s; '' for none.
         self.retry_after = ''
+        # Statuses and headers with which it turns the next requests away.
+        self.rejections: list[tuple[int, Headers]] = []
         # The value of the rate limit header of its answers; '' for none.
         self.rate_limit = ''
         # The value of the leaving header of its answers; '' for none.
@@ -339,6 +341,10 @@
             ('Server-Leaving', self.leaving),
         )
         headers = tuple(row for row in stated if row[1])
+        request_id = request.header('request-id')
+        if request_id is not None:
+            # Servers name the request in each answer.
+            headers = (*headers, ('Request-Id', request_id))
         return dataclasses.replace(answer, headers=(*answer.headers, *headers))
 
     async def _grant(
@@ -390,6 +396,9 @@
         if self.is_keyed and not self.holds(key):
             return _answer(421, headers=(('Not-Executed', '1'),))
         self.arrived.append((request_id, self.clock.now()))
+        if self.rejections:
+            status, headers = self.rejections.pop(0)
+            return _answer(status, headers=headers)
         if self.retry_after:
             self.turned_away.append((request_id, self.clock.now()))
             asked = ('Retry-After', self.retry_after)
@@ -407,7 +416,7 @@
         return _answer(
             200,
             self.name.encode(),
-            (('Request-Id', request_id), ('Response-Seal', 'seal')),
+            (('Response-Seal', 'seal'),),
         )
 
 
@@ -497,8 +506,8 @@
     return await opened(pool, address, timeout_ms)
 
 
-def take_idle(pool, address):
-    connection = taken(pool, address)
+def take_idle(pool, address, identity):
+    connection = taken(pool, address, identity)
     if connection is not None and is_cut and address.port in ports:
         connection.exchange = hang
     return connection
--- a/packages/gateway/tests/test_answer_bytes.py
+++ b/packages/gateway/tests/test_answer_bytes.py
@@ -93,9 +93,7 @@
     )
     transport = FakeTransport()
     connection.connection_made(transport)
-    pending = asyncio.ensure_future(
-        connection.exchange(REQUEST, lambda _reply: True)
-    )
+    pending = asyncio.ensure_future(connection.exchange(REQUEST, None))
     await asyncio.sleep(0)
     for part in parts:
         if transport.is_closing():
--- a/packages/gateway/tests/test_endless_answers.py
+++ b/packages/gateway/tests/test_endless_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sycamoreferry_core.fleet import deployment
-from sycamoreferry_gateway import http_client
+from sycamoreferry_gateway import http_client, request_identity
 from sycamoreferry_ports import boot_clock
 
 REQUEST = http_client.encode_request('GET', '/a', (('Host', 'b'),), b'')
@@ -438,7 +438,7 @@
         address,
         REQUEST,
         TIMEOUT_MS,
-        lambda reply: reply.header('request-id') == '1',
+        request_identity.RequestIdentity('request-id', '1'),
     )
     assert _is_malformed(outcome)
     await asyncio.wait_for(server.has_stopped.wait(), 1)
--- a/packages/gateway/tests/test_http_client.py
+++ b/packages/gateway/tests/test_http_client.py
@@ -9,13 +9,14 @@
 
 from sycamoreferry_core import http_messages
 from sycamoreferry_core.fleet import deployment
-from sycamoreferry_gateway import http_client
+from sycamoreferry_gateway import http_client, request_identity
 from sycamoreferry_ports import boot_clock
 
 REQUEST = http_client.encode_request('GET', '/a', (('Host', 'b'),), b'')
 COMPLETE_REPLY = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok'
 )
+SECOND_REPLY = COMPLETE_REPLY.replace(b'Request-Id: 1', b'Request-Id: 2')
 FOREIGN_REPLY = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: 9\r\nContent-Length: 2\r\n\r\nno'
 )
@@ -80,15 +81,13 @@
         server.close()
 
 
-def _is_own(reply: http_messages.HttpResponse) -> bool:
-    return reply.header('request-id') == '1'
-
-
 async def _exchange(
     pool: http_client.ConnectionPool,
     address: deployment.Address,
+    request_id: str = '1',
 ) -> http_client.ExchangeResult:
-    return await pool.exchange(address, REQUEST, TIMEOUT_MS, _is_own)
+    identity = request_identity.RequestIdentity('request-id', request_id)
+    return await pool.exchange(address, REQUEST, TIMEOUT_MS, identity)
 
 
 @pytest.mark.parametrize(
@@ -150,9 +149,12 @@
 async def test_connection_is_reused_for_the_next_request(
     run_scripts: typing.Any,
 ) -> None:
-    scripted, address, pool = await run_scripts([COMPLETE_REPLY])
-    await _exchange(pool, address)
+    scripted, address, pool = await run_scripts(
+        [COMPLETE_REPLY], [SECOND_REPLY]
+    )
     await _exchange(pool, address)
+    second = await _exchange(pool, address, '2')
+    assert isinstance(second, http_messages.HttpResponse)
     assert scripted.connections == 1
     assert scripted.requests == 2
 
@@ -161,10 +163,10 @@
     run_scripts: typing.Any,
 ) -> None:
     scripted, address, pool = await run_scripts(
-        [COMPLETE_REPLY + FOREIGN_REPLY], [COMPLETE_REPLY]
+        [COMPLETE_REPLY + FOREIGN_REPLY], [SECOND_REPLY]
     )
     first = await _exchange(pool, address)
-    second = await _exchange(pool, address)
+    second = await _exchange(pool, address, '2')
     assert isinstance(first, http_messages.HttpResponse)
     assert isinstance(second, http_messages.HttpResponse)
     assert scripted.connections == 2
@@ -176,9 +178,9 @@
     closing = COMPLETE_REPLY.replace(
         b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'
     )
-    scripted, address, pool = await run_scripts([closing])
-    await _exchange(pool, address)
+    scripted, address, pool = await run_scripts([closing], [SECOND_REPLY])
     await _exchange(pool, address)
+    await _exchange(pool, address, '2')
     assert scripted.connections == 2
 
 
--- a/packages/gateway/tests/test_server_partitions.py
+++ b/packages/gateway/tests/test_server_partitions.py
@@ -58,8 +58,8 @@
             await asyncio.sleep(limit_ms / 1_000)
         return REFUSED
 
-    def take_idle(self, address: typing.Any) -> typing.Any:
-        connection = self._take_idle(address)
+    def take_idle(self, address: typing.Any, identity: object) -> typing.Any:
+        connection = self._take_idle(address, identity)
         if connection is None:
             return None
         self._taken += 1
@@ -71,7 +71,7 @@
         return connection
 
 
-async def _hang(_payload: bytes, _accepts: object) -> None:
+async def _hang(_payload: bytes, _identity: object) -> None:
     await asyncio.Event().wait()
 
 
