Send each order about keys on a connection of its own

Cause: answers to orders carry no ID, and any answer on a kept connection counted as that to the order sent last. A second answer to a renewal was taken for the answer to a release, or for the acceptance of a grant that was refused or not answered.

Change: a connection for each order. The one for the next order is opened before an order is sent, so that the answer shows that both lead to the same process; a grant with a fence that was sent before reaches that process or none.

--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -179,7 +179,7 @@
     def _coordinate(self) -> None:
         now = self._clock.now()
         self._orders.book.prune(now)
-        self._orders.keep_only(self._view.fleet.incarnations)
+        self._orders.keep_only(self._view.fleet.servers.values())
         is_planning = now - self._planned_at >= _PLAN_INTERVAL_MS
         if is_planning:
             self._planned_at = now
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -89,10 +89,6 @@
         """Tell whether it can be reused before the server times it out."""
         return self.is_open and now < self._expires_at
 
-    def has_ended_early(self, now: clock.Millis) -> bool:
-        """Tell whether it ended before the server would time it out."""
-        return not self.is_open and now < self._expires_at
-
     def has_carried(self, identity: request_identity.RequestIdentity) -> bool:
         """Tell whether a late answer may name the ID of a request."""
         return identity.request_id in self._carried
@@ -241,8 +237,6 @@
         self._clock = source
         self._budget = body_budget.BodyBudget()
         self._idle: dict[deployment.Address, list[Connection]] = {}
-        # Where a connection ended without being closed here.
-        self._lost: set[deployment.Address] = set()
         self.opened_count = 0
 
     async def exchange(
@@ -259,30 +253,22 @@
         if connection is None:
             opened = await self._open(address, timeout_ms)
             if isinstance(opened, FailedExchange):
-                self._lost.add(address)
                 return opened
             connection = opened
         try:
             async with asyncio.timeout_at(ends_at):
                 outcome = await connection.exchange(payload, identity)
         except TimeoutError:
-            self._lost.add(address)
             return FailedExchange(ExchangeFailure.TIMEOUT, was_sent=True)
-        if isinstance(outcome, FailedExchange):
-            self._lost.add(address)
         if connection.is_open:
             self._idle.setdefault(address, []).append(connection)
         return outcome
 
-    def take_lost(self, address: deployment.Address) -> bool:
-        """Tell whether a connection was lost since the last call for it.
-
-        Another process may run at the address by then.
-        """
-        self._drop_stale(address)
-        is_lost = address in self._lost
-        self._lost.discard(address)
-        return is_lost
+    async def open(
+        self, address: deployment.Address, timeout_ms: float
+    ) -> Connection | FailedExchange:
+        """Open a connection that the pool does not keep."""
+        return await self._open(address, timeout_ms)
 
     async def can_connect(self, address: deployment.Address) -> bool:
         """Tell whether a new connection can be opened; close it again."""
@@ -312,15 +298,13 @@
         return None
 
     def _drop_stale(self, address: deployment.Address) -> None:
-        """Close idle connections that are too old; note those that ended."""
+        """Close idle connections that are too old."""
         now = self._clock.now()
         kept = []
         for connection in self._idle.pop(address, ()):
             if connection.is_fresh(now):
                 kept.append(connection)
                 continue
-            if connection.has_ended_early(now):
-                self._lost.add(address)
             connection.close()
         if kept:
             self._idle[address] = kept
--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -8,7 +8,7 @@
 from sycamoreferry_core.fleet import deployment, servers
 from sycamoreferry_core.keyspace import leases, owners
 from sycamoreferry_core.traffic import reachability
-from sycamoreferry_gateway import http_client
+from sycamoreferry_gateway import http_client, order_connections
 
 # Servers answer a grant at once; on a timeout the connection is reset.
 GRANT_TIMEOUT_MS = 700
@@ -34,6 +34,9 @@
         time_source: clock.Clock,
     ) -> None:
         self._pool = pool
+        self._connections = order_connections.OrderConnections(
+            pool, time_source
+        )
         self._links = links
         self._book = book
         self._clock = time_source
@@ -59,18 +62,20 @@
         It may do so under its id, before its new entry is read.
         """
         life = server.incarnation
-        if self._pool.take_lost(_address(server)):
+        if self._connections.take_doubt(_address(server)):
             self._unproven[life] = self._sent.get(life, ids.NO_FENCE)
         return fence <= self._unproven.get(life, ids.NO_FENCE)
 
     def keep_only(
-        self, known: typing.Container[servers.ServerIncarnation]
+        self, known: typing.Collection[servers.BackendServer]
     ) -> None:
         """Forget what was sent to servers that are gone."""
+        lives = {server.incarnation for server in known}
         for fences in (self._sent, self._unproven):
             for life in list(fences):
-                if life not in known:
+                if life not in lives:
                     fences.pop(life)
+        self._connections.keep_only({_address(server) for server in known})
 
     async def grant(
         self,
@@ -86,16 +91,7 @@
         latest_arrival = clock.later(now, GRANT_TIMEOUT_MS)
         book = self._book
         until = book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
-        sent = self._sent.get(row.owner, ids.NO_FENCE)
-        self._sent[row.owner] = max(sent, row.fence)
-        outcome = await self._pool.exchange(
-            _address(server),
-            http_client.encode_call(
-                key_orders.build_grant(row, hold_ms),
-                str(_address(server)),
-            ),
-            GRANT_TIMEOUT_MS,
-        )
+        outcome = await self._send_grant(server, row, hold_ms)
         if isinstance(outcome, http_client.FailedExchange):
             self._links.record_failure(row.owner.server, self._clock.now())
             if not outcome.was_sent:
@@ -111,7 +107,7 @@
         fence: ids.Fence,
     ) -> Released | None:
         """Release keys; return None if the server did not confirm it."""
-        outcome = await self._pool.exchange(
+        outcome = await self._connections.exchange(
             _address(server),
             http_client.encode_call(
                 key_orders.build_release(keys, fence),
@@ -124,6 +120,31 @@
         handover = key_orders.parse_release_reply(outcome)
         return None if handover is None else Released(handover)
 
+    async def _send_grant(
+        self,
+        server: servers.BackendServer,
+        row: owners.Ownership,
+        hold_ms: int,
+    ) -> http_client.ExchangeResult:
+        """Send a grant; one with a known fence only to the same process.
+
+        Another process at the address holds nothing, and must get keys with a
+        higher fence than the one before it.
+        """
+        address = _address(server)
+        payload = http_client.encode_call(
+            key_orders.build_grant(row, hold_ms), str(address)
+        )
+        sent = self._sent.get(row.owner, ids.NO_FENCE)
+        self._sent[row.owner] = max(sent, row.fence)
+        if row.fence > sent and self._connections.knows_process(address):
+            return await self._connections.exchange(
+                address, payload, GRANT_TIMEOUT_MS
+            )
+        return await self._connections.exchange_with_same(
+            address, payload, GRANT_TIMEOUT_MS
+        )
+
 
 def _address(server: servers.BackendServer) -> deployment.Address:
     return deployment.Address(server.host, server.port)
