End the answer to a HEAD request with its head

What callers saw: a HEAD request got a 502 or 504, as its answer was read until a body had come that never comes. Found while the report of answers that break off was checked: those count as no answer at each byte, with close and with reset.

Cause: the reader did not know the method of the request. Beside it, an answer that switches protocols raised an error that the connection did not catch.

Evidence: on the tests of HEAD fail (the caller's with a time-out after 1 s), and that of the switch with HttpParserUpgrade. Those of answers that break off pass.

Change: the identity of a request tells whether a body is expected. The connection of a HEAD request is closed after it. Unasked switches of protocols are malformed.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -24,6 +24,7 @@
 # so that time is left for another.
 _ATTEMPT_SHARE = 0.5
 _MIN_ATTEMPT_MS = 250
+_HEAD = 'HEAD'
 _UNREACHABLE = http_client.FailedExchange(
     http_client.ExchangeFailure.CONNECT, was_sent=False
 )
@@ -128,7 +129,9 @@
                 payload,
                 self._attempt_timeout_ms(proxied, server, started_at),
                 request_identity.RequestIdentity(
-                    request_headers.REQUEST_ID, proxied.request_id
+                    request_headers.REQUEST_ID,
+                    proxied.request_id,
+                    expects_body=proxied.request.method != _HEAD,
                 ),
             )
             run.attempt = self._classifier.classify(
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -113,7 +113,13 @@
         self._exchange_count += 1
         if identity is not None:
             self._carried.add(identity.request_id)
-        self._reader = reply_reader.ReplyReader(self._complete)
+        expects_body = identity is None or identity.expects_body
+        self._reader = reply_reader.ReplyReader(
+            self._complete, expects_body=expects_body
+        )
+        if not expects_body:
+            # A body that is sent in spite of it is no part of a later answer.
+            self._is_reusable = False
         self._transport.write(payload)
         try:
             outcome = await self._waiter
@@ -147,7 +153,7 @@
             return
         try:
             self._reader.feed(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject_answer()
         self._budget.record(self, len(self._reader.body))
         if self._waiter.done() and self._reader.has_begun:
--- a/packages/gateway/src/sycamoreferry_gateway/reply_reader.py
+++ b/packages/gateway/src/sycamoreferry_gateway/reply_reader.py
@@ -17,8 +17,11 @@
 class ReplyReader:
     """Parse the answers of a connection, one at a time."""
 
-    def __init__(self, on_reply: typing.Callable[[], None]) -> None:
+    def __init__(
+        self, on_reply: typing.Callable[[], None], *, expects_body: bool = True
+    ) -> None:
         self._on_reply = on_reply
+        self._expects_body = expects_body
         self._parser = httptools.HttpResponseParser(self)
         self._received = received_bytes.ReceivedBytes()
         self.headers: list[tuple[str, str]] = []
@@ -91,6 +94,8 @@
             self._received.check_length(names['content-length'])
         if names.get('connection', '').lower() == 'close':
             self.closes = True
+        if not self._expects_body and self.status not in _INTERIM_STATUSES:
+            self._on_reply()
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
--- a/packages/gateway/src/sycamoreferry_gateway/request_identity.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_identity.py
@@ -29,6 +29,8 @@
     # In lower case.
     header: str
     request_id: str
+    # Answers to HEAD end with their head, whatever length it names.
+    expects_body: bool = True
 
     def match(self, answer: http_messages.HttpResponse) -> Match:
         """Classify an answer that is received while the request waits."""
--- a/packages/gateway/tests/test_answer_bytes.py
+++ b/packages/gateway/tests/test_answer_bytes.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from gateway_testing import fake_transport
 from sycamoreferry_core import http_messages
 from sycamoreferry_gateway import body_budget, http_client, received_bytes
 from sycamoreferry_ports import boot_clock
@@ -61,29 +62,6 @@
 BODIES = strategies.binary(max_size=200)
 
 
-class FakeTransport(asyncio.Transport):
-    """Take what a connection does to its transport."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._is_closing = False
-
-    def is_closing(self) -> bool:
-        return self._is_closing
-
-    def close(self) -> None:
-        self._is_closing = True
-
-    def abort(self) -> None:
-        self._is_closing = True
-
-    def write(self, data: typing.Any) -> None:
-        """Drop the request."""
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-
 async def _receive(
     parts: typing.Iterable[bytes],
 ) -> tuple[http_client.Connection, http_client.ExchangeResult | None]:
@@ -91,7 +69,7 @@
     connection = http_client.Connection(
         boot_clock.BootClock(), body_budget.BodyBudget()
     )
-    transport = FakeTransport()
+    transport = fake_transport.FakeTransport()
     connection.connection_made(transport)
     pending = asyncio.ensure_future(connection.exchange(REQUEST, None))
     await asyncio.sleep(0)
