Count a server's 408, 421 or 429 as not run only on its word

What callers saw, and the users report: requests that had been refused with a promise ran (REFUSED).

Cause: two are shown. The other: an answer with status 408, 421 or 429 went to the caller whatever else it said, though callers take these statuses as a promise. Which of them the users saw can't be told: their record has no status and no line of the requests.

Change: such a status counts as not run only with Not-Executed, a 421 also without unless it is sealed. Else the request may have run: 502, and a retry if it may run again.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -76,8 +76,14 @@
                 server,
                 'answer is not whole',
             )
-        if outcome.status >= _SERVER_ERROR:
+        is_error = outcome.status >= _SERVER_ERROR
+        if is_error:
             self._record_failure(server, now, 'server error')
+        else:
+            self._loads.record_success(server_id)
+        if is_error or outcome.status in request_headers.NOT_RUN_STATUSES:
+            # Without the server's word for it, a request may have run even if
+            # the status tells callers that it has not.
             detail = f'status {outcome.status}'
             return proxied_requests.Attempt(
                 proxied_requests.AttemptResult.SERVER_ERROR,
@@ -85,7 +91,6 @@
                 detail,
                 outcome,
             )
-        self._loads.record_success(server_id)
         return proxied_requests.Attempt(
             proxied_requests.AttemptResult.ANSWERED, server, 'answered', outcome
         )
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -273,6 +273,8 @@
         self.turned_away: list[tuple[str, int]] = []
         # Turns requests away and asks for this back-off in s; '' for none.
         self.retry_after = ''
+        # The status of the answers to requests that it has run.
+        self.status = 200
         # Statuses and headers with which it turns the next requests away.
         self.rejections: list[tuple[int, Headers]] = []
         # The value of the rate limit header of its answers; '' for none.
@@ -428,7 +430,7 @@
             self.drops -= 1
             self.stop()
         return _answer(
-            200,
+            self.status,
             self.name.encode(),
             (('Response-Seal', 'seal'),),
         )
