Take a server at a new address for another process

Cause: a grant whose fence had been sent to an incarnation went to any process at an address that had got no order. Found by reading; an incarnation keeps its address, and an odd entry may say otherwise. Nothing was seen at callers. Evidence: the new test fails without the change (is_unproven is False). Measured: the tests of orders and of the path passed.

--- a/packages/gateway/src/sycamoreferry_gateway/order_connections.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_connections.py
@@ -71,9 +71,14 @@
         return process is not None and process.has_orders
 
     def take_doubt(self, address: deployment.Address) -> bool:
-        """Tell whether another process may run there since the last call."""
+        """Tell whether another process may run there since the last call.
+
+        It may if nothing is known of the address, such as a new one.
+        """
         process = self._processes.get(address)
-        if process is None or process.lock.locked():
+        if process is None:
+            return True
+        if process.lock.locked():
             return False
         self._check(process)
         if not process.is_in_doubt:
--- a/packages/gateway/tests/test_order_answers.py
+++ b/packages/gateway/tests/test_order_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 import pytest
@@ -238,6 +239,23 @@
     assert not orders.is_unproven(6)
 
 
+async def test_server_at_a_new_address_is_in_doubt(
+    order_server: _OrderServer,
+) -> None:
+    """Check that keys are not renewed at an address that was never sent to."""
+    orders = _Orders(order_server.port)
+    assert not orders.is_unproven()
+    assert await orders.grant() is HELD
+    other = _OrderServer()
+    await other.start()
+    orders.server = dataclasses.replace(orders.server, port=other.port)
+    assert orders.is_unproven()
+    assert not orders.is_unproven(6)
+    assert await orders.grant(6) is HELD
+    assert not orders.is_unproven(6)
+    other.stop()
+
+
 async def test_grant_without_answer_leaves_the_process_in_doubt(
     order_server: _OrderServer,
 ) -> None:
