Send a repeated request of the own interface on its own connection

What callers would see: as behind a second rejection on the users' platform, a request that runs twice, or that is refused and ran. Cause: the router's forwarder told late answers by the request id alone, which all sends of a request share, and reused connections for them. Evidence: with the flag left out the second send of the new test gets the copy, 503. Change: the attempts tell whether a server got the request before; such a send goes over a connection that is not kept. Measured: the tests of ports' forwarder and of the router's attempts passed. The code that runs on the users' platform is unchanged.

--- a/packages/ports/src/sycamoreferry_ports/http_forward.py
+++ b/packages/ports/src/sycamoreferry_ports/http_forward.py
@@ -43,6 +43,8 @@
     timeout_ms: int
     remaining_ms: int
     request_id: ids.RequestId
+    # Whether the server got the request before.
+    is_repeated: bool = False
 
 
 class Download:
@@ -148,6 +150,8 @@
     """Forward requests without pipelining.
 
     Connections are reused only for servers whose answers echo the request id.
+    A repeated request gets a connection of its own, as a late second answer to
+    the first send has the same id.
     """
 
     def __init__(
@@ -186,7 +190,8 @@
         request: ForwardedRequest,
         server: wire.ListedServer,
     ) -> ForwardOutcome:
-        reusable = self._echoes.get(server.server, False)
+        echoes = self._echoes.get(server.server, False)
+        reusable = echoes and not request.is_repeated
         ends_at = _loop_time() + clock.seconds(request.remaining_ms)
         async with asyncio.timeout(clock.seconds(request.timeout_ms)):
             answer = await self._send(request, server, reusable=reusable)
--- a/packages/ports/tests/test_http_forward.py
+++ b/packages/ports/tests/test_http_forward.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -87,6 +88,38 @@
         assert [head.connection for head in server.heads] == [1, 2, 2, 2]
 
 
+async def test_repeated_request_gets_a_connection_of_its_own() -> None:
+    # A late second rejection was taken for the answer to the second send.
+    rejection = (
+        f'HTTP/1.1 503 S\r\n{headers.REQUEST_ID}: r1\r\n'
+        f'{headers.NOT_RUN}: shed\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        is_kept_connection = head.connection == 2
+        if head.request_id == 'r1' and is_kept_connection:
+            writer.write(rejection)
+        else:
+            writer.write(scripted_server.answer_bytes(head))
+
+    async with (
+        scripted_server.ScriptedServer(script) as server,
+        http_forward.open_forwarder() as forwarder,
+    ):
+        await forwarder.forward(_request(8), server.listed)
+        await forwarder.forward(_request(9), server.listed)
+        first = await forwarder.forward(_request(1), server.listed)
+        repeated = dataclasses.replace(_request(1), is_repeated=True)
+        second = await forwarder.forward(repeated, server.listed)
+        assert isinstance(first, http_forward.Received)
+        assert isinstance(second, http_forward.Received)
+        assert (first.status, second.status) == (503, 200)
+        assert [head.connection for head in server.heads] == [1, 2, 2, 3]
+
+
 async def test_server_without_echo_gets_a_connection_for_each_request() -> None:
     async def script(
         head: scripted_server.Head,
--- a/packages/router/src/sycamoreferry_router/attempts.py
+++ b/packages/router/src/sycamoreferry_router/attempts.py
@@ -217,8 +217,11 @@
         release = functools.partial(self._dispatcher.release, selected)
         sent_at = self._dependencies.clock.now()
         progress.sent_to = selected.way
+        is_repeated = selected.server.server in tried
         try:
-            outcome = await self._forward(selected)
+            outcome = await self._forward(
+                dataclasses.replace(selected, is_repeated=is_repeated)
+            )
         except BaseException:
             release()
             raise
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -46,6 +46,7 @@
         ),
         remaining_ms=remaining,
         request_id=selected.identified.request_id,
+        is_repeated=selected.is_repeated,
     )
     outcome = await guard.forward(
         selected,
--- a/packages/router/src/sycamoreferry_router/messages.py
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -60,6 +60,8 @@
     server: wire.ListedServer
     way: outcomes.Destination
     can_run_elsewhere: bool = False
+    # Whether the server got the request before.
+    is_repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/tests/test_attempts.py
+++ b/packages/router/tests/test_attempts.py
@@ -58,6 +58,7 @@
         self.faults = faults
         self.ran: collections.Counter[str] = collections.Counter()
         self.sent_to: list[ids.ServerId] = []
+        self.repeated: list[bool] = []
         self.down: set[ids.ServerId] = set()
 
     async def forward(
@@ -66,6 +67,7 @@
         server: wire.ListedServer,
     ) -> http_forward.ForwardOutcome:
         self.sent_to.append(server.server)
+        self.repeated.append(request.is_repeated)
         fault = self.faults.pop(0) if self.faults else 'fine'
         if server.server in self.down:
             fault = 'unreachable'
@@ -246,6 +248,21 @@
     assert servers.sent_to == [owner.server] * 2
 
 
+async def test_second_send_to_a_server_counts_as_repeated() -> None:
+    servers = _Servers(['shed'])
+    seen = _FastRetryView()
+    owner = _listed(1, KEYED)
+    seen.replace_servers([owner])
+    await seen.advance(_assigned(1, owner.server))
+    serving = request_path.new_pipeline(
+        request_path.small_settings(), servers, seen
+    )
+    outcome = await serving.serve(_incoming('POST', 1, 'k'))
+    assert outcome.kind is outcomes.Kind.ANSWERED
+    assert servers.sent_to == [owner.server] * 2
+    assert servers.repeated == [False, True]
+
+
 async def test_request_waits_for_a_new_owner_that_is_due_in_time() -> None:
     servers = _Servers([])
     results = await _OwnerOutage(servers, _FastRetryView()).serve_through(
