--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -73,13 +73,37 @@
 
 @pytest.mark.parametrize(
     ('text', 'expected'),
-    [('1500ms', 1_500), ('2.5s', 2_500), ('0ms', 0), ('10s', 10_000)],
+    [
+        ('1500ms', 1_500),
+        ('2.5s', 2_500),
+        ('0ms', 0),
+        ('10s', 10_000),
+        ('0.30000000000000004s', 300),
+        ('5e-05s', 0),
+        ('1.5e3ms', 1_500),
+        ('.5s', 500),
+    ],
 )
 def test_duration_is_parsed(text: str, expected: int) -> None:
     assert units.parse_millis(text) == expected
 
 
-@pytest.mark.parametrize('text', ['', '5', 'ms', 'infs', 'nanms', None, 5])
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        '5',
+        'ms',
+        'infs',
+        'nanms',
+        None,
+        5,
+        '1e308s',
+        '9e999ms',
+        '1 ms',
+        '-1s',
+    ],
+)
 def test_malformed_duration_is_rejected(text: object) -> None:
     with pytest.raises(units.FormatError):
         units.parse_millis(text)
