Send no grant later than its lease accounts for

A server could hold keys up to 1.1 s longer than the coordinator knew, which may grant them to another one. Cause: a grant waits for the lock of its server's process, and for up to two connections of 450 ms each, and was then written although its 700 ms were over. The lease recorded for it counts from the latest arrival within these 700 ms. Evidence: test_grant_is_not_sent_after_its_latest_arrival, in which connecting takes 770 ms; without the change the server receives the grant. Change: connecting takes no longer than what is left, and a grant whose time is over is not sent. The unused connection is kept for the next one.

--- a/packages/gateway/src/sycamoreferry_gateway/order_connections.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_connections.py
@@ -135,11 +135,16 @@
         payload: bytes,
         ends_at: float,
     ) -> http_client.ExchangeResult:
-        connection = await self._take_connection(address, process)
+        connection = await self._take_connection(address, process, ends_at)
         if isinstance(connection, http_client.FailedExchange):
             process.doubt()
             return connection
-        following = await self._open(address)
+        following = await self._open(address, ends_at)
+        if _left_ms(ends_at) <= 0:
+            # A later arrival would outlast the lease that is recorded for it.
+            _close(following)
+            process.following = connection
+            return _NOT_SENT
         is_answered = False
         process.has_orders = True
         try:
@@ -152,7 +157,7 @@
         return outcome
 
     async def _take_connection(
-        self, address: deployment.Address, process: _Process
+        self, address: deployment.Address, process: _Process, ends_at: float
     ) -> _Opened:
         """Return a connection to the same process, if there was any before."""
         self._check(process)
@@ -160,10 +165,15 @@
         process.following = None
         if connection is not None:
             return connection
-        return _NOT_SENT if process.has_orders else await self._open(address)
+        if process.has_orders:
+            return _NOT_SENT
+        return await self._open(address, ends_at)
 
-    async def _open(self, address: deployment.Address) -> _Opened:
-        return await self._pool.open(address, http_client.CONNECT_TIMEOUT_MS)
+    async def _open(
+        self, address: deployment.Address, ends_at: float
+    ) -> _Opened:
+        left_ms = max(0, _left_ms(ends_at))
+        return await self._pool.open(address, left_ms)
 
     def _check(self, process: _Process) -> None:
         """Doubt a process whose connection has ended or was idle for long."""
@@ -180,6 +190,16 @@
     return now + timeout_ms / clock.MILLIS_PER_SECOND
 
 
+def _left_ms(ends_at: float) -> float:
+    left_s = ends_at - asyncio.get_running_loop().time()
+    return left_s * clock.MILLIS_PER_SECOND
+
+
+def _close(opened: _Opened) -> None:
+    if isinstance(opened, http_client.Connection):
+        opened.close()
+
+
 async def _send(
     connection: http_client.Connection, payload: bytes, ends_at: float
 ) -> http_client.ExchangeResult:
--- a/packages/gateway/tests/test_order_answers.py
+++ b/packages/gateway/tests/test_order_answers.py
@@ -277,6 +277,32 @@
     assert not orders.is_unproven(6)
 
 
+async def test_grant_is_not_sent_after_its_latest_arrival(
+    order_server: _OrderServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Check a grant behind slow connecting, which the lease would outlast."""
+    orders = _Orders(order_server.port)
+    assert await orders.grant() is HELD
+    received = order_server.orders
+
+    async def open_slowly(
+        *_: object,
+    ) -> http_client.FailedExchange:
+        await asyncio.sleep(1.1 * order_sender.GRANT_TIMEOUT_MS / 1_000)
+        return http_client.FailedExchange(
+            http_client.ExchangeFailure.CONNECT, was_sent=False
+        )
+
+    with monkeypatch.context() as patched:
+        patched.setattr(orders.sender._connections._pool, 'open', open_slowly)
+        failed = await orders.grant()
+    await asyncio.sleep(0.05)
+    assert isinstance(failed, http_client.FailedExchange)
+    assert not failed.was_sent
+    assert order_server.orders == received
+    assert await orders.grant() is HELD
+
+
 async def test_grants_at_the_same_time_are_all_answered(
     order_server: _OrderServer,
 ) -> None:
