Release keys only after the renewals of them that are under way

What callers saw: keys had no owner for up to 5 s after a move that began while their server was slow to answer a renewal. Cause: a release goes on another connection than a renewal that was sent before. Its answer finds the renewal unanswered, so the keys count as held until that renewal would have expired. By reading: a renewal that is delayed on its way could also arrive after the release and give the keys back. The test that failed delays the renewal that it is about, and no longer whichever comes first; all its checks and bounds stay.

--- a/packages/gateway/src/sycamoreferry_gateway/order_sender.py
+++ b/packages/gateway/src/sycamoreferry_gateway/order_sender.py
@@ -1,5 +1,6 @@
 """Send grants and releases of keys to backend servers."""
 
+import asyncio
 import dataclasses
 import typing
 
@@ -23,6 +24,15 @@
     handover: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _PendingGrant:
+    """Hold a grant that is neither answered nor given up."""
+
+    address: deployment.Address
+    keys: owners.KeyRange
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
 class OrderSender:
     """Send grants and releases, and record grants in the lease book."""
 
@@ -44,6 +54,7 @@
         # have started again since.
         self._sent: dict[servers.ServerIncarnation, ids.Fence] = {}
         self._unproven: dict[servers.ServerIncarnation, ids.Fence] = {}
+        self._pending: set[_PendingGrant] = set()
 
     @property
     def book(self) -> leases.LeaseBook:
@@ -91,7 +102,13 @@
         latest_arrival = clock.later(now, GRANT_TIMEOUT_MS)
         book = self._book
         until = book.record_sent(row.owner, row.keys, latest_arrival, hold_ms)
-        outcome = await self._send_grant(server, row, hold_ms)
+        pending = _PendingGrant(_address(server), row.keys)
+        self._pending.add(pending)
+        try:
+            outcome = await self._send_grant(server, row, hold_ms)
+        finally:
+            self._pending.discard(pending)
+            pending.ended.set()
         if isinstance(outcome, http_client.FailedExchange):
             self._links.record_failure(row.owner.server, self._clock.now())
             if not outcome.was_sent:
@@ -106,7 +123,13 @@
         keys: owners.KeyRange,
         fence: ids.Fence,
     ) -> Released | None:
-        """Release keys; return None if the server did not confirm it."""
+        """Release keys; return None if the server did not confirm it.
+
+        Each order has its own connection, so a grant that was sent before may
+        arrive after the release and give the keys back to the server. The
+        release therefore waits until such grants are answered or given up.
+        """
+        await self._wait_for_grants(_address(server), keys)
         outcome = await self._connections.exchange(
             _address(server),
             http_client.encode_call(
@@ -120,6 +143,16 @@
         handover = key_orders.parse_release_reply(outcome)
         return None if handover is None else Released(handover)
 
+    async def _wait_for_grants(
+        self, address: deployment.Address, keys: owners.KeyRange
+    ) -> None:
+        ends = [
+            pending.ended.wait()
+            for pending in self._pending
+            if pending.address == address and pending.keys.overlaps(keys)
+        ]
+        await asyncio.gather(*ends)
+
     async def _send_grant(
         self,
         server: servers.BackendServer,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -289,6 +289,8 @@
         self.sequence = 0
         self.grant_replies_to_lose = 0
         self.grant_delay_s = 0.0
+        # The only range whose grants are delayed; None for all.
+        self.delayed_range: tuple[int, int] | None = None
         self.delayed_grants = 0
         self.processing_time_s = 0.0
         self.running = 0
@@ -372,7 +374,7 @@
         if self.grant_replies_to_lose:
             self.grant_replies_to_lose -= 1
             await asyncio.sleep(30)
-        if self.grant_delay_s:
+        if self.grant_delay_s and self.delayed_range in {None, (first, last)}:
             self.delayed_grants += 1
             await asyncio.sleep(self.grant_delay_s)
         return _answer(200)
--- a/packages/gateway/tests/test_order_answers.py
+++ b/packages/gateway/tests/test_order_answers.py
@@ -327,6 +327,33 @@
     assert await orders.grant(6) is HELD
 
 
+OTHER_KEYS = owners.KeyRange(owners.Key(10), owners.Key(19))
+
+
+@pytest.mark.parametrize(
+    ('keys', 'waits'),
+    [(KEYS, True), (OTHER_KEYS, False)],
+    ids=['same', 'other'],
+)
+async def test_release_does_not_overtake_a_grant_of_its_keys(
+    order_server: _OrderServer, keys: owners.KeyRange, *, waits: bool
+) -> None:
+    """Check a grant that would give the keys back if it arrived last."""
+    orders = _Orders(order_server.port)
+    order_server.statuses = [0]
+    grant = asyncio.create_task(orders.grant())
+    while not order_server.orders:  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+    release = asyncio.create_task(
+        orders.sender.release(orders.server, keys, ids.Fence(5))
+    )
+    while order_server.orders < 2:  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+    assert grant.done() is waits
+    await release
+    await grant
+
+
 async def test_connections_to_servers_that_are_gone_are_closed(
     order_server: _OrderServer,
 ) -> None:
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -182,15 +182,15 @@
     await _start(cluster)
     leader = cluster.leader()
     row = leader._view.owner_of('keys', KEY)
-    await _move(cluster, leader, row.keys.first + 100)
-    renewed = leader._view.owner_of('keys', row.keys.last)
     source = next(
         one for one in cluster.servers if one.name == row.owner.server
     )
     # The grants of one server are renewed in turn, so the slow first renewal
-    # delays the second.
+    # delays the second. Both are due once the move has cut the range in two.
+    source.delayed_range = (row.keys.first, row.keys.first + 99)
     source.grant_delay_s = 0.6
-    source.delayed_grants = 0
+    await _move(cluster, leader, row.keys.first + 100)
+    renewed = leader._view.owner_of('keys', row.keys.last)
     await cluster.wait_until(lambda: source.delayed_grants, limit_s=2)
     await _move(cluster, leader, renewed.keys.last)
     for _ in range(40):
@@ -198,6 +198,22 @@
         assert len(cluster.owners(renewed.keys.last)) == 1
 
 
+async def test_keys_move_soon_after_a_slow_renewal_of_them(
+    cluster: typing.Any,
+) -> None:
+    """Check keys that stayed without an owner until their lease was over."""
+    await _start(cluster)
+    leader = cluster.leader()
+    row = leader._view.owner_of('keys', KEY)
+    source = next(
+        one for one in cluster.servers if one.name == row.owner.server
+    )
+    source.grant_delay_s = 0.3
+    await cluster.wait_until(lambda: source.delayed_grants, limit_s=2)
+    await _move(cluster, leader, KEY)
+    assert not source.holds(KEY)
+
+
 async def _move(cluster: typing.Any, leader: typing.Any, key: int) -> None:
     """Move one key to another server and wait until that server holds it."""
     row = leader._view.owner_of('keys', key)
