Check answers that break off on their way through a relay

Cause: the report of a broken head was checked for relays by reading only. The tests cut the server's answer to a relayed request, and the answer between two instances, later each time, with close and with reset, for unsafe, safe and download routes. Each test checks that all its requests were relayed, or that the relay was cut at each length.

--- a/packages/gateway/tests/test_cut_answers.py
+++ b/packages/gateway/tests/test_cut_answers.py
@@ -11,6 +11,7 @@
 
 from gateway_testing import fake_transport
 from sycamoreferry_core import http_messages
+from sycamoreferry_core.traffic import reachability
 from sycamoreferry_gateway import body_budget, http_client, request_identity
 from sycamoreferry_ports import boot_clock
 
@@ -128,9 +129,13 @@
 class _CuttingServer:
     """Break each answer to a request off later than the one before."""
 
-    def __init__(self, target_port: int, *, is_reset: bool) -> None:
+    def __init__(
+        self, target_port: int, *, is_reset: bool, path: bytes = b'/k/'
+    ) -> None:
         self.port = 0
         self.is_over = False
+        # The beginning of the targets whose answers break off.
+        self._path = path
         self._target_port = target_port
         self._is_reset = is_reset
         self._sizes = itertools.count(1, STEP)
@@ -158,7 +163,7 @@
         while request := await reader.read(100_000):
             server_writer.write(request)
             answer = await server_reader.read(100_000)
-            if b' /k/' not in request.split(b'\r\n')[0]:
+            if not request.split(b' ')[1].startswith(self._path):
                 writer.write(answer)
                 continue
             size = next(self._sizes)
@@ -226,6 +231,135 @@
     cutting.stop()
 
 
+class _CutOff(reachability.Reachability):
+    """Report that no server can be reached, whatever probes find."""
+
+    @property
+    def is_cut_off(self) -> bool:
+        return True
+
+
+async def _start_relaying(
+    cluster: typing.Any, kind: str, *, is_keyed: bool
+) -> typing.Any:
+    """Start two instances of which the first relays to the second."""
+    await cluster.start(servers=1, instances=2, kind=kind, is_keyed=is_keyed)
+    first, second = cluster.instances
+    await cluster.wait_until(
+        lambda: (
+            (not is_keyed or cluster.is_covered())
+            and second._deployment.instance in first._view.peer_addresses
+            and all(
+                one.is_ready and one._view.peers.alive(one._clock.now())
+                for one in cluster.instances
+            )
+        )
+    )
+    first._loads.reachability = _CutOff()
+    return first
+
+
+async def _check_cut_answers(
+    cluster: typing.Any, cutting: _CuttingServer, method: str
+) -> list[int]:
+    """Send requests until an answer is not cut any more; return statuses."""
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
+    address = cluster.instances[0]._deployment.request_address
+    server = cluster.servers[0]
+    statuses = []
+    for number in range(80):
+        for one in cluster.instances:
+            # A server that fails is suspended for longer than its deadline.
+            one._loads._tracked.clear()
+        name = f'r{number}'
+        reply = await pool.exchange(
+            address,
+            cluster.encode_request(name, KEY, method=method),
+            3_000,
+            request_identity.RequestIdentity('request-id', name),
+        )
+        assert isinstance(reply, http_messages.HttpResponse)
+        statuses.append(reply.status)
+        runs = [ran for ran, _ in server.ran if ran == name]
+        assert not runs or reply.status not in {408, 421, 429, 503}
+        if reply.status == 200:
+            assert reply.body == server.name.encode()
+            assert reply.header('response-seal') == 'seal'
+        if method == 'POST':
+            assert len(runs) <= 1
+        if cutting.is_over:
+            break
+    assert cutting.is_over
+    return statuses
+
+
+relayed_kinds = pytest.mark.parametrize(
+    ('kind', 'method'),
+    [('unsafe', 'POST'), ('safe', 'GET'), ('download', 'GET')],
+)
+
+
+@ends
+@relayed_kinds
+@pytest.mark.parametrize('is_keyed', [True, False], ids=['keyed', 'any'])
+async def test_relayed_answer_of_a_server_that_broke_off_is_no_success(
+    cluster: typing.Any,
+    kind: str,
+    method: str,
+    *,
+    is_keyed: bool,
+    is_reset: bool,
+) -> None:
+    """Check answers that break off between a server and the second instance."""
+    first = await _start_relaying(cluster, kind, is_keyed=is_keyed)
+    relay = first._request_handler.relay
+    forward = relay.forward
+    relayed: list[str] = []
+
+    async def forward_and_note(proxied: typing.Any) -> typing.Any:
+        relayed.append(proxied.request_id)
+        return await forward(proxied)
+
+    relay.forward = forward_and_note
+    server = cluster.servers[0]
+    cutting = _CuttingServer(server.port, is_reset=is_reset)
+    await cutting.start()
+    server.public_port = cutting.port
+    server.register()
+    await cluster.wait_until(
+        lambda: (
+            all(
+                known.port == cutting.port
+                for one in cluster.instances
+                for known in one._view.servers_of('keys')
+            )
+            and (not is_keyed or cluster.is_covered())
+        )
+    )
+    statuses = await _check_cut_answers(cluster, cutting, method)
+    assert 200 not in statuses
+    assert len(relayed) == len(statuses)
+    cutting.stop()
+
+
+@ends
+@relayed_kinds
+async def test_relay_that_broke_off_is_no_success(
+    cluster: typing.Any, kind: str, method: str, *, is_reset: bool
+) -> None:
+    """Check answers that break off between the two instances."""
+    first = await _start_relaying(cluster, kind, is_keyed=True)
+    second = cluster.instances[1]._deployment
+    host, port = first._view.peer_addresses[second.instance]
+    cutting = _CuttingServer(port, is_reset=is_reset, path=b'/relay')
+    await cutting.start()
+    first._view.peer_addresses[second.instance] = (host, cutting.port)
+    statuses = await _check_cut_answers(cluster, cutting, method)
+    if method == 'POST':
+        assert 200 not in statuses
+    cutting.stop()
+
+
 async def test_caller_gets_the_answer_to_a_head_request(
     cluster: typing.Any,
 ) -> None:
