Soak servers that reject requests and send answers again

Cause: the plays of the users' REFUSED had one trouble each. The soak now has a series with rejections and second copies beside failing links, relays, stops, kills, servers that lapse or start again, and limits; and its check of refused requests covers 408, 421 and 429 beside 503.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -36,6 +36,8 @@
 LOSS_SLACK_S = 0.2
 # A request may stay unanswered this long after its deadline.
 LATE_MS = 500
+# These tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 def _answer(
@@ -885,7 +887,7 @@
             if count > 1
         )
         self.violations.extend(
-            f'{name} ran although its caller got a 503'
+            f'{name} ran although its caller was told that it did not'
             for name in self._not_run
             if name in runs
         )
@@ -901,7 +903,7 @@
         reply: http_messages.HttpResponse,
     ) -> None:
         """Check the answer of a request against what the servers ran."""
-        if reply.status == 503:
+        if reply.status in NOT_RUN_STATUSES:
             self._not_run.append(name)
         if reply.status != 200:
             return
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -11,7 +11,13 @@
 
 import pytest
 
-from gateway_testing import crash_soak, limit_soak, restore_soak, soak
+from gateway_testing import (
+    crash_soak,
+    limit_soak,
+    rejection_soak,
+    restore_soak,
+    soak,
+)
 
 _ALIKE_REQUESTS = 'requests that are alike were taken for one that ends servers'
 # Each seed that ever failed, with the cause of its failure.
@@ -24,6 +30,8 @@
 SHORT_SEEDS = (2,)
 # A limit was granted in several places.
 LIMIT_SEEDS = (1,)
+# A second rejection was taken for the answer to the next send.
+REJECTION_SEEDS = (10,)
 
 
 def _seeds() -> list[int]:
@@ -117,3 +125,17 @@
     seed: int,
 ) -> None:
     await _play(limit_soak.LimitSoak(cluster, checked_calls, seed), tmp_path)
+
+
+@pytest.mark.processes
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', _short_seeds(REJECTION_SEEDS))
+async def test_promises_hold_while_servers_reject_and_repeat_answers(
+    cluster: typing.Any,
+    checked_calls: typing.Any,
+    tmp_path: pathlib.Path,
+    seed: int,
+) -> None:
+    """Check for requests that ran twice, or although they were refused."""
+    played = rejection_soak.RejectionSoak(cluster, checked_calls, seed)
+    await _play(played, tmp_path)
