Soak rejections and repeated answers of servers without keys as well

Cause: on the users' deployments most unsafe requests go to services without keys. The soak now waits until all its instances are ready, as servers without keys show nothing else to wait for.

--- a/packages/gateway/tests/support/gateway_testing/rejection_soak.py
+++ b/packages/gateway/tests/support/gateway_testing/rejection_soak.py
@@ -23,9 +23,15 @@
     """Reject requests, and send answers again, while other faults happen."""
 
     def __init__(
-        self, cluster: typing.Any, calls: typing.Any, seed: int
+        self,
+        cluster: typing.Any,
+        calls: typing.Any,
+        seed: int,
+        *,
+        is_keyed: bool,
     ) -> None:
         super().__init__(cluster, calls, seed, has_partitions=True)
+        self.is_keyed = is_keyed
         self._doubling: list[doubling_proxy.DoublingProxy] = []
         self._is_doubling = False
 
--- a/packages/gateway/tests/support/gateway_testing/soak.py
+++ b/packages/gateway/tests/support/gateway_testing/soak.py
@@ -1,6 +1,7 @@
 """Inject faults into real processes while callers and servers check them."""
 
 import asyncio
+import http
 import math
 import pathlib
 import random
@@ -25,6 +26,7 @@
     """Inject the faults of a seed and record violated guarantees."""
 
     series = SERIES
+    is_keyed = True
 
     def __init__(
         self,
@@ -47,7 +49,7 @@
 
     async def start(self, folder: pathlib.Path) -> None:
         cluster = self.cluster
-        await cluster.start(SERVERS, 0, kind='unsafe')
+        await cluster.start(SERVERS, 0, kind='unsafe', is_keyed=self.is_keyed)
         for server in cluster.servers:
             proxy = await self._start_server_proxy(server)
             server.public_port = proxy.port
@@ -56,7 +58,9 @@
         for number in range(INSTANCES):
             proxy = await self._proxy(cluster.store.port)
             self._start_process(f'i{number}', folder, proxy)
-        await cluster.wait_until(cluster.is_covered, limit_s=20)
+        await self._wait_until_covered(20)
+        for instance in cluster.processes:
+            await _wait_until_ready(instance)
 
     def stop(self) -> None:
         for proxy in self.proxies:
@@ -76,7 +80,7 @@
         )
         self.end_faults()
         try:
-            await self.cluster.wait_until(self.cluster.is_covered, limit_s=25)
+            await self._wait_until_covered(25)
         except TimeoutError:
             self.calls.violations.append(
                 'keys without exactly one owner 25 s after the faults ended'
@@ -92,6 +96,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.calls.check_runs()
 
+    async def _wait_until_covered(self, limit_s: float) -> None:
+        """Wait until each key has one owner, if servers hold keys."""
+        if self.is_keyed:
+            await self.cluster.wait_until(
+                self.cluster.is_covered, limit_s=limit_s
+            )
+
     async def _inject_faults(self, duration_s: float) -> None:
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + duration_s
@@ -274,6 +285,19 @@
                     since[key] = math.inf
 
 
+async def _wait_until_ready(instance: typing.Any) -> None:
+    pool = http_client.ConnectionPool(boot_clock.BootClock())
+    payload = http_client.encode_request('GET', '/readiness', (), b'')
+    async with asyncio.timeout(10):
+        while True:
+            reply = await pool.exchange(
+                instance.deployment.readiness_address, payload, 1_000
+            )
+            if getattr(reply, 'status', 0) == http.HTTPStatus.OK:
+                return
+            await asyncio.sleep(0.02)
+
+
 _FAULTS = (
     Soak.degrade_store_links,
     Soak.degrade_server_link,
--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -130,12 +130,17 @@
 @pytest.mark.processes
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize('seed', _short_seeds(REJECTION_SEEDS))
+@pytest.mark.parametrize('is_keyed', [True, False], ids=['keyed', 'any'])
 async def test_promises_hold_while_servers_reject_and_repeat_answers(
     cluster: typing.Any,
     checked_calls: typing.Any,
     tmp_path: pathlib.Path,
     seed: int,
+    *,
+    is_keyed: bool,
 ) -> None:
     """Check for requests that ran twice, or although they were refused."""
-    played = rejection_soak.RejectionSoak(cluster, checked_calls, seed)
+    played = rejection_soak.RejectionSoak(
+        cluster, checked_calls, seed, is_keyed=is_keyed
+    )
     await _play(played, tmp_path)
