Decode each entry of the instance list alone

What callers saw: nothing yet; this is the report of an odd entry for the product's own interface, found by reading. Instances that run without the users' platform stopped following the list of servers, or ended. Cause: the list was decoded as a whole, so one entry of another writer made all of it unavailable; deep nesting raised RecursionError, which neither the list nor the log, a record or an order's answer caught; ports and hosts had no bounds. Change: entries are decoded one by one, with bounds; a text that no decoder takes as a whole is split first. Reasons are logged when they change. The entry instance of the users' platform has none of this code.

--- a/packages/core/src/sycamoreferry_core/admission_records.py
+++ b/packages/core/src/sycamoreferry_core/admission_records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import decoding, ids
 
 
 @enum.unique
@@ -77,6 +77,6 @@
 def decode_record(payload: bytes) -> AnyAdmissionRecord | None:
     """Decode a record; return None for anything else."""
     try:
-        return _decoder.decode(payload)
+        return decoding.decode(_decoder, payload)
     except msgspec.MsgspecError:
         return None
--- a/packages/core/src/sycamoreferry_core/records.py
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sycamoreferry_core import clock, ids, quarantine
+from sycamoreferry_core import clock, decoding, ids, quarantine
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -165,7 +165,7 @@
 def decode_record(payload: bytes) -> AnyRecord:
     """Decode a record; raise BadRecordError for invalid bytes."""
     try:
-        return _decoder.decode(payload)
+        return decoding.decode(_decoder, payload)
     except msgspec.MsgspecError as error:
         raise BadRecordError(f'cannot decode the record: {error}') from error
 
--- a/packages/ports/src/sycamoreferry_ports/http_log.py
+++ b/packages/ports/src/sycamoreferry_ports/http_log.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from sycamoreferry_core import clock, ids, records
+from sycamoreferry_core import clock, decoding, ids, records
 from sycamoreferry_ports import bounded_body, log_port, wire
 
 READ_LIMIT = 500
@@ -66,7 +66,7 @@
         ) as answer:
             content = await bounded_body.read(answer)
             if answer.status == http.HTTPStatus.OK:
-                appended = _appended_decoder.decode(content)
+                appended = decoding.decode(_appended_decoder, content)
                 return log_port.Appended(ids.Offset(appended.offset))
             return log_port.AppendUnknown(
                 f'log answered with HTTP status {answer.status}'
@@ -84,7 +84,7 @@
                 return log_port.ReadFailed(
                     f'log answered with HTTP status {answer.status}'
                 )
-        tail = _tail_decoder.decode(content)
+        tail = decoding.decode(_tail_decoder, content)
         return log_port.Tail(
             first_offset=ids.Offset(tail.first_offset),
             end_offset=ids.Offset(tail.end_offset),
--- a/packages/ports/src/sycamoreferry_ports/http_orders.py
+++ b/packages/ports/src/sycamoreferry_ports/http_orders.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from sycamoreferry_core import actions, clock, events, ids
+from sycamoreferry_core import actions, clock, decoding, events, ids
 from sycamoreferry_ports import bounded_body, headers, wire
 
 _encoder = msgspec.json.Encoder()
@@ -153,6 +153,8 @@
                 },
                 timeout=timeout,
             ) as answer:
-                return _decoder.decode(await bounded_body.read(answer))
+                return decoding.decode(
+                    _decoder, await bounded_body.read(answer)
+                )
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/packages/ports/src/sycamoreferry_ports/wire.py
+++ b/packages/ports/src/sycamoreferry_ports/wire.py
@@ -1,8 +1,21 @@
 """Define the HTTP bodies of the platform and of backend servers."""
 
+import typing
+
 import msgspec
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import decoding, ids
+from sycamoreferry_core.fleet import addresses
+
+# A name or an IPv4 address, as it stands in a URL.
+_Host = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'^([A-Za-z0-9_-]{1,63}\.){0,7}[A-Za-z0-9_-]{1,63}$',
+    ),
+]
+_Label = msgspec.Meta(max_length=decoding.MAX_LABEL_LENGTH)
+_Stamp = msgspec.Meta(ge=0, le=decoding.MAX_SIGNED)
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -29,12 +42,12 @@
 class ListedServer(msgspec.Struct, frozen=True):
     """Hold the entry of the instance list for one backend server."""
 
-    server: ids.ServerId
-    service: ids.ServiceName
-    data_centre: ids.DataCentre
-    host: str
-    port: int
-    state: str
+    server: typing.Annotated[ids.ServerId, _Label]
+    service: typing.Annotated[ids.ServiceName, _Label]
+    data_centre: typing.Annotated[ids.DataCentre, _Label]
+    host: _Host
+    port: typing.Annotated[int, msgspec.Meta(ge=1, le=addresses.MAX_PORT)]
+    state: typing.Annotated[str, _Label]
 
 
 class InstanceList(msgspec.Struct, frozen=True):
@@ -46,7 +59,7 @@
 class FencedShards(msgspec.Struct, frozen=True):
     """Group shards that share a fencing token."""
 
-    fence: ids.Fence
+    fence: typing.Annotated[ids.Fence, _Stamp]
     shards: tuple[ids.ShardId, ...]
 
 
@@ -97,8 +110,8 @@
     """Report the shards that a server holds; None if the digest matched."""
 
     accepted: bool
-    term: ids.Term
-    stamp: int
+    term: typing.Annotated[ids.Term, _Stamp]
+    stamp: typing.Annotated[int, _Stamp]
     groups: tuple[FencedShards, ...] | None = None
     lapsed: tuple[FencedShards, ...] = ()
 
@@ -106,7 +119,7 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """Report the load of a server, as the server itself sees it."""
 
-    running: int
-    waiting: int
-    slots: int
+    running: decoding.Count
+    waiting: decoding.Count
+    slots: decoding.Count
     healthy: bool
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -253,10 +253,18 @@
 
     async def _follow_instance_list(self) -> None:
         interval = clock.seconds(self._settings.platform.list_interval_ms)
+        unusable: tuple[str, ...] = ()
         while True:
             listed = await self._instance_list.read()
             if listed is not None:
                 self._apply_instance_list(listed)
+            if self._instance_list.unusable != unusable:
+                unusable = self._instance_list.unusable
+                _log.warning(
+                    '{} entries of the instance list cannot be used; first: {}',
+                    len(unusable),
+                    unusable[:1],
+                )
             await asyncio.sleep(interval)
 
     def _apply_instance_list(
