Refuse listed hosts that end with a line break

Cause: the pattern of hosts in let a final line break pass. One case of test_odd_entries.py fails with the earlier pattern. A bound that is also used for terms and fences is named for its kind.

--- a/packages/ports/src/sycamoreferry_ports/wire.py
+++ b/packages/ports/src/sycamoreferry_ports/wire.py
@@ -11,11 +11,11 @@
 _Host = typing.Annotated[
     str,
     msgspec.Meta(
-        pattern=r'^([A-Za-z0-9_-]{1,63}\.){0,7}[A-Za-z0-9_-]{1,63}$',
+        pattern=r'^([A-Za-z0-9_-]{1,63}\.){0,7}[A-Za-z0-9_-]{1,63}\Z',
     ),
 ]
 _Label = msgspec.Meta(max_length=decoding.MAX_LABEL_LENGTH)
-_Stamp = msgspec.Meta(ge=0, le=decoding.MAX_SIGNED)
+_Signed = msgspec.Meta(ge=0, le=decoding.MAX_SIGNED)
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -59,7 +59,7 @@
 class FencedShards(msgspec.Struct, frozen=True):
     """Group shards that share a fencing token."""
 
-    fence: typing.Annotated[ids.Fence, _Stamp]
+    fence: typing.Annotated[ids.Fence, _Signed]
     shards: tuple[ids.ShardId, ...]
 
 
@@ -110,8 +110,8 @@
     """Report the shards that a server holds; None if the digest matched."""
 
     accepted: bool
-    term: typing.Annotated[ids.Term, _Stamp]
-    stamp: typing.Annotated[int, _Stamp]
+    term: typing.Annotated[ids.Term, _Signed]
+    stamp: typing.Annotated[int, _Signed]
     groups: tuple[FencedShards, ...] | None = None
     lapsed: tuple[FencedShards, ...] = ()
 
--- a/packages/ports/tests/test_odd_entries.py
+++ b/packages/ports/tests/test_odd_entries.py
@@ -49,6 +49,7 @@
     'host of one long label': _entry(host='h' * 64),
     'host with a path': _entry(host='127.0.0.1:9/x'),
     'host with a user': _entry(host='a@b'),
+    'host with a line end': _entry(host='127.0.0.1\n'),
     'host of another script': _entry(host='\u00fc'),
     'long state': _entry(state='x' * 10_000),
     'service of another type': _entry(service=['keyed']),
