Count the coordinator among the instances that follow the store

All instances had the configuration in time; the store got calls of one instance too many.

Cause: three instances are to follow the store, the coordinator among them. Each instance compared its own rank with three, and the coordinator followed whatever its rank was. If another than the first three coordinates, as after claims at about the same time, four follow the store.

Change: an instance that does not coordinate ranks itself among the others apart from the coordinator, and follows the store if it is one of the first two. The new test starts the coordinator before four instances that rank before it; without the change it fails in both cases.

The test of rare rankings records them with any arguments; its bound is the same.

--- a/packages/core/src/sycamoreferry_core/fleet/instances.py
+++ b/packages/core/src/sycamoreferry_core/fleet/instances.py
@@ -167,11 +167,15 @@
         """Return the number of instances alive, this one included."""
         return 1 + len(self.alive(now))
 
-    def rank(self, now: clock.Millis) -> int:
+    def rank(
+        self,
+        now: clock.Millis,
+        apart_from: ids.InstanceId | None = None,
+    ) -> int:
         """Return this instance's rank from 0 among those able to coordinate.
 
         The orders and reports of many instances saturate the link of a small
-        one, so larger ones rank first.
+        one, so larger ones rank first. One peer may be left out.
         """
         own = (-self._own_weight, self._own)
         eligible = [
@@ -179,6 +183,7 @@
             for peer in self.alive(now)
             if not (peer.is_leaving or peer.is_cut_off)
             and peer.store_age_ms < _STORE_FRESH_MS
+            and peer.instance != apart_from
         ]
         return sum(1 for candidate in eligible if candidate < own)
 
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -125,8 +125,11 @@
         now = self._clock.now()
         if now - self._ranked_at >= _RANK_MAX_AGE_MS:
             self._ranked_at = now
-            self._rank = self._view.peers.rank(now)
-        return self._rank < _STORE_READERS
+            # The coordinator reads the store whatever its rank is.
+            self._rank = self._view.peers.rank(
+                now, apart_from=self._view.assignment.coordinator
+            )
+        return self._rank < _STORE_READERS - 1
 
     def forward_servers(
         self,
--- a/packages/gateway/tests/test_idle_instances.py
+++ b/packages/gateway/tests/test_idle_instances.py
@@ -72,9 +72,11 @@
     rankings: list[instances.Peers] = []
     rank = instances.Peers.rank
 
-    def record(self: instances.Peers, now: typing.Any) -> int:
+    def record(
+        self: instances.Peers, *asked: typing.Any, **options: typing.Any
+    ) -> int:
         rankings.append(self)
-        return rank(self, now)
+        return rank(self, *asked, **options)
 
     monkeypatch.setattr(instances.Peers, 'rank', record)
     await asyncio.sleep(WATCH_S)
--- a/packages/gateway/tests/test_store_calls.py
+++ b/packages/gateway/tests/test_store_calls.py
@@ -168,6 +168,23 @@
     assert silent[True] >= INSTANCES - READERS
 
 
+async def test_few_instances_follow_the_store_if_the_coordinator_ranks_last(
+    cluster: typing.Any, spreads: bool
+) -> None:
+    """Followers call the store as often as the coordinator's deputies."""
+    await cluster.start(2, 1)
+    await cluster.wait_until(cluster.is_covered)
+    for name in ('a1', 'a2', 'a3', 'a4'):
+        cluster.add_instance(name)
+    await cluster.wait_until(
+        lambda: all(_knows_all(one, INSTANCES) for one in cluster.instances)
+    )
+    await asyncio.sleep(2)
+    assert cluster.leader() is cluster.instances[0]
+    readers = [one._exchange.is_store_reader() for one in cluster.instances]
+    assert readers == [True, True, True, False, False]
+
+
 async def test_configuration_reaches_an_instance_whose_records_are_lost(
     cluster: typing.Any, spreads: bool, encode_configuration: typing.Any
 ) -> None:
