Bound the fields of the own log's records and check decoded states

What operators saw: one record of another writer in the log of the product's own interface, with 10**15 shards, and ferryctl ends with MemoryError; by the same code instances follow the log no more.

Cause: records were decoded into plain numbers and texts of any size, and into states that were not checked as a whole; readers catch StateDecodeError only. Tasks of an instance that had raised stayed ended, unnoticed until its stop.

Change: record_fields holds the types of all fields of records and of the state; ListedServer uses them too. A decoded state has owners and fences for each shard and at most 256 MB. Gaps and replies that can't be decoded count as no answer, a part that raises is logged and restarted, and ferryctl refuses a record that instances would not read. Names in settings have at most 128 characters, as records hold the id of an instance.

--- a/packages/core/src/sycamoreferry_core/admission_records.py
+++ b/packages/core/src/sycamoreferry_core/admission_records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sycamoreferry_core import decoding, ids
+from sycamoreferry_core import decoding, ids, record_fields
 
 
 @enum.unique
@@ -20,8 +20,8 @@
 class Order(typing.NamedTuple):
     """Order the admissions of a partition by claim, then by serial."""
 
-    claim: ids.Offset
-    serial: int
+    claim: record_fields.Offset
+    serial: decoding.Count
 
 
 class Admitted(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +30,7 @@
     key: ids.AdmissionKey
     fingerprint: ids.Fingerprint
     attempt: ids.AttemptId
-    deadline_ms: int
+    deadline_ms: record_fields.TimeLeft
     order: Order
 
 
@@ -45,18 +45,18 @@
 class AdmissionClaimed(msgspec.Struct, frozen=True, tag=True):
     """Claim a partition; only the last claim in the stream is valid."""
 
-    owner: ids.InstanceId
-    deputy: ids.InstanceId
+    owner: record_fields.InstanceId
+    deputy: record_fields.InstanceId
 
 
 class AdmissionBatch(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """Record admissions and endings under the claim at an offset."""
 
-    claim: ids.Offset
-    number: int
-    owner: ids.InstanceId
-    deputy: ids.InstanceId
-    stamp: int
+    claim: record_fields.Offset
+    number: decoding.Count
+    owner: record_fields.InstanceId
+    deputy: record_fields.InstanceId
+    stamp: decoding.WholeNumber
     admitted: tuple[Admitted, ...] = ()
     concluded: tuple[Concluded, ...] = ()
     settles: bool = True
--- a/packages/core/src/sycamoreferry_core/quarantine.py
+++ b/packages/core/src/sycamoreferry_core/quarantine.py
@@ -4,7 +4,7 @@
 import itertools
 import typing
 
-from sycamoreferry_core import ids, profiles
+from sycamoreferry_core import decoding, ids, profiles, record_fields
 
 # Bound the memory and the size of crash records.
 MAX_CRASHES = 64
@@ -18,10 +18,10 @@
 class Crash:
     """Hold the loss of a server and the requests that it was running."""
 
-    service: ids.ServiceName
-    server: ids.ServerId
-    at_ms: int
-    digests: tuple[ids.RequestDigest, ...]
+    service: record_fields.ServiceName
+    server: record_fields.ServerId
+    at_ms: decoding.WholeNumber
+    digests: tuple[record_fields.RequestDigest, ...]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/core/src/sycamoreferry_core/records.py
+++ b/packages/core/src/sycamoreferry_core/records.py
@@ -5,44 +5,50 @@
 
 import msgspec
 
-from sycamoreferry_core import clock, decoding, ids, quarantine
+from sycamoreferry_core import (
+    clock,
+    decoding,
+    ids,
+    quarantine,
+    record_fields,
+)
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
     """Identify a record by the id that its writer chose."""
 
-    record_id: ids.RecordId
+    record_id: record_fields.RecordId
 
 
 class TermClaimed(Record, frozen=True, tag=True):
     """Claim the next term of a service."""
 
-    service: ids.ServiceName
-    term: ids.Term
-    follows: ids.Term
-    coordinator: ids.InstanceId
-    deputy: ids.InstanceId
+    service: record_fields.ServiceName
+    term: record_fields.Term
+    follows: record_fields.Term
+    coordinator: record_fields.InstanceId
+    deputy: record_fields.InstanceId
 
 
 class TermSettled(Record, frozen=True, tag=True):
     """Record that every term before this one is over."""
 
-    service: ids.ServiceName
-    term: ids.Term
+    service: record_fields.ServiceName
+    term: record_fields.Term
 
 
 class HoldersReleased(Record, frozen=True, tag=True):
     """Record an operator's statement that holders up to a term are gone."""
 
-    service: ids.ServiceName
-    term: ids.Term
+    service: record_fields.ServiceName
+    term: record_fields.Term
 
 
 class Ownership(msgspec.Struct, frozen=True):
     """Assign shards to a server."""
 
-    server: ids.ServerId
-    shards: tuple[ids.ShardId, ...]
+    server: record_fields.ServerId
+    shards: tuple[record_fields.ShardId, ...]
 
 
 @enum.unique
@@ -64,62 +70,62 @@
 class AssignmentRevised(Record, frozen=True, tag=True):
     """Change the owners of some shards under a term."""
 
-    service: ids.ServiceName
-    term: ids.Term
-    shard_count: int
+    service: record_fields.ServiceName
+    term: record_fields.Term
+    shard_count: record_fields.ShardCount
     changes: tuple[Ownership, ...]
     cause: MoveCause = MoveCause.LOSS
-    decided_at: clock.UnixMillis = clock.UNIX_EPOCH
+    decided_at: record_fields.UnixMillis = clock.UNIX_EPOCH
 
 
 class DrainRequested(Record, frozen=True, tag=True):
     """Start or cancel the drain of a backend server."""
 
-    service: ids.ServiceName
-    server: ids.ServerId
+    service: record_fields.ServiceName
+    server: record_fields.ServerId
     drain: bool = True
 
 
 class ShardPinned(Record, frozen=True, tag=True):
     """Pin a shard to a server; a server of None removes the pin."""
 
-    service: ids.ServiceName
-    shard: ids.ShardId
-    server: ids.ServerId | None
+    service: record_fields.ServiceName
+    shard: record_fields.ShardId
+    server: record_fields.ServerId | None
 
 
 class StateSnapshot(Record, frozen=True, tag=True):
     """Carry one part of a snapshot of the state before an offset."""
 
-    snapshot: ids.SnapshotId
-    covers: ids.Offset
-    part: int
-    parts: int
+    snapshot: record_fields.SnapshotId
+    covers: record_fields.Offset
+    part: record_fields.SnapshotPart
+    parts: record_fields.SnapshotPart
     content: bytes
 
 
 class ProfilePublished(Record, frozen=True, tag=True):
     """Publish a profile that replaces the revision `revises`."""
 
-    name: ids.ProfileName
-    revises: ids.ProfileNumber
+    name: record_fields.ProfileName
+    revises: record_fields.ProfileNumber
     body: str
 
 
 class InstanceJoined(Record, frozen=True, tag=True):
     """Announce a new routing instance."""
 
-    instance: ids.InstanceId
-    data_centre: ids.DataCentre
-    peer_host: str
-    peer_port: int
-    request_port: int
+    instance: record_fields.InstanceId
+    data_centre: record_fields.DataCentre
+    peer_host: record_fields.PeerHost
+    peer_port: record_fields.Port
+    request_port: record_fields.Port
 
 
 class InstanceLeft(Record, frozen=True, tag=True):
     """Announce that a routing instance has left."""
 
-    instance: ids.InstanceId
+    instance: record_fields.InstanceId
 
 
 class ServerCrashed(Record, frozen=True, tag=True):
@@ -131,7 +137,7 @@
 class SuspicionCleared(Record, frozen=True, tag=True):
     """Remove a request from all crashes, which ends its quarantine."""
 
-    digest: ids.RequestDigest
+    digest: record_fields.RequestDigest
 
 
 AnyRecord = (
--- a/packages/core/src/sycamoreferry_core/state.py
+++ b/packages/core/src/sycamoreferry_core/state.py
@@ -5,10 +5,10 @@
 import typing
 
 from sycamoreferry_core import (
-    clock,
     ids,
     profiles,
     quarantine,
+    record_fields,
     records,
     result_codes,
     verdicts,
@@ -19,19 +19,19 @@
 class TermState:
     """Hold the current term of a service."""
 
-    term: ids.Term = ids.NO_TERM
-    coordinator: ids.InstanceId = ids.InstanceId('')
-    deputy: ids.InstanceId = ids.InstanceId('')
-    settled: ids.Term = ids.NO_TERM
+    term: record_fields.Term = ids.NO_TERM
+    coordinator: record_fields.InstanceId = ids.InstanceId('')
+    deputy: record_fields.InstanceId = ids.InstanceId('')
+    settled: record_fields.Term = ids.NO_TERM
     unsettled: tuple[records.TermClaimed, ...] = ()
-    past_owners: tuple[ids.ServerId, ...] = ()
+    past_owners: tuple[record_fields.ServerId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class Assignment:
     """Hold each shard's owner and fencing token, indexed by shard id."""
 
-    owners: tuple[ids.ServerId, ...] = ()
+    owners: tuple[record_fields.ServerId, ...] = ()
     fences: tuple[ids.Fence, ...] = ()
 
     def owner_of(self, shard: ids.ShardId) -> ids.ServerId | None:
@@ -54,20 +54,20 @@
 class PublishedProfile:
     """Hold the newest accepted revision of a profile and its offset."""
 
-    number: ids.ProfileNumber
+    number: record_fields.ProfileNumber
     profile: profiles.Profile
-    offset: ids.Offset
+    offset: record_fields.Offset
 
 
 @dataclasses.dataclass(frozen=True)
 class InstanceState:
     """Hold the addresses at which a routing instance is reached."""
 
-    instance: ids.InstanceId
-    data_centre: ids.DataCentre
-    peer_host: str
-    peer_port: int
-    request_port: int
+    instance: record_fields.InstanceId
+    data_centre: record_fields.DataCentre
+    peer_host: record_fields.PeerHost
+    peer_port: record_fields.Port
+    request_port: record_fields.Port
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,17 +75,19 @@
     """Hold a voluntary move that still counts as churn."""
 
     cause: records.MoveCause
-    decided_at: clock.UnixMillis
-    shards: tuple[ids.ShardId, ...]
+    decided_at: record_fields.UnixMillis
+    shards: tuple[record_fields.ShardId, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class PlacementConstraints:
     """Hold the drains and pins that operators set for a service."""
 
-    drained: tuple[ids.ServerId, ...] = ()
-    pins: typing.Mapping[ids.ShardId, ids.ServerId] = dataclasses.field(
-        default_factory=dict,
+    drained: tuple[record_fields.ServerId, ...] = ()
+    pins: typing.Mapping[record_fields.ShardId, record_fields.ServerId] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
     )
 
 
@@ -93,16 +95,16 @@
 class UnfinishedSnapshot:
     """Hold the parts that an incomplete snapshot in the log still lacks."""
 
-    snapshot: ids.SnapshotId
-    covers: ids.Offset
-    missing: tuple[int, ...]
+    snapshot: record_fields.SnapshotId
+    covers: record_fields.Offset
+    missing: tuple[record_fields.SnapshotPart, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class SnapshotProgress:
     """Hold the offset that the newest complete snapshot covers up to."""
 
-    covers: ids.Offset = ids.FIRST_OFFSET
+    covers: record_fields.Offset = ids.FIRST_OFFSET
     unfinished: tuple[UnfinishedSnapshot, ...] = ()
 
 
@@ -110,35 +112,37 @@
 class LogState:
     """Hold the result of replaying the log up to an offset."""
 
-    next_offset: ids.Offset = ids.FIRST_OFFSET
-    terms: typing.Mapping[ids.ServiceName, TermState] = dataclasses.field(
-        default_factory=dict,
-    )
-    assignments: typing.Mapping[ids.ServiceName, Assignment] = (
+    next_offset: record_fields.Offset = ids.FIRST_OFFSET
+    terms: typing.Mapping[record_fields.ServiceName, TermState] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
-    profiles: typing.Mapping[ids.ProfileName, PublishedProfile] = (
+    assignments: typing.Mapping[record_fields.ServiceName, Assignment] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
-    instances: typing.Mapping[ids.InstanceId, InstanceState] = (
+    profiles: typing.Mapping[record_fields.ProfileName, PublishedProfile] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
-    wishes: typing.Mapping[ids.ServiceName, PlacementConstraints] = (
+    instances: typing.Mapping[record_fields.InstanceId, InstanceState] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
-    recent_moves: typing.Mapping[ids.ServiceName, tuple[RecentMove, ...]] = (
+    wishes: typing.Mapping[record_fields.ServiceName, PlacementConstraints] = (
         dataclasses.field(
             default_factory=dict,
         )
     )
+    recent_moves: typing.Mapping[
+        record_fields.ServiceName, tuple[RecentMove, ...]
+    ] = dataclasses.field(
+        default_factory=dict,
+    )
     snapshots: SnapshotProgress = SnapshotProgress()
     remembered: verdicts.RecentVerdicts = verdicts.RecentVerdicts()
     crash_book: quarantine.CrashHistory = quarantine.CrashHistory()
--- a/packages/core/src/sycamoreferry_core/state_encoding.py
+++ b/packages/core/src/sycamoreferry_core/state_encoding.py
@@ -8,10 +8,18 @@
 
 import msgspec
 
-from sycamoreferry_core import ids, profiles, state
+from sycamoreferry_core import (
+    decoding,
+    ids,
+    profiles,
+    record_fields,
+    state,
+)
 
 # zlib's fastest level: encoding runs on the event loop that routes requests.
 COMPRESSION_LEVEL = 1
+# A few compressed bytes may stand for any number of them.
+MAX_STATE_BYTES = 268_435_456
 _INDEX_TYPE_CODE = 'I'
 _FENCE_TYPE_CODE = 'q'
 
@@ -23,7 +31,7 @@
 class _EncodedAssignment(msgspec.Struct, frozen=True):
     """Hold an assignment as indices into a table of servers."""
 
-    servers: tuple[ids.ServerId, ...]
+    servers: tuple[record_fields.ServerId, ...]
     places: bytes
     fences: bytes
 
@@ -32,7 +40,7 @@
     """Hold the state with its assignments as packed arrays."""
 
     rest: state.LogState
-    assignments: dict[ids.ServiceName, _EncodedAssignment]
+    assignments: dict[record_fields.ServiceName, _EncodedAssignment]
 
 
 def encode_state(log_state: state.LogState) -> bytes:
@@ -48,9 +56,9 @@
 
 
 def decode_state(content: bytes) -> state.LogState:
-    """Decode a state; raise a ValueError for invalid bytes."""
+    """Decode a state; raise StateDecodeError for invalid bytes."""
     try:
-        image = _decoder.decode(zlib.decompress(content))
+        image = decoding.decode(_decoder, _decompress(content))
     except (zlib.error, msgspec.MsgspecError) as error:
         raise StateDecodeError(f'cannot decode the state: {error}') from error
     return dataclasses.replace(
@@ -62,6 +70,14 @@
     )
 
 
+def _decompress(content: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    decompressed = stream.decompress(content, MAX_STATE_BYTES)
+    if not stream.eof:
+        raise StateDecodeError('cannot decode the state: it is cut or too long')
+    return decompressed
+
+
 def _encode_assignment(assigned: state.Assignment) -> _EncodedAssignment:
     servers = tuple(sorted(set(assigned.owners)))
     index_of = {server: index for index, server in enumerate(servers)}
@@ -76,12 +92,13 @@
 def _decode_assignment(encoded: _EncodedAssignment) -> state.Assignment:
     servers = encoded.servers
     indices = _from_bytes(_INDEX_TYPE_CODE, encoded.places)
+    fences = _from_bytes(_FENCE_TYPE_CODE, encoded.fences)
+    has_all_owners = max(indices, default=-1) < len(servers)
+    if not has_all_owners or len(indices) != len(fences):
+        raise StateDecodeError('cannot decode the state: owners are missing')
     return state.Assignment(
         owners=tuple(servers[index] for index in indices),
-        fences=tuple(
-            ids.Fence(fence)
-            for fence in _from_bytes(_FENCE_TYPE_CODE, encoded.fences)
-        ),
+        fences=tuple(ids.Fence(fence) for fence in fences),
     )
 
 
@@ -93,6 +110,8 @@
 
 def _from_bytes(type_code: str, content: bytes) -> 'array.array[int]':
     numbers: array.array[int] = array.array(type_code)
+    if len(content) % numbers.itemsize:
+        raise StateDecodeError('cannot decode the state: a number is cut')
     numbers.frombytes(content)
     if sys.byteorder == 'big':
         numbers.byteswap()
--- a/packages/core/src/sycamoreferry_core/verdicts.py
+++ b/packages/core/src/sycamoreferry_core/verdicts.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from sycamoreferry_core import ids, result_codes
+from sycamoreferry_core import decoding, ids, result_codes
 
 # Verdicts are kept for at most this many offsets, rounded to whole pages.
 REMEMBERED_OFFSETS = 4096
@@ -15,7 +15,7 @@
 class VerdictPage:
     """Hold the verdicts of PAGE_OFFSETS consecutive offsets."""
 
-    number: int
+    number: decoding.WholeNumber
     codes: typing.Mapping[ids.RecordId, result_codes.ResultCode]
 
 
--- a/packages/ctl/src/sycamoreferry_ctl/log_access.py
+++ b/packages/ctl/src/sycamoreferry_ctl/log_access.py
@@ -32,8 +32,16 @@
     log_service: log_port.LogService,
     record: records.AnyRecord,
 ) -> result_codes.ResultCode:
-    """Append a record and return how it was folded."""
-    appended = await log_service.append(records.encode_record(record))
+    """Append a record and return how it was folded.
+
+    A record that instances would not read is rejected here.
+    """
+    payload = records.encode_record(record)
+    try:
+        records.decode_record(payload)
+    except records.BadRecordError:
+        return result_codes.ResultCode.BAD_RECORD
+    appended = await log_service.append(payload)
     if isinstance(appended, log_port.NotAppended):
         raise LogUnreachableError(appended.reason)
     return await _await_verdict(log_service, record.record_id)
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -8,6 +8,7 @@
 
 from sycamoreferry_core import ids
 from sycamoreferry_ctl import cli
+from sycamoreferry_ports import http_log, log_port
 from sycamoreferry_standins import cluster, trace, workloads
 
 KEYED = workloads.DYFED.services[0]
@@ -76,6 +77,43 @@
         assert silent.exit_code == 4
 
 
+ODD_RECORDS = (
+    b'{"type": "InstanceJoined", "record_id": "1", "instance": "odd",'
+    b' "data_centre": "d", "peer_host": "127.0.0.1", "peer_port": 70000,'
+    b' "request_port": 1}',
+    b'{"type": "InstanceJoined", "record_id": "2", "instance": "huge",'
+    b' "data_centre": "d", "peer_host": "127.0.0.1", "peer_port": 1%s,'
+    b' "request_port": 1}' % (b'0' * 30),
+    b'{"type": "AssignmentRevised", "record_id": "3", "service": "x",'
+    b' "term": 0, "shard_count": 1000000000000000, "changes": []}',
+    b'{"type": "ShardPinned", "record_id": "4", "service": "%s",'
+    b' "shard": -1, "server": "any"}' % KEYED.name.encode(),
+    b'[' * 100_000,
+)
+
+
+@pytest.mark.processes
+async def test_operator_drives_a_system_behind_odd_records(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Records of another writer ended the task that follows the log."""
+    async with cluster.Cluster(
+        workloads.DYFED,
+        tmp_path,
+        entries=2,
+    ) as system:
+        log = http_log.HttpLog(system.session, system.platform_url, 'ferry')
+        for record in ODD_RECORDS:
+            appended = await log.append(record)
+            assert isinstance(appended, log_port.Appended)
+        operator = Operator(system)
+        await _check_views(operator)
+        await _check_moves(operator)
+        long_name = await operator.call('drain', KEYED.name, 'x' * 300)
+        assert long_name.exit_code == 1
+        assert 'refused with code 6004' in long_name.stderr
+
+
 async def _check_views(operator: Operator) -> None:
     owners = await operator.rows('assignment', '--service', KEYED.name)
     assert sum(row['shards'] for row in owners) == KEYED.shards
--- a/packages/peer/src/sycamoreferry_peer/client.py
+++ b/packages/peer/src/sycamoreferry_peer/client.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from google.protobuf import message
 from grpclib import client as grpc_client
 from grpclib import exceptions
 
@@ -19,6 +20,7 @@
     exceptions.StreamTerminatedError,
     OSError,
     TimeoutError,
+    message.DecodeError,
 )
 
 ReplyType = typing.TypeVar('ReplyType')
--- a/packages/ports/src/sycamoreferry_ports/log_state.py
+++ b/packages/ports/src/sycamoreferry_ports/log_state.py
@@ -18,7 +18,10 @@
         if outcome.first_offset > log_state.next_offset:
             log_state = await find_snapshot(log_service)
             continue
-        log_state = fold.fold_all(log_state, outcome.logged)
+        try:
+            log_state = fold.fold_all(log_state, outcome.logged)
+        except fold.OffsetGapError as error:
+            raise LogUnreadableError(str(error)) from error
         if log_state.next_offset >= outcome.end_offset:
             return log_state
 
--- a/packages/ports/src/sycamoreferry_ports/wire.py
+++ b/packages/ports/src/sycamoreferry_ports/wire.py
@@ -4,50 +4,41 @@
 
 import msgspec
 
-from sycamoreferry_core import decoding, ids
-from sycamoreferry_core.fleet import addresses
-
-# A name or an IPv4 address, as it stands in a URL.
-_Host = typing.Annotated[
-    str,
-    msgspec.Meta(
-        pattern=r'^([A-Za-z0-9_-]{1,63}\.){0,7}[A-Za-z0-9_-]{1,63}\Z',
-    ),
-]
-_Label = msgspec.Meta(max_length=decoding.MAX_LABEL_LENGTH)
+from sycamoreferry_core import decoding, ids, record_fields
+
 _Signed = msgspec.Meta(ge=0, le=decoding.MAX_SIGNED)
 
 
 class LogEntry(msgspec.Struct, frozen=True):
     """Hold one record of a log stream."""
 
-    offset: int
+    offset: decoding.Count
     payload: str
 
 
 class LogTail(msgspec.Struct, frozen=True):
     """Hold consecutive records, and the offsets that bound the stream."""
 
-    first_offset: int
-    end_offset: int
+    first_offset: decoding.Count
+    end_offset: decoding.Count
     entries: tuple[LogEntry, ...]
 
 
 class LogAppended(msgspec.Struct, frozen=True):
     """Hold the offset of the record that was appended."""
 
-    offset: int
+    offset: decoding.Count
 
 
 class ListedServer(msgspec.Struct, frozen=True):
     """Hold the entry of the instance list for one backend server."""
 
-    server: typing.Annotated[ids.ServerId, _Label]
-    service: typing.Annotated[ids.ServiceName, _Label]
-    data_centre: typing.Annotated[ids.DataCentre, _Label]
-    host: _Host
-    port: typing.Annotated[int, msgspec.Meta(ge=1, le=addresses.MAX_PORT)]
-    state: typing.Annotated[str, _Label]
+    server: record_fields.ServerId
+    service: record_fields.ServiceName
+    data_centre: record_fields.DataCentre
+    host: record_fields.Host
+    port: record_fields.Port
+    state: decoding.Label
 
 
 class InstanceList(msgspec.Struct, frozen=True):
--- a/packages/router/src/sycamoreferry_router/admission_partitions.py
+++ b/packages/router/src/sycamoreferry_router/admission_partitions.py
@@ -46,7 +46,9 @@
 
     async def run(self) -> None:
         """Run every partition until cancelled."""
-        await asyncio.gather(*(loop.run() for loop in self._loops))
+        async with asyncio.TaskGroup() as group:
+            for loop in self._loops:
+                group.create_task(loop.run())
 
     def rank_targets(self, key: ids.AdmissionKey) -> list[ids.InstanceId]:
         """Return the instances to ask about a key, the likely owner first."""
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-import typing
 
 import aiohttp
 from grpclib import server as grpc_server
@@ -39,6 +38,7 @@
     pipeline,
     settings,
     status_report,
+    supervision,
     view,
 )
 from sycamoreferry_router.filters import admission_gate, forward
@@ -176,7 +176,8 @@
             '{} listens on port {}', self._instance_id, listen.request_port
         )
         tasks = [
-            event_loop.create_task(work) for work in self._background_work()
+            event_loop.create_task(supervision.run_restarting(work))
+            for work in self._background_work()
         ]
         await stop_requested.wait()
         await self._leave()
@@ -197,16 +198,14 @@
             clock=self._clock,
         )
 
-    def _background_work(
-        self,
-    ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
+    def _background_work(self) -> list[supervision.Work]:
         return [
-            *self._log_follower.coroutines(),
-            self._load_loop.run(),
-            self._follow_instance_list(),
-            self._membership.run(),
-            self._admissions.run(),
-            *(loop.run() for loop in self._coordination_loops.values()),
+            *self._log_follower.parts(),
+            self._load_loop.run,
+            self._follow_instance_list,
+            self._membership.run,
+            self._admissions.run,
+            *(loop.run for loop in self._coordination_loops.values()),
         ]
 
     def _build_membership(self) -> membership_loop.MembershipLoop:
--- a/packages/router/src/sycamoreferry_router/log_follower.py
+++ b/packages/router/src/sycamoreferry_router/log_follower.py
@@ -1,14 +1,20 @@
 """Build the components that follow the log."""
 
 import random
-import typing
 
 import aiohttp
 
 from sycamoreferry_core import clock, ids, snapshots
 from sycamoreferry_peer import client as peer_client
 from sycamoreferry_ports import http_log
-from sycamoreferry_router import peer_sync, settings, snapshot_loop, tail, view
+from sycamoreferry_router import (
+    peer_sync,
+    settings,
+    snapshot_loop,
+    supervision,
+    tail,
+    view,
+)
 
 
 class LogFollower:
@@ -45,15 +51,9 @@
             ),
         )
 
-    def coroutines(
-        self,
-    ) -> tuple[typing.Coroutine[typing.Any, typing.Any, None], ...]:
-        """Return the coroutines that run until they are cancelled."""
-        return (
-            self.tail.run(),
-            self.tail.run_relay(),
-            self._snapshots.run(),
-        )
+    def parts(self) -> tuple[supervision.Work, ...]:
+        """Return the parts that run until they are cancelled."""
+        return (self.tail.run, self.tail.run_relay, self._snapshots.run)
 
 
 def _peer_addresses(
--- a/packages/router/src/sycamoreferry_router/partition_loop.py
+++ b/packages/router/src/sycamoreferry_router/partition_loop.py
@@ -71,7 +71,9 @@
 
     async def run(self) -> None:
         """Read the stream and feed ticks until cancelled."""
-        await asyncio.gather(self._run_ticks(), self._run_reads())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_ticks())
+            group.create_task(self._run_reads())
 
     async def request_admission(
         self,
--- a/packages/router/src/sycamoreferry_router/peer_sync.py
+++ b/packages/router/src/sycamoreferry_router/peer_sync.py
@@ -118,8 +118,11 @@
             records.LoggedRecord(ids.Offset(entry.offset), entry.payload)
             for entry in reply.entries
         )
+        try:
+            folded = fold.fold_all(self._view.log_state, logged)
+        except fold.OffsetGapError:
+            return False
         self.recent.add(logged)
-        folded = fold.fold_all(self._view.log_state, logged)
         await self._view.advance(folded)
         return True
 
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -6,15 +6,20 @@
 import pydantic
 import yaml
 
-from sycamoreferry_core import ids
+from sycamoreferry_core import ids, record_fields
 
 MAX_PORT = 65_535
-MAX_SHARDS = 65_536
+MAX_SHARDS = record_fields.MAX_SHARDS
+# The id of an instance and the records about it hold its name and more.
+MAX_NAME_LENGTH = 128
 MAX_PARTITIONS = 256
 
 _Port = typing.Annotated[int, pydantic.Field(gt=0, le=MAX_PORT)]
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
-_Name = typing.Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]*$')]
+_Name = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]*$', max_length=MAX_NAME_LENGTH),
+]
 _Url = typing.Annotated[str, pydantic.Field(pattern=r'^https?://[^/]+$')]
 
 
--- a/packages/router/src/sycamoreferry_router/tail.py
+++ b/packages/router/src/sycamoreferry_router/tail.py
@@ -108,8 +108,12 @@
         if outcome.first_offset > self._next_offset():
             return await self._start_from_snapshot()
         if outcome.logged:
+            try:
+                folded = fold.fold_all(self._view.log_state, outcome.logged)
+            except fold.OffsetGapError as error:
+                _log.error('{}', error)
+                return False
             self._relay.recent.add(outcome.logged)
-            folded = fold.fold_all(self._view.log_state, outcome.logged)
             await self._view.advance(folded)
         return True
 
--- a/packages/router/tests/test_tail.py
+++ b/packages/router/tests/test_tail.py
@@ -1,6 +1,7 @@
 import dataclasses
 import random
 import typing
+import zlib
 
 import pytest
 
@@ -11,6 +12,8 @@
 from sycamoreferry_router import peer_sync, recent_records, tail, view
 
 WAIT_MS = 10
+# A field that no state has, and that nests deeply.
+NESTED_FIELD = bytes((0x82, 0xA1, 0x78)) + bytes((0x91,)) * 100_000
 SEEDS = tuple(peer_client.PeerAddress('127.0.0.1', port) for port in (1, 2, 3))
 
 
@@ -240,3 +243,93 @@
     await follower.relay.catch_up()
     assert not follower.instance_view.started_from_peer
     assert not follower.instance_view.ready
+
+
+def _without_second(
+    logged: tuple[records.LoggedRecord, ...],
+) -> tuple[records.LoggedRecord, ...]:
+    return (*logged[:1], *logged[2:])
+
+
+async def test_page_with_a_gap_is_read_again() -> None:
+    """A missing record ended the task that follows the log."""
+    log = _log_with(9)
+    read = log.read
+
+    async def read_with_gap(
+        start: ids.Offset, wait_ms: int
+    ) -> log_port.ReadOutcome:
+        page = await read(start, wait_ms)
+        assert isinstance(page, log_port.Tail)
+        return dataclasses.replace(page, logged=_without_second(page.logged))
+
+    follower = _follower(log)
+    log.read = read_with_gap  # type: ignore[method-assign]
+    assert not await follower.tail.read_now()
+    log.read = read  # type: ignore[method-assign]
+    assert await follower.tail.read_now()
+    assert follower.instance_view.log_state == log.folded()
+
+
+async def test_records_of_a_peer_with_a_gap_are_not_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They ended the task that asks peers while the log is down."""
+    log = _log_with(9)
+    other = _follower(log)
+    assert await other.tail.read_now()
+    held = other.relay.recent.read
+
+    def read_with_gap(
+        start: ids.Offset, limit: int
+    ) -> tuple[records.LoggedRecord, ...]:
+        return _without_second(held(start, limit))
+
+    monkeypatch.setattr(other.relay.recent, 'read', read_with_gap)
+    follower = _follower(log, FakePeers((other.relay,) * 3))
+    await follower.relay.catch_up()
+    assert follower.instance_view.log_state == log.folded()
+
+
+@pytest.mark.parametrize('content', [b'', b'{}', zlib.compress(NESTED_FIELD)])
+async def test_odd_state_of_a_peer_is_not_used(
+    content: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One that nests deeply ended the task that asks peers."""
+    log = _log_with(9)
+    other = _follower(log)
+    assert await other.tail.read_now()
+    peers = FakePeers((other.relay,) * 3)
+
+    async def read_state(
+        address: peer_client.PeerAddress,
+    ) -> list[peer_pb2.StateReply]:
+        return [peer_pb2.StateReply(covers=9, parts=1, content=content)]
+
+    monkeypatch.setattr(recent_records, 'KEPT_RECORDS', 2)
+    monkeypatch.setattr(peers, 'read_state', read_state)
+    other.relay.recent.add(
+        [records.LoggedRecord(ids.Offset(20), b'')],
+    )
+    follower = _follower(log, peers)
+    await follower.relay.catch_up()
+    assert follower.instance_view.log_state == state.LogState()
+
+
+async def test_odd_parts_of_a_snapshot_are_passed_over() -> None:
+    """A snapshot of another writer kept instances from starting."""
+    log = _log_with(9)
+    good = snapshots.build_parts(log.folded(), ids.InstanceId('i'))
+    odd = records.StateSnapshot(
+        record_id=ids.RecordId('odd'),
+        snapshot=ids.SnapshotId('odd'),
+        covers=ids.Offset(9),
+        part=0,
+        parts=1,
+        content=zlib.compress(NESTED_FIELD),
+    )
+    log.add(*good, odd)
+    log.first_offset = 9
+    follower = _follower(log)
+    assert await follower.tail.read_now()
+    assert follower.instance_view.log_state.instances == log.folded().instances
