--- a/packages/core/tests/test_odd_log_records.py
+++ b/packages/core/tests/test_odd_log_records.py
@@ -75,7 +75,17 @@
     'ServerCrashed': {'crash': CRASH},
     'SuspicionCleared': {'digest': 'd'},
 }
-ODD_NUMBERS: tuple[object, ...] = (HUGE, -HUGE, 2**64, 2**53 + 1, 70_000, -1, 1.5, '1', None)
+ODD_NUMBERS: tuple[object, ...] = (
+    HUGE,
+    -HUGE,
+    2**64,
+    2**53 + 1,
+    70_000,
+    -1,
+    1.5,
+    '1',
+    None,
+)
 ODD_TEXTS: tuple[object, ...] = (LONG, 5, None, [], '', '\n', 'a..b', 'a' * 64)
 
 
--- a/packages/standins/src/sycamoreferry_standins/trial/system.py
+++ b/packages/standins/src/sycamoreferry_standins/trial/system.py
@@ -147,9 +147,9 @@
                 record_id=ids.RecordId(f'join/{name}'),
                 instance=me,
                 data_centre=ids.DataCentre(data_centre),
-                peer_host='',
-                peer_port=0,
-                request_port=0,
+                peer_host='127.0.0.1',
+                peer_port=1,
+                request_port=2,
             ),
         )
         initial = coordination.CoordinatorState(
