Soak odd entries and datagrams of another program

What was missing: odd entries were checked one at a time, not beside other faults in a running system of processes.

The sixth test of the soak writes odd entries of servers and instances, puts one in the place of a server's own entry until the server writes again, and sends odd datagrams to instances, beside pauses, kills, planned stops, cut links and servers that start again. It also checks that no instance ends by itself.

--- a/packages/gateway/tests/test_soak.py
+++ b/packages/gateway/tests/test_soak.py
@@ -14,6 +14,7 @@
 from gateway_testing import (
     crash_soak,
     limit_soak,
+    odd_entry_soak,
     rejection_soak,
     restore_soak,
     soak,
@@ -32,6 +33,8 @@
 LIMIT_SEEDS = (1,)
 # A second rejection was taken for the answer to the next send.
 REJECTION_SEEDS = (10,)
+# An odd entry stopped heartbeats, and a stop cut requests.
+ODD_ENTRY_SEEDS = (3,)
 
 
 def _seeds() -> list[int]:
@@ -144,3 +147,18 @@
         cluster, checked_calls, seed, is_keyed=is_keyed
     )
     await _play(played, tmp_path)
+
+
+@pytest.mark.processes
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize('seed', _short_seeds(ODD_ENTRY_SEEDS))
+async def test_promises_hold_while_another_writer_leaves_odd_entries(
+    cluster: typing.Any,
+    checked_calls: typing.Any,
+    tmp_path: pathlib.Path,
+    seed: int,
+) -> None:
+    """Check for instances that end or lose track, beside other faults."""
+    await _play(
+        odd_entry_soak.OddEntrySoak(cluster, checked_calls, seed), tmp_path
+    )
