Send each order of the own interface on a connection of its own

What could happen: a server that sends an answer once more, when the next order arrives, answers that order with the one before. The answer to the greeting of a server without shards then stands for the answer to a grant, and the coordinator takes shards for free that the server holds (two owners).

Answers name no order, and orders were sent on the pooled connections of a session that all calls share.

Change: orders have a session that reuses no connection, so the first answer on a connection is that to the order. What the connections cost on the own interface was not measured.

--- a/packages/ports/src/sycamoreferry_ports/http_orders.py
+++ b/packages/ports/src/sycamoreferry_ports/http_orders.py
@@ -125,8 +125,22 @@
     )
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open a session that sends each order on a connection of its own.
+
+    Answers name no order, so on a reused connection a late second answer would
+    count as that to the next order.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True)
+    )
+
+
 class HttpOrderClient:
-    """Send orders to the backend servers of one service."""
+    """Send orders to the backend servers of one service.
+
+    The session must not reuse connections, see open_session.
+    """
 
     def __init__(
         self, session: aiohttp.ClientSession, sender: SenderIdentity
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -60,6 +60,7 @@
         self,
         config: settings.Settings,
         session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
         forwarder: http_forward.HttpForwarder,
     ) -> None:
         self._settings = config
@@ -94,7 +95,7 @@
             self._peers,
         )
         self._coordination_loops = {
-            service.name: self._build_coordination_loop(service, session)
+            service.name: self._build_coordination_loop(service, order_session)
             for service in config.services
             if service.is_keyed
         }
@@ -296,8 +297,9 @@
             connector=connector,
             auto_decompress=False,
         ) as session,
+        http_orders.open_session() as order_session,
         http_forward.open_forwarder(
             config.bounds.whole_answer_bytes,
         ) as forwarder,
     ):
-        await Instance(config, session, forwarder).run()
+        await Instance(config, session, order_session, forwarder).run()
