Number permits so that no answer to an earlier process is used

What could happen: a process that was started again takes an answer to the process before it for its own, and sends a request to a server that was chosen for another one, possibly of another service.

It was found by reading; that callers met it was not seen.

Change: numbers begin at a random one below 2**52.

--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -28,6 +28,8 @@
 _MAX_UNANSWERED = 3
 # Interval at which a request whose key has no owner looks for one.
 _OWNER_CHECK_MS = 20
+# Numbers begin below this power of two, so that they stay exact as they grow.
+_NUMBER_BITS = 52
 
 Placement = servers.BackendServer | backlogs.Rejection
 
@@ -81,7 +83,8 @@
             cluster_view, loads
         )
         self._random = random.Random()
-        self._next_number = 0
+        # An earlier process of this instance may still be answered.
+        self._next_number = self._random.getrandbits(_NUMBER_BITS)
         self._waits: dict[permits.PermitNumber, _Wait] = {}
         self._granted: dict[queueing.QueuedRequest, _Wait] = {}
         self.returns = permit_returns.PermitReturns()
