--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -277,6 +277,8 @@
         self.retry_after = ''
         # The status of the answers to requests that it has run.
         self.status = 200
+        # The body of these answers; empty for the name of the server.
+        self.answer_body = b''
         # Statuses and headers with which it turns the next requests away.
         self.rejections: list[tuple[int, Headers]] = []
         # The value of the rate limit header of its answers; '' for none.
@@ -435,7 +437,7 @@
             self.stop()
         return _answer(
             self.status,
-            self.name.encode(),
+            self.answer_body or self.name.encode(),
             (('Response-Seal', 'seal'),),
         )
 
@@ -721,11 +723,13 @@
         with_permits: bool = False,
         cut_ports: tuple[int, ...] = (),
         names_sender: bool = False,
+        grace_s: int = 3,
     ) -> InstanceProcess:
         """Start an instance as a process whose output goes to a file."""
         chosen = self._deployment(name)
         settings = folder / f'{name}.conf'
-        settings.write_text(self.settings_text(chosen, store_port))
+        text = self.settings_text(chosen, store_port)
+        settings.write_text(text.replace('Grace=3s', f'Grace={grace_s}s'))
         started = InstanceProcess(
             chosen, settings, with_permits, cut_ports, names_sender
         )
