Log the answers that are unsent at the end of a shutdown

A line for each now has the request and the bytes that lie in the process and in the kernel. test_log_names_an_answer_that_is_unsent fails without it.

--- a/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
@@ -72,6 +72,11 @@
             return False
         return not (self._output and self._output.has_unsent)
 
+    @property
+    def unsent_answer(self) -> caller_output.UnsentAnswer | None:
+        """Return the last answer if the caller has not received it whole."""
+        return None if self._output is None else self._output.unsent_answer
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -182,12 +187,14 @@
             exchange = self._pipeline.take_answered()
         if self._pipeline:
             return
+        if self._output is None:
+            return
         if self._reader.rejected is not None:
-            self._write(caller_messages.encode_rejection(self._reader.rejected))
+            self._output.write_rejection(self._reader.rejected)
             self._end()
         elif self._reader.expects_continue:
             self._reader.expects_continue = False
-            self._write(_CONTINUE)
+            self._output.write(_CONTINUE)
 
     def _write_answer(
         self,
@@ -198,16 +205,11 @@
         # Requests that were read before a stop are answered.
         is_last = self._server.is_draining and not self._pipeline
         closes = is_last or not request.keep_alive
-        self._write(
-            caller_messages.encode_answer(answer, request.method, closes=closes)
-        )
+        if self._output is not None:
+            self._output.write_answer(request, answer, closes=closes)
         if closes:
             self._end()
 
-    def _write(self, payload: bytes) -> None:
-        if self._output is not None:
-            self._output.write(payload)
-
     def _end(self) -> None:
         """Close the connection; bytes may still come behind the last answer."""
         self._is_ending = True
--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -5,7 +5,11 @@
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import routes
-from sycamoreferry_gateway import caller_connection, caller_messages
+from sycamoreferry_gateway import (
+    caller_connection,
+    caller_messages,
+    caller_output,
+)
 
 _ACCEPT_BACKLOG = 1024
 _SWEEP_INTERVAL_MS = 500
@@ -60,6 +64,12 @@
         """Return how many connections have a request or an unsent answer."""
         return sum(not connection.is_idle for connection in self.connections)
 
+    @property
+    def unsent_answers(self) -> list[caller_output.UnsentAnswer]:
+        """Return the answers that callers have not received whole."""
+        answers = [one.unsent_answer for one in self.connections]
+        return [answer for answer in answers if answer is not None]
+
     def stop_listening(self) -> None:
         """Accept no new connections."""
         if self._listener is not None:
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -274,9 +274,7 @@
             )
         self._stop_listening()
         await self._send_last_answers()
-        self._parts.run_step(
-            'log unanswered', self._request_handler.request_log.log_unanswered
-        )
+        self._parts.run_step('log unanswered', self._log_unanswered)
         self._log.write(
             'instance',
             'stopped',
@@ -287,6 +285,12 @@
             server.close_connections()
         self._log.report_dropped()
 
+    def _log_unanswered(self) -> None:
+        request_log = self._request_handler.request_log
+        request_log.log_unanswered()
+        for server in (self._server, self._relay_server):
+            request_log.log_unsent(server.unsent_answers)
+
     def _has_sent_answers(self) -> bool:
         return self._server.is_idle and self._relay_server.is_idle
 
--- a/packages/gateway/src/sycamoreferry_gateway/request_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_log.py
@@ -7,6 +7,7 @@
 from sycamoreferry_gateway import (
     answers,
     caller_messages,
+    caller_output,
     event_log,
     open_requests,
     proxied_requests,
@@ -43,6 +44,19 @@
                 **self._log_fields(proxied),
             )
 
+    def log_unsent(
+        self, unsent_answers: typing.Iterable[caller_output.UnsentAnswer]
+    ) -> None:
+        """Log each answer that its caller has not received whole."""
+        for unsent in unsent_answers:
+            self._log.write(
+                'request',
+                'answer is unsent at the end of the shutdown',
+                request=unsent.request.header(request_headers.REQUEST_ID),
+                bytes_in_process=unsent.bytes_in_process,
+                bytes_in_kernel=unsent.bytes_in_kernel,
+            )
+
     def log_end(
         self,
         request: caller_messages.CallerRequest,
--- a/packages/gateway/tests/support/gateway_testing/slow_caller.py
+++ b/packages/gateway/tests/support/gateway_testing/slow_caller.py
@@ -36,7 +36,7 @@
         """Return the head of the next answer; what follows it is kept."""
         while _HEAD_END not in self._received:
             await self._receive()
-        head, _, self._received = self._received.partition(_HEAD_END)
+        head = self._take(self._received.index(_HEAD_END) + len(_HEAD_END))
         return head.decode('latin-1').lower()
 
     async def read_body(self, head: str, pause_s: float = 0) -> bytes:
@@ -45,9 +45,7 @@
         while len(self._received) < size:
             await self._receive()
             await asyncio.sleep(pause_s)
-        body = bytes(self._received[:size])
-        del self._received[:size]
-        return body
+        return self._take(size)
 
     async def read_end(self) -> bytes:
         """Return what follows until the instance closes the connection."""
@@ -63,6 +61,11 @@
         """Close the connection."""
         self._socket.close()
 
+    def _take(self, size: int) -> bytes:
+        taken = bytes(self._received[:size])
+        self._received = self._received[size:]
+        return taken
+
     async def _receive(self) -> None:
         loop = asyncio.get_running_loop()
         part = await loop.sock_recv(self._socket, _PART_BYTES)
--- a/packages/gateway/tests/test_cut_downloads.py
+++ b/packages/gateway/tests/test_cut_downloads.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
 import signal
 import typing
@@ -22,6 +23,7 @@
 SHORT_BODY = bytes(range(256)) * 4_096
 # Longer than the send buffer of the kernel.
 LONG_BODY = SHORT_BODY * 12
+UNSENT = 'answer is unsent at the end of the shutdown'
 
 
 @pytest.fixture
@@ -110,3 +112,22 @@
     assert await caller.read_body(head, pause_s=0.001) == LONG_BODY
     with contextlib.suppress(ConnectionResetError):
         assert not await caller.read_end()
+
+
+async def test_log_names_an_answer_that_is_unsent(
+    cluster: typing.Any, process: typing.Any, connect: typing.Any
+) -> None:
+    cluster.servers[0].answer_body = LONG_BODY
+    caller = await connect()
+    await caller.send(
+        cluster.encode_request('r1', KEY, deadline_ms=DEADLINE_MS)
+    )
+    await caller.read_head()
+    process.signal(signal.SIGTERM)
+    await cluster.wait_until(lambda: not process.is_running, limit_s=GRACE_S)
+    log = process.settings.with_suffix('.log').read_text()
+    lines = [json.loads(line) for line in log.splitlines()]
+    (line,) = [line for line in lines if line['event'] == UNSENT]
+    assert line['request'] == 'r1'
+    assert line['bytes_in_process'] > 0
+    assert line['bytes_in_kernel'] > 0
