Keep a connection until its caller has received the last answer

A connection that has ended is now half-closed, read until its caller closes, and closed 1 s after all was acknowledged. A request that is still being read when answers are due gets a 503; it has not run.

--- a/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
@@ -53,7 +53,7 @@
     def __init__(self, server: ServerState) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._output: caller_output.CallerOutput | None = None
+        self._output = caller_output.CallerOutput()
         self._reader = request_reader.RequestReader(
             lambda: server.limits, self._add_request
         )
@@ -62,7 +62,6 @@
         self._input = caller_input.CallerInput()
         # Whether no more requests are accepted.
         self._is_ending = False
-        self._was_pipelined = False
         self._idle_since = server.clock.now()
 
     @property
@@ -70,17 +69,17 @@
         """Tell whether no request is in flight and no answer is unsent."""
         if self._pipeline or self._reader.reading_since is not None:
             return False
-        return not (self._output and self._output.has_unsent)
+        return not self._output.is_busy
 
     @property
     def unsent_answer(self) -> caller_output.UnsentAnswer | None:
         """Return the last answer if the caller has not received it whole."""
-        return None if self._output is None else self._output.unsent_answer
+        return self._output.unsent_answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._output = caller_output.CallerOutput(self._transport)
+        self._output.attach(self._transport)
         peer = transport.get_extra_info('peername')
         self._reader.caller = peer[0] if peer else ''
         self._server.connections.add(self)
@@ -91,20 +90,20 @@
         for task in self._tasks:
             task.cancel()
 
-    def eof_received(self) -> None:
-        """Treat a half-closed stream as a disconnect; it is closed."""
+    def eof_received(self) -> bool:
+        """Treat a half-closed stream as a disconnect, once all is sent."""
         for task in self._tasks:
             task.cancel()
+        self._is_ending = True
+        return not self._tasks and self._output.end_as_caller_has()
 
     def pause_writing(self) -> None:
         """Start no further request while the caller does not read."""
-        if self._output is not None:
-            self._output.pause(self._server.clock.now())
+        self._output.pause()
 
     def resume_writing(self) -> None:
         """Start the requests that waited for the caller to read."""
-        if self._output is not None:
-            self._output.resume()
+        self._output.resume()
         self._start_requests()
 
     def data_received(self, data: bytes) -> None:
@@ -115,8 +114,7 @@
 
     def sweep(self, now: clock.Millis, limits: routes.CallerLimits) -> None:
         """Close the connection if it exceeded one of its timeouts."""
-        if self._output is not None:
-            self._output.sweep(now, limits)
+        self._output.sweep(now, limits)
         if self._pipeline or self._is_ending:
             return
         reading_since = self._reader.reading_since
@@ -130,6 +128,12 @@
             self._reader.reject(http.HTTPStatus.REQUEST_TIMEOUT)
             self._write_answers()
 
+    def reject_incomplete(self) -> None:
+        """Reject a request that is still being read as not run."""
+        if self._reader.reading_since is not None and not self._pipeline:
+            self._reader.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            self._write_answers()
+
     def close(self) -> None:
         """Close the connection once buffered bytes are written."""
         if self._transport is not None:
@@ -154,14 +158,13 @@
     def _add_request(self, request: caller_messages.CallerRequest) -> None:
         if self._is_ending:
             return
-        self._was_pipelined = self._was_pipelined or bool(self._pipeline)
         self._pipeline.append(
             request, is_idempotent=self._server.is_idempotent(request)
         )
         self._is_ending = not request.keep_alive
 
     def _start_requests(self) -> None:
-        if self._output is None or self._output.is_stalled:
+        if self._output.is_stalled:
             return
         loop = asyncio.get_running_loop()
         for exchange in self._pipeline.take_startable():
@@ -187,11 +190,10 @@
             exchange = self._pipeline.take_answered()
         if self._pipeline:
             return
-        if self._output is None:
-            return
         if self._reader.rejected is not None:
+            self._is_ending = True
             self._output.write_rejection(self._reader.rejected)
-            self._end()
+            self._output.end()
         elif self._reader.expects_continue:
             self._reader.expects_continue = False
             self._output.write(_CONTINUE)
@@ -205,16 +207,8 @@
         # Requests that were read before a stop are answered.
         is_last = self._server.is_draining and not self._pipeline
         closes = is_last or not request.keep_alive
-        if self._output is not None:
-            self._output.write_answer(request, answer, closes=closes)
+        self._output.write_answer(request, answer, closes=closes)
         if closes:
-            self._end()
-
-    def _end(self) -> None:
-        """Close the connection; bytes may still come behind the last answer."""
-        self._is_ending = True
-        may_have_unread = self._was_pipelined or self._reader.rejected
-        if may_have_unread and self._output is not None:
-            self._output.end(self._server.clock.now())
-        else:
-            self.close()
+            # Bytes may still come behind the last answer.
+            self._is_ending = True
+            self._output.end()
--- a/packages/gateway/src/sycamoreferry_gateway/caller_output.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_output.py
@@ -10,7 +10,8 @@
 from sycamoreferry_ports import send_queue
 
 # Closing with unread bytes resets a connection, and the caller may lose the
-# answers that it has not read. So the caller has this time to close first.
+# answers that it has not read. So the caller has this time to close first, once
+# it has received them.
 _LINGER_MS = 1_000
 
 
@@ -27,32 +28,45 @@
 class CallerOutput:
     """Write to a transport and track whether the caller reads."""
 
-    def __init__(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport
         self._last_answered: caller_messages.CallerRequest | None = None
-        # When the caller was last seen to read and the bytes unsent then; None
-        # while it reads fast enough.
-        self._stalled: tuple[clock.Millis, int] | None = None
-        self._lingers_since: clock.Millis | None = None
+        self._is_stalled = False
+        # When the caller was last seen to receive bytes, and how many it had
+        # received then; None while it reads fast enough.
+        self._receiving: tuple[clock.Millis, int] | None = None
+        # The bytes that were written in all.
+        self._written = 0
+        self._is_ended = False
+        self._is_caller_done = False
+        # When the caller was seen to have received the end of the stream.
+        self._received_at: clock.Millis | None = None
 
     @property
     def is_stalled(self) -> bool:
         """Tell whether the caller reads more slowly than answers are ready."""
-        return self._stalled is not None
+        return self._is_stalled
 
     @property
-    def has_unsent(self) -> bool:
-        """Tell whether bytes wait to be sent."""
-        return self._transport.get_write_buffer_size() > 0
+    def is_busy(self) -> bool:
+        """Tell whether answers are unsent, or the caller is to close first."""
+        is_lingering = self._is_ended and not self._is_caller_done
+        return is_lingering or self._count_unsent() > 0
 
     @property
     def unsent_answer(self) -> UnsentAnswer | None:
         """Return the last answer if some of its bytes are not received."""
-        in_process = self._transport.get_write_buffer_size()
-        in_kernel = send_queue.unacknowledged_bytes(self._transport)
-        if self._last_answered is None or not (in_process or in_kernel):
+        if self._last_answered is None or not self._count_unsent():
             return None
-        return UnsentAnswer(self._last_answered, in_process, in_kernel)
+        return UnsentAnswer(
+            self._last_answered,
+            self._transport.get_write_buffer_size(),
+            send_queue.unacknowledged_bytes(self._transport),
+        )
+
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Store the transport; call it before anything else."""
+        self._transport = transport
 
     def write_answer(
         self,
@@ -73,34 +87,60 @@
 
     def write(self, payload: bytes) -> None:
         """Write bytes, unless the last answer has been written."""
-        if self._lingers_since is None and not self._transport.is_closing():
+        if not (self._is_ended or self._transport.is_closing()):
+            self._written += len(payload)
             self._transport.write(payload)
 
-    def pause(self, now: clock.Millis) -> None:
+    def pause(self) -> None:
         """Note that the caller has stopped to read."""
-        self._stalled = (now, self._transport.get_write_buffer_size())
+        self._is_stalled = True
 
     def resume(self) -> None:
         """Note that the caller reads again."""
-        self._stalled = None
+        self._is_stalled = False
 
-    def end(self, now: clock.Millis) -> None:
+    def end(self) -> None:
         """End the stream; the connection is closed when the caller closes."""
-        if self._lingers_since is None:
-            self._lingers_since = now
+        if not self._is_ended:
+            self._is_ended = True
             if not self._transport.is_closing():
                 self._transport.write_eof()
 
+    def end_as_caller_has(self) -> bool:
+        """End the stream too; tell whether bytes are still to be sent."""
+        self._is_caller_done = True
+        if not self._count_unsent():
+            return False
+        self.end()
+        return True
+
     def sweep(self, now: clock.Millis, limits: routes.CallerLimits) -> None:
         """Close a connection that has ended; abort one that is not read."""
-        if self._lingers_since is not None:
-            if now - self._lingers_since > _LINGER_MS:
-                self._transport.close()
-        if self._stalled is None:
+        if not (self._is_ended or self._is_stalled):
+            self._receiving = None
             return
-        since, unsent = self._stalled
-        remaining = self._transport.get_write_buffer_size()
-        if remaining < unsent:
-            self._stalled = (now, remaining)
-        elif now - since > limits.idle_timeout_ms:
+        unsent = self._count_unsent()
+        if unsent:
+            self._check_progress(now, self._written - unsent, limits)
+        elif self._is_caller_done:
+            self._transport.close()
+        elif self._is_ended:
+            self._linger(now)
+
+    def _count_unsent(self) -> int:
+        in_process = self._transport.get_write_buffer_size()
+        return in_process + send_queue.unacknowledged_bytes(self._transport)
+
+    def _check_progress(
+        self, now: clock.Millis, received: int, limits: routes.CallerLimits
+    ) -> None:
+        if self._receiving is None or received > self._receiving[1]:
+            self._receiving = (now, received)
+        elif now - self._receiving[0] > limits.idle_timeout_ms:
             self._transport.abort()
+
+    def _linger(self, now: clock.Millis) -> None:
+        if self._received_at is None:
+            self._received_at = now
+        elif now - self._received_at > _LINGER_MS:
+            self._transport.close()
--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -1,6 +1,7 @@
 """Accept the connections of callers."""
 
 import asyncio
+import sys
 import typing
 
 from sycamoreferry_core import clock
@@ -13,6 +14,14 @@
 
 _ACCEPT_BACKLOG = 1024
 _SWEEP_INTERVAL_MS = 500
+# Until the operator's limits are known, only timeouts end connections.
+_DEFAULT_TIMEOUT_MS = 15_000
+_DEFAULT_LIMITS = routes.CallerLimits(
+    header_bytes=sys.maxsize,
+    body_bytes=sys.maxsize,
+    header_timeout_ms=_DEFAULT_TIMEOUT_MS,
+    idle_timeout_ms=_DEFAULT_TIMEOUT_MS,
+)
 
 IsIdempotent = typing.Callable[[caller_messages.CallerRequest], bool]
 
@@ -49,10 +58,10 @@
         """Close connections that exceeded their timeouts."""
         while True:
             await asyncio.sleep(clock.seconds(_SWEEP_INTERVAL_MS))
-            if self.limits is not None:
-                now = self.clock.now()
-                for connection in list(self.connections):
-                    connection.sweep(now, self.limits)
+            limits = self.limits or _DEFAULT_LIMITS
+            now = self.clock.now()
+            for connection in list(self.connections):
+                connection.sweep(now, limits)
 
     @property
     def is_idle(self) -> bool:
@@ -75,6 +84,11 @@
         if self._listener is not None:
             self._listener.close()
 
+    def reject_incomplete(self) -> None:
+        """Reject the requests that are still being read as not run."""
+        for connection in list(self.connections):
+            connection.reject_incomplete()
+
     def close_idle(self) -> None:
         """Close connections without a request in flight or an unsent answer."""
         for connection in list(self.connections):
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -194,6 +194,7 @@
             self._dispatcher.permits.returns.repeat_forever,
             self._server.sweep_forever,
             self._relay_server.sweep_forever,
+            self._status.sweep_forever,
             self._exchange.send_forever,
             self._housekeeping.run_forever,
         ]
@@ -261,8 +262,7 @@
         while phase is not graceful_shutdown.ShutdownPhase.DONE:
             if phase is graceful_shutdown.ShutdownPhase.FINISHING:
                 self._stop_listening()
-                self._server.close_idle()
-                self._relay_server.close_idle()
+                self._close_unused(answers_due_at)
             self._parts.run_step('heartbeat', self._exchange.send_heartbeat)
             await asyncio.sleep(clock.seconds(_DRAIN_HEARTBEAT_MS))
             phase = graceful_shutdown.shutdown_phase(
@@ -298,6 +298,13 @@
         self._server.stop_listening()
         self._relay_server.stop_listening()
 
+    def _close_unused(self, answers_due_at: clock.Millis) -> None:
+        """Close connections on which no answer can still be due."""
+        for server in (self._server, self._relay_server):
+            if self._clock.now() >= answers_due_at:
+                server.reject_incomplete()
+            server.close_idle()
+
     def _announce_stop(self) -> None:
         self._log.write('instance', 'stopping', reason='SIGTERM')
         self._server.is_draining = True
--- a/packages/gateway/tests/support/gateway_testing/slow_caller.py
+++ b/packages/gateway/tests/support/gateway_testing/slow_caller.py
@@ -32,6 +32,12 @@
         """Send bytes."""
         await asyncio.get_running_loop().sock_sendall(self._socket, payload)
 
+    def read_fast(self) -> None:
+        """Take as many bytes at once as the kernel allows."""
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _PART_BYTES * 4
+        )
+
     async def read_head(self) -> str:
         """Return the head of the next answer; what follows it is kept."""
         while _HEAD_END not in self._received:
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gateway_testing import slow_caller
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import caller_messages, http_server
@@ -463,3 +464,27 @@
     assert len(statuses) >= len(ran)
     assert statuses[: len(ran)].count('503') <= len(sent) - len(ran)
     caller.writer.close()
+
+
+async def test_caller_that_reads_slowly_gets_the_last_answer_whole(
+    gate: Gate,
+) -> None:
+    gate.answer_bytes = 6_000_000
+    sweeping = asyncio.create_task(gate.server.sweep_forever())
+    caller = await slow_caller.SlowCaller(await gate.start()).connect()
+    gate.release('/safe/0', '/safe/1')
+    await caller.send(
+        _request('/safe/0') + _request('/safe/1', 'Connection: close\r\n')
+    )
+    heads = [await caller.read_head()]
+    # Shorter than the idle timeout, and longer than a connection lingers.
+    await asyncio.sleep(1.7)
+    await caller.send(_request('/safe/2'))
+    bodies = [await caller.read_body(heads[0], pause_s=0.001)]
+    heads.append(await caller.read_head())
+    await asyncio.sleep(1.7)
+    await caller.send(_request('/safe/3'))
+    bodies.append(await caller.read_body(heads[1], pause_s=0.001))
+    assert [len(body) for body in bodies] == [6_000_007] * 2
+    caller.close()
+    sweeping.cancel()
