--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -1,6 +1,7 @@
 """Run attempts of a request at the servers that were chosen for it."""
 
 import asyncio
+import dataclasses
 
 from sycamoreferry_adapter import request_headers
 from sycamoreferry_core import clock
@@ -25,6 +26,9 @@
 _ATTEMPT_SHARE = 0.5
 _MIN_ATTEMPT_MS = 250
 _HEAD = 'HEAD'
+_OVERDUE = http_client.FailedExchange(
+    http_client.ExchangeFailure.TIMEOUT, was_sent=True
+)
 _UNREACHABLE = http_client.FailedExchange(
     http_client.ExchangeFailure.CONNECT, was_sent=False
 )
@@ -123,11 +127,50 @@
             ),
             proxied.request.body,
         )
+        return await self._exchange_or_go_on(
+            proxied, server, payload, started_at
+        )
+
+    async def _exchange_or_go_on(
+        self,
+        proxied: proxied_requests.ProxiedRequest,
+        server: servers.BackendServer,
+        payload: bytes,
+        started_at: clock.Millis,
+    ) -> proxied_requests.Attempt:
+        """Return once the server answers, or another one is to be tried."""
+        exchange = self._exchange(proxied, server, payload, started_at)
+        timeout_ms = self._attempt_timeout_ms(proxied, server, started_at)
+        if timeout_ms >= proxied.answer_by - started_at:
+            return await exchange
+        task = asyncio.get_running_loop().create_task(exchange)
+        try:
+            await asyncio.wait(
+                (task,), timeout=timeout_ms / clock.MILLIS_PER_SECOND
+            )
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        if task.done():
+            return task.result()
+        attempt = self._classifier.classify(
+            proxied, server, _OVERDUE, started_at
+        )
+        return dataclasses.replace(attempt, rest=task)
+
+    async def _exchange(
+        self,
+        proxied: proxied_requests.ProxiedRequest,
+        server: servers.BackendServer,
+        payload: bytes,
+        started_at: clock.Millis,
+    ) -> proxied_requests.Attempt:
+        """Send a request and wait for its answer until it is due."""
         with self._runs.record(proxied, server) as run:
             outcome = await self._pool.exchange(
                 _address_of(server),
                 payload,
-                self._attempt_timeout_ms(proxied, server, started_at),
+                proxied.answer_by - started_at,
                 request_identity.RequestIdentity(
                     request_headers.REQUEST_ID,
                     proxied.request_id,
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -1,5 +1,8 @@
 """Hold a request in progress and its attempts at backend servers."""
 
+from __future__ import annotations
+
+import asyncio
 import dataclasses
 import enum
 
@@ -29,6 +32,8 @@
     server: servers.BackendServer
     detail: str
     reply: http_messages.HttpResponse | None = None
+    # The rest of the attempt, if its server is slow but may still answer.
+    rest: asyncio.Task[Attempt] | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
