--- a/packages/gateway/src/sycamoreferry_gateway/answers.py
+++ b/packages/gateway/src/sycamoreferry_gateway/answers.py
@@ -9,6 +9,8 @@
 from sycamoreferry_core import clock, http_messages, result_codes
 from sycamoreferry_gateway import caller_messages
 
+# Other instances can serve the caller at once.
+_LEAVING_RETRY_AFTER_MS = 50
 _SUCCESSES = range(http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES)
 
 
@@ -68,6 +70,15 @@
     )
 
 
+def leaving() -> FinalAnswer:
+    """Return the result of a request that this instance leaves to others."""
+    return refusal(
+        result_codes.ResultCode.LEAVING,
+        'instance is stopping',
+        _LEAVING_RETRY_AFTER_MS,
+    )
+
+
 def internal_failure() -> FinalAnswer:
     """Return a result that leaves open whether the request has run."""
     code = result_codes.ResultCode.OUTCOME_UNKNOWN
--- a/packages/gateway/src/sycamoreferry_gateway/final_answers.py
+++ b/packages/gateway/src/sycamoreferry_gateway/final_answers.py
@@ -16,11 +16,6 @@
 _Code = result_codes.ResultCode
 
 _RETRY_AFTER_MS = 300
-# The codes of requests that no server ran, for these reasons.
-_REJECTIONS = {
-    attempt_runner.STOPPING: _Code.LEAVING,
-    attempt_runner.BLOCKED: _Code.QUARANTINED,
-}
 
 
 class FinalAnswers:
@@ -96,11 +91,7 @@
     ) -> answers.FinalAnswer:
         """Return an answer of this instance, and say truly whether it ran."""
         if not proxied.may_have_run:
-            code = _Code.OVERLOADED
-            if proxied.key is not None and reason == 'key has no owner':
-                code = _Code.NO_OWNER
-            code = _REJECTIONS.get(reason, code)
-            return answers.refusal(code, reason, retry_after_ms)
+            return _refusal(proxied, reason, retry_after_ms)
         now = self._view.clock.now()
         code = _Code.OUTCOME_UNKNOWN
         status = http.HTTPStatus.BAD_GATEWAY
@@ -121,3 +112,17 @@
         return self._loads.back_offs.remaining_ms(
             attempt.server.incarnation, self._view.clock.now()
         )
+
+
+def _refusal(
+    proxied: proxied_requests.ProxiedRequest, reason: str, retry_after_ms: int
+) -> answers.FinalAnswer:
+    """Return the refusal of a request that no server ran."""
+    if reason == attempt_runner.STOPPING:
+        return answers.leaving()
+    code = _Code.OVERLOADED
+    if reason == attempt_runner.BLOCKED:
+        code = _Code.QUARANTINED
+    elif proxied.key is not None and reason == 'key has no owner':
+        code = _Code.NO_OWNER
+    return answers.refusal(code, reason, retry_after_ms)
--- a/packages/gateway/src/sycamoreferry_gateway/open_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/open_requests.py
@@ -20,11 +20,13 @@
     def limit(self, due: clock.Millis, now: clock.Millis) -> None:
         if due >= self.proxied.answer_by:
             return
-        self.proxied.answer_by = due
+        # A request that no server has seen is left to another instance.
+        ends_at = due if self.proxied.was_sent else now
+        self.proxied.answer_by = ends_at
         # The queues reject it as soon as it can't be sent in time.
-        self.queued.answer_by = due
+        self.queued.answer_by = ends_at
         loop = asyncio.get_running_loop()
-        self.time_limit.reschedule(loop.time() + clock.seconds(due - now))
+        self.time_limit.reschedule(loop.time() + clock.seconds(ends_at - now))
 
 
 class OpenRequests:
@@ -40,6 +42,13 @@
         """Tell whether the instance shuts down."""
         return self._due_at is not None
 
+    def may_start(self, proxied: proxied_requests.ProxiedRequest) -> bool:
+        """Tell whether a request is certain not to be cut by the shutdown.
+
+        Its caller may read the answer until it gives up, however slowly.
+        """
+        return self._due_at is None or proxied.ends_at <= self._due_at
+
     @property
     def proxied(self) -> list[proxied_requests.ProxiedRequest]:
         """Return the requests in flight."""
--- a/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
+++ b/packages/gateway/src/sycamoreferry_gateway/proxied_requests.py
@@ -72,6 +72,11 @@
             for one in self.attempts
         )
 
+    @property
+    def was_sent(self) -> bool:
+        """Tell whether it is at a server, or a server may have run it."""
+        return self.current_server is not None or self.may_have_run
+
     @property
     def may_have_run(self) -> bool:
         """Tell whether a server may have run it; errors count as run."""
--- a/packages/gateway/src/sycamoreferry_gateway/relay_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamoreferry_adapter import request_headers
-from sycamoreferry_core import clock, http_messages
+from sycamoreferry_core import clock, http_messages, result_codes
 from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import (
     answers,
@@ -68,6 +68,13 @@
         final = await self._serve_relayed(
             _request_of(relayed, envelope.received_at), relayed
         )
+        if final.code is result_codes.ResultCode.LEAVING:
+            # The first instance relays it to another one.
+            return caller_messages.CallerAnswer(
+                int(http.HTTPStatus.SERVICE_UNAVAILABLE),
+                _relay_id(envelope),
+                b'',
+            )
         answer = relay_messages.RelayedAnswer(
             final.answer.status,
             list(final.answer.headers),
--- a/packages/gateway/src/sycamoreferry_gateway/request_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_handler.py
@@ -126,6 +126,8 @@
     ) -> answers.FinalAnswer:
         if not self._view.blocks.may_send(proxied.signature):
             return self._series.answers.blocked(proxied)
+        if not self.open_requests.may_start(proxied):
+            return answers.leaving()
         queued = queueing.QueuedRequest(
             service=proxied.service,
             key=proxied.key,
--- a/packages/gateway/src/sycamoreferry_gateway/request_relay.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_relay.py
@@ -54,6 +54,8 @@
         """Tell whether another instance is to run a request, and may."""
         if not self._loads.reachability.is_cut_off or proxied.is_relayed:
             return False
+        if self._view.clock.now() >= proxied.answer_by:
+            return False
         if proxied.may_have_run and not self._policy.may_rerun(proxied):
             return False
         return len(proxied.relays) < _MAX_RELAYS and bool(self._peers(proxied))
