Take no answer with a status that no proper server sends

The users' platform already had its check; on the product's own interface callers got 000, 001, 099, 101, 600 and 999, and orders and the list of instances were read whatever the status. The HTTP library takes any three digits.

--- a/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_messages.py
@@ -12,7 +12,10 @@
 
 _Status = typing.Annotated[
     int,
-    msgspec.Meta(ge=reply_reader.STATUSES.start, lt=reply_reader.STATUSES.stop),
+    msgspec.Meta(
+        ge=reply_reader.FINAL_STATUSES.start,
+        lt=reply_reader.FINAL_STATUSES.stop,
+    ),
 ]
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/reply_reader.py
+++ b/packages/gateway/src/sycamoreferry_gateway/reply_reader.py
@@ -12,6 +12,7 @@
 _INTERIM_STATUSES = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
 _LAST_STATUS = 599
 STATUSES = range(http.HTTPStatus.CONTINUE, _LAST_STATUS + 1)
+FINAL_STATUSES = range(http.HTTPStatus.OK, _LAST_STATUS + 1)
 
 
 class ReplyReader:
--- a/packages/ports/src/sycamoreferry_ports/http_forward.py
+++ b/packages/ports/src/sycamoreferry_ports/http_forward.py
@@ -11,7 +11,7 @@
 from aiohttp import hdrs
 
 from sycamoreferry_core import clock, ids, outcomes
-from sycamoreferry_ports import headers, send_once, wire
+from sycamoreferry_ports import bounded_body, headers, send_once, wire
 
 # Connecting to a server normally takes about a millisecond.
 CONNECT_TIMEOUT_MS = 300
@@ -235,6 +235,9 @@
         ends_at: float,
         needs_echo: bool,
     ) -> Received | IncompleteAnswer:
+        if answer.status not in bounded_body.FINAL_STATUSES:
+            answer.close()
+            return IncompleteAnswer(f'the answer has status {answer.status}')
         if not _is_framed(answer):
             answer.close()
             return IncompleteAnswer(
--- a/packages/ports/src/sycamoreferry_ports/http_probe.py
+++ b/packages/ports/src/sycamoreferry_ports/http_probe.py
@@ -34,6 +34,9 @@
                 await bounded_body.read(answer)
         except TimeoutError:
             return ProbeResult.TIMED_OUT
+        except bounded_body.OddStatusError:
+            # The server is faulty, but it has not ended.
+            return ProbeResult.ANSWERED
         except aiohttp.ClientError:
             return ProbeResult.CONNECTION_FAILED
         return ProbeResult.ANSWERED
