--- a/packages/ports/src/sycamoreferry_ports/http_orders.py
+++ b/packages/ports/src/sycamoreferry_ports/http_orders.py
@@ -167,8 +167,9 @@
                 },
                 timeout=timeout,
             ) as answer:
-                return decoding.decode(
-                    _decoder, await bounded_body.read(answer)
+                body = await bounded_body.read(
+                    answer, bounded_body.MAX_ORDER_BYTES
                 )
+                return decoding.decode(_decoder, body)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/packages/ports/src/sycamoreferry_ports/http_probe.py
+++ b/packages/ports/src/sycamoreferry_ports/http_probe.py
@@ -31,7 +31,7 @@
         timeout = aiohttp.ClientTimeout(total=clock.seconds(TIMEOUT_MS))
         try:
             async with self._session.get(url, timeout=timeout) as answer:
-                await bounded_body.read(answer)
+                await bounded_body.read(answer, bounded_body.MAX_PROBE_BYTES)
         except TimeoutError:
             return ProbeResult.TIMED_OUT
         except bounded_body.OddStatusError:
