--- a/packages/gateway/tests/support/gateway_testing/slow_caller.py
+++ b/packages/gateway/tests/support/gateway_testing/slow_caller.py
@@ -45,12 +45,16 @@
         head = self._take(self._received.index(_HEAD_END) + len(_HEAD_END))
         return head.decode('latin-1').lower()
 
-    async def read_body(self, head: str, pause_s: float = 0) -> bytes:
-        """Return the body of an answer, read with pauses between its parts."""
+    async def read_body(self, head: str, duration_s: float = 0) -> bytes:
+        """Return the body of an answer, read evenly over a duration."""
         size = int(head.partition('content-length: ')[2].split('\r')[0])
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         while len(self._received) < size:
             await self._receive()
-            await asyncio.sleep(pause_s)
+            share = len(self._received) / size
+            due_at = began_at + duration_s * share
+            await asyncio.sleep(max(0, due_at - loop.time()))
         return self._take(size)
 
     async def read_end(self) -> bytes:
--- a/packages/gateway/tests/test_cut_downloads.py
+++ b/packages/gateway/tests/test_cut_downloads.py
@@ -111,7 +111,7 @@
     # Sent before the caller has read that the connection is closed.
     await caller.send(cluster.encode_request('r2', KEY))
     await asyncio.sleep(0.2)
-    assert await caller.read_body(head, pause_s=0.001) == LONG_BODY
+    assert await caller.read_body(head, duration_s=1) == LONG_BODY
     with contextlib.suppress(ConnectionResetError):
         assert not await caller.read_end()
 
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -480,11 +480,11 @@
     # Shorter than the idle timeout, and longer than a connection lingers.
     await asyncio.sleep(1.7)
     await caller.send(_request('/safe/2'))
-    bodies = [await caller.read_body(heads[0], pause_s=0.001)]
+    bodies = [await caller.read_body(heads[0], duration_s=0.5)]
     heads.append(await caller.read_head())
     await asyncio.sleep(1.7)
     await caller.send(_request('/safe/3'))
-    bodies.append(await caller.read_body(heads[1], pause_s=0.001))
+    bodies.append(await caller.read_body(heads[1], duration_s=0.5))
     assert [len(body) for body in bodies] == [6_000_007] * 2
     caller.close()
     sweeping.cancel()
