Let callers of the own interface receive their answers before a close

Bytes of the caller that were unread then reset it, a caller that read for over 5 s was aborted, and a stop did not wait for what lay in the kernel. Connections end as in the gateway now: half-closed, read until the caller closes, and a stop waits for what its machine has not acknowledged. Three tests of test_http_server.py failed before.

--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -13,6 +13,7 @@
 
 from sycamoreferry_core import clock, ids, outcomes
 from sycamoreferry_router import (
+    lingering_protocol,
     logs,
     messages,
     metrics,
@@ -87,6 +88,7 @@
             port=port,
             access_log=False,
             return_asyncio_server=True,
+            protocol=lingering_protocol.LingeringProtocol,
         )
         if server is None:
             raise RuntimeError('sanic returned no server from create_server')
@@ -217,5 +219,5 @@
     transport = connection.transport
     if transport is None:
         return False
-    is_unsent = transport.get_write_buffer_size() > 0
+    is_unsent = lingering_protocol.unsent_bytes(transport) > 0
     return is_unsent or bool(connection.http)
--- a/packages/router/tests/test_http_server.py
+++ b/packages/router/tests/test_http_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 import time
 import typing
 
@@ -333,3 +334,52 @@
         monkeypatch.undo()
         released.set()
         assert b'200 OK' in await reader.readline()
+
+
+async def test_answer_in_the_send_buffer_keeps_the_server_busy() -> None:
+    body = LONG_BODY[:1_000_000]
+
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(scripted_server.answer_bytes(head, body))
+
+    async with _serve(script, whole_answer_bytes=len(body)) as served:
+        server, _, reader = served
+        await reader.readuntil(b'\r\n\r\n')
+        await asyncio.sleep(0.3)
+        assert not server.is_idle
+        assert await reader.readexactly(len(body)) == body
+        deadline = clock.later(boot_clock.BootClock().now(), 3_000)
+        await server.wait_until_idle(deadline)
+        assert server.is_idle
+
+
+@pytest.mark.parametrize('pause_s', [0.2, 6], ids=['short', 'long'])
+async def test_request_behind_a_close_does_not_cut_the_answer(
+    pause_s: float,
+) -> None:
+    async def script(
+        head: scripted_server.Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(scripted_server.answer_bytes(head, LONG_BODY))
+
+    request = b'GET /plain/a HTTP/1.1\r\nHost: a\r\n'
+    async with _request_path(script, whole_answer_bytes=len(LONG_BODY)) as path:
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ('127.0.0.1', yarl.URL(path[0]).port))
+        await loop.sock_sendall(caller, request + b'Connection: close\r\n\r\n')
+        received = await loop.sock_recv(caller, 65_536)
+        await asyncio.sleep(pause_s)
+        await loop.sock_sendall(caller, request + b'\r\n')
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262_144)
+        while part := await loop.sock_recv(caller, 65_536):
+            received += part
+        caller.close()
+    assert received.endswith(LONG_BODY[-1_000:])
+    assert len(received) > len(LONG_BODY)
