--- a/packages/gateway/src/sycamoreferry_gateway/caller_output.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_output.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http
 
+from sycamoreferry_adapter import request_headers
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import routes
 from sycamoreferry_gateway import caller_messages
@@ -17,9 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnsentAnswer:
-    """Hold a request whose answer has not reached its caller whole."""
+    """Describe an answer that has not reached its caller whole."""
 
-    request: caller_messages.CallerRequest
+    # The ID of its request, if that has one.
+    request_id: str | None
     bytes_in_process: int
     # Sent by the process, and not acknowledged by the caller's machine.
     bytes_in_kernel: int
@@ -30,7 +32,8 @@
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport
-        self._last_answered: caller_messages.CallerRequest | None = None
+        self._has_answered = False
+        self._last_request_id: str | None = None
         self._is_stalled = False
         # When the caller was last seen to receive bytes, and how many it had
         # received then; None while it reads fast enough.
@@ -56,10 +59,10 @@
     @property
     def unsent_answer(self) -> UnsentAnswer | None:
         """Return the last answer if some of its bytes are not received."""
-        if self._last_answered is None or not self._count_unsent():
+        if not (self._has_answered and self._count_unsent()):
             return None
         return UnsentAnswer(
-            self._last_answered,
+            self._last_request_id,
             self._transport.get_write_buffer_size(),
             send_queue.unacknowledged_bytes(self._transport),
         )
@@ -76,7 +79,8 @@
         closes: bool,
     ) -> None:
         """Write the answer to a request."""
-        self._last_answered = request
+        self._has_answered = True
+        self._last_request_id = request.header(request_headers.REQUEST_ID)
         self.write(
             caller_messages.encode_answer(answer, request.method, closes=closes)
         )
--- a/packages/gateway/src/sycamoreferry_gateway/request_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_log.py
@@ -52,7 +52,7 @@
             self._log.write(
                 'request',
                 'answer is unsent at the end of the shutdown',
-                request=unsent.request.header(request_headers.REQUEST_ID),
+                request=unsent.request_id,
                 bytes_in_process=unsent.bytes_in_process,
                 bytes_in_kernel=unsent.bytes_in_kernel,
             )
