--- a/packages/core/src/sycamoreferry_core/fleet/graceful_shutdown.py
+++ b/packages/core/src/sycamoreferry_core/fleet/graceful_shutdown.py
@@ -18,7 +18,7 @@
 # before that; both are less where the grace period is short.
 _SEND_MARGIN_MS = 900
 _SEND_MARGIN_SHARE = 0.15
-_EXIT_MARGIN_MS = 200
+_EXIT_MARGIN_MS = 300
 _EXIT_MARGIN_SHARE = 0.1
 
 
