--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -316,6 +316,20 @@
     assert load is None or load.running >= 0
 
 
+@pytest.mark.parametrize(
+    ('text', 'slowdown'),
+    [('1,0,2', 1), ('1,0,2,100', 1), ('1,0,2, 300', 3), ('1,0,2,50', 0.5)],
+)
+def test_load_header_may_state_a_slowdown(text: str, slowdown: float) -> None:
+    load = request_headers.parse_load(text)
+    assert load == request_headers.ReportedLoad(1, 0, 2, slowdown)
+
+
+@pytest.mark.parametrize('text', ['1,0,2,0', '1,0,2,x', '1,0,2,100,1', '1,0'])
+def test_load_header_with_a_malformed_figure_is_ignored(text: str) -> None:
+    assert request_headers.parse_load(text) is None
+
+
 @pytest.mark.parametrize(
     ('text', 'limit'),
     [
