Read the settings and fields of evacuations and warm-ups

Nothing named the key of an evacuation in the store, the time within which it takes effect, the rate that a cold server tolerates or the memory of the machine, so no part could act on them.

The adapter decodes them; all are optional, and without them nothing changes.

--- a/packages/core/src/sycamoreferry_core/fleet/deployment.py
+++ b/packages/core/src/sycamoreferry_core/fleet/deployment.py
@@ -4,6 +4,9 @@
 
 from sycamoreferry_core import ids
 
+# Applies if the settings don't name the memory of the machine.
+DEFAULT_MEMORY_MB = 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -27,6 +30,13 @@
     retry_window_ms: int
     retry_extra: int
     longest_hold_ms: int
+    # The time within which requests to an evacuated data centre end; None if
+    # the deployment has no evacuations.
+    evacuate_ms: int | None = None
+    # What all instances send a cold server in a second is bounded by the rate
+    # that it tolerates times the overage, plus the slack; None for no bound.
+    warmup_overage: float | None = None
+    warmup_slack: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +58,7 @@
     bounds: Bounds
     # Whether the whole system starts for the first time.
     is_first_start: bool = True
+    memory_mb: int = DEFAULT_MEMORY_MB
 
     @property
     def counting_weight(self) -> float:
--- a/packages/core/src/sycamoreferry_core/traffic/routes.py
+++ b/packages/core/src/sycamoreferry_core/traffic/routes.py
@@ -56,6 +56,10 @@
     name: ids.ServiceName
     max_connections: int
     is_keyed: bool
+    # How long a server is cold after it starts, and the requests a second that
+    # it tolerates meanwhile; None if it names no limit.
+    warmup_ms: int = 0
+    warmup_requests_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/tests/test_adapter.py
+++ b/packages/gateway/tests/test_adapter.py
@@ -19,7 +19,7 @@
     units,
 )
 from sycamoreferry_core import http_messages, ids
-from sycamoreferry_core.fleet import servers, store_records
+from sycamoreferry_core.fleet import deployment, servers, store_records
 from sycamoreferry_core.keyspace import owners
 from sycamoreferry_gateway import assignment, peer_messages, peer_socket
 
@@ -44,6 +44,12 @@
 Terms.Bounds.HoldMax=10000ms
 New.Field=anything
 """
+BOUNDS_OF_ZONES = """
+Self.Limits.MemoryMb=160
+Terms.Bounds.Evacuate=5000ms
+Terms.Bounds.WarmupOverage=1.5
+Terms.Bounds.WarmupSlack=8
+"""
 ENTRY = {
     'Service': 'v',
     'Address': '10.0.0.1:80',
@@ -116,6 +122,60 @@
     assert str(chosen.store_address) == '10.200.1.7:8642'
 
 
+def test_settings_of_evacuations_and_warm_ups_may_be_missing() -> None:
+    chosen = settings_file.parse_settings(SETTINGS, 9464)
+    assert chosen.bounds.evacuate_ms is None
+    assert chosen.bounds.warmup_overage is None
+    assert chosen.memory_mb == deployment.DEFAULT_MEMORY_MB
+
+
+def test_settings_of_evacuations_and_warm_ups_are_parsed() -> None:
+    chosen = settings_file.parse_settings(SETTINGS + BOUNDS_OF_ZONES, 9464)
+    assert chosen.bounds.evacuate_ms == 5_000
+    assert chosen.bounds.warmup_overage == pytest.approx(1.5)
+    assert chosen.bounds.warmup_slack == 8
+    assert chosen.memory_mb == 160
+
+
+@pytest.mark.parametrize('text', ['-1', 'nan', 'inf', 'x', ''])
+def test_malformed_optional_setting_is_named_in_the_error(text: str) -> None:
+    with pytest.raises(units.FormatError, match='WarmupOverage'):
+        settings_file.parse_settings(
+            f'{SETTINGS}Terms.Bounds.WarmupOverage={text}\n', 9464
+        )
+
+
+@pytest.mark.parametrize(
+    ('key', 'data_centre'),
+    [
+        ('evacuate/pando', 'pando'),
+        ('evacuate/', None),
+        ('evacuate', None),
+        ('config', None),
+    ],
+)
+def test_evacuation_key_names_a_data_centre(
+    key: str, data_centre: str | None
+) -> None:
+    found = store_calls.parse_evacuation_key(store_records.RecordKey(key))
+    assert found == data_centre
+
+
+def test_configuration_names_the_warm_up_of_a_service(
+    encode_configuration: typing.Any,
+) -> None:
+    document = json.loads(encode_configuration(3))
+    service = document['Services'][0]
+    plain = operator_config.decode_config(json.dumps(document).encode())
+    policy = plain.services[service['Name']]
+    assert policy.warmup_requests_per_s is None
+    service.update({'Warmup': '3s', 'WarmupPerS': 4.5})
+    config = operator_config.decode_config(json.dumps(document).encode())
+    policy = config.services[service['Name']]
+    assert policy.warmup_ms == 3_000
+    assert policy.warmup_requests_per_s == pytest.approx(4.5)
+
+
 @pytest.mark.parametrize(
     ('line', 'named'),
     [
