Let the moves of a plan share their announcements

Callers of a hot range of keys were rejected for seconds: a plan was held to 12 moves, since each was announced to all instances in messages of its own, and 60 of them had kept a coordinator of 195 from being heard.

The beginnings of the moves of a plan share one message, and their ends another; KeysMoving grows by further ranges, of which earlier versions read the first one (they send the others' requests to the old owner, which rejects them as not run, and send them again). A plan may have 24 moves.

--- a/packages/core/src/sycamoreferry_core/keyspace/placement.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/placement.py
@@ -29,8 +29,9 @@
     max_utilisation: float = 1.1
     # Smaller moves are not worth the interruption of their keys.
     min_moved_slots: float = 0.08
-    # Each move is announced to all instances, also with many of them.
-    max_moves: int = 12
+    # The moves of a plan share their messages to all instances, but each has
+    # orders of its own to two servers.
+    max_moves: int = 24
     # A key that alone overloads a server moves only if the utilisation at its
     # new server is at most this share of the old one.
     hot_key_utilisation_ratio: float = 0.8
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -12,8 +12,8 @@
     background,
     lease_manager,
     load_estimator,
+    move_announcements,
     order_sender,
-    peer_messages,
     term_manager,
     view,
 )
@@ -44,7 +44,9 @@
         self._estimator = estimator
         self._tasks = tasks
         self._log = cluster_view.log
-        self._announce = announce
+        self._announcer = move_announcements.MoveAnnouncer(
+            cluster_view, announce
+        )
         self._destinations: dict[
             tuple[ids.ServiceName, owners.KeyRange],
             servers.ServerIncarnation,
@@ -207,7 +209,7 @@
         The handover is empty if the release was not answered and the lease
         had to expire.
         """
-        self._mark_moving(service, row.keys, is_over=False)
+        self._announcer.begin(service, row.keys)
         server = self._view.fleet.get(row.owner.server)
         released = None
         target = server or self._grants.last_known_servers.get(row.owner)
@@ -258,7 +260,7 @@
             self.moves_made += 1
         # Keys whose new owner could not be written stay with the old owner,
         # which gets them again with the next renewal.
-        self._mark_moving(service, row.keys, is_over=True)
+        self._announcer.end(service, row.keys)
 
     async def _move(
         self,
@@ -285,23 +287,6 @@
             destination = move.source
         await self._hand_over(service, part, destination, handover)
 
-    def _mark_moving(
-        self,
-        service: ids.ServiceName,
-        keys: owners.KeyRange,
-        *,
-        is_over: bool,
-    ) -> None:
-        self._view.mark_moving(service, keys, is_over=is_over)
-        self._announce(
-            peer_messages.KeysMoving(
-                service,
-                keys.first,
-                keys.last,
-                is_over,
-            ),
-        )
-
     def _log_freed(
         self,
         service: ids.ServiceName,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -207,12 +207,13 @@
 
     @handle.register
     def _(self, message: peer_messages.KeysMoving, sender: _Address) -> None:
-        keys = owners.KeyRange(
-            owners.Key(message.first),
-            owners.Key(message.last),
+        first = peer_messages.KeysRow(
+            message.service, message.first, message.last
         )
-        service = ids.ServiceName(message.service)
-        self._view.mark_moving(service, keys, is_over=message.is_over)
+        for row in (first, *message.others):
+            keys = owners.KeyRange(owners.Key(row.first), owners.Key(row.last))
+            service = ids.ServiceName(row.service)
+            self._view.mark_moving(service, keys, is_over=message.is_over)
 
     @handle.register
     def _(self, message: peer_messages.PermitRequest, sender: _Address) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -189,13 +189,23 @@
     era: decoding.WholeNumber = 0
 
 
+class KeysRow(msgspec.Struct, array_like=True):
+    """Name a range of keys of a service."""
+
+    service: str
+    first: Key
+    last: Key
+
+
 class KeysMoving(msgspec.Struct, array_like=True, tag='moving'):
-    """Announce that a move of keys has begun, or that it is over."""
+    """Announce that moves of keys have begun, or that they are over."""
 
     service: str
     first: Key
     last: Key
     is_over: bool
+    # Further ranges; earlier versions read the first one only.
+    others: list[KeysRow] = []
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag='permit-ask'):
