Spread keys over all servers before the first request

All servers register within seconds of a start and the first one known gets all keys, since keys need an owner at once. Moves for load begin only with the first requests, so one server of 92 had nearly all keys in the first half second, and more than half of their requests in the next.

Once no server has come or gone for 1.5 s, and as long as no request was counted, the coordinator moves keys so that servers hold numbers of keys in proportion to their slots. Each key moves once; a service that has had requests is balanced by them alone, as before.

--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -6,7 +6,7 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.keyspace import owners, placement
+from sycamoreferry_core.keyspace import idle_keys, owners, placement
 from sycamoreferry_gateway import (
     assignment_writer,
     background,
@@ -51,11 +51,15 @@
             tuple[ids.ServiceName, owners.KeyRange],
             servers.ServerIncarnation,
         ] = {}
+        self._registrations: dict[
+            ids.ServiceName, idle_keys.RegistrationWatch
+        ] = {}
         self.moves_made = 0
 
     def start_term(self) -> None:
         """Clear the moves of an earlier term; their tasks are cancelled."""
         self._destinations.clear()
+        self._registrations.clear()
 
     def assign_gaps(self, service: ids.ServiceName) -> None:
         """Start assigning unowned keys to servers with spare capacity."""
@@ -92,7 +96,13 @@
                 self._tasks.start(self._relocate(service, row))
 
     def balance(self, service: ids.ServiceName) -> None:
-        """Start the moves that balance the load between usable servers."""
+        """Start the moves that balance the load between usable servers.
+
+        Before the first request, the numbers of keys are balanced.
+        """
+        if not self._estimator.has_demand(service):
+            self._spread_idle_keys(service)
+            return
         slots_by_key = self._estimator.slots_by_key(service)
         moves = placement.plan_moves(
             self._planned_table(service).rows,
@@ -107,6 +117,20 @@
                     service, row, move, _sum_slots(slots_by_key, move.keys)
                 )
 
+    def _spread_idle_keys(self, service: ids.ServiceName) -> None:
+        capacities = self._estimator.capacities(service)
+        watch = self._registrations.setdefault(
+            service, idle_keys.RegistrationWatch()
+        )
+        known = [capacity.incarnation for capacity in capacities]
+        if not watch.has_settled(known, self._clock.now()):
+            return
+        rows = self._planned_table(service).rows
+        for move in idle_keys.plan_even_shares(rows, capacities):
+            row = self._movable_row(service, move)
+            if row is not None:
+                self._start_move(service, row, move, 0)
+
     def _planned_table(self, service: ids.ServiceName) -> owners.OwnerTable:
         """Return the owners as they will be after the moves in progress."""
         planned = self._view.assignment.table(service)
--- a/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
@@ -58,6 +58,10 @@
         demanded = sum(self.slots_by_key(service).values())
         return key_capacities.weight_capacities(known, demanded)
 
+    def has_demand(self, service: ids.ServiceName) -> bool:
+        """Tell whether a request for a key of a service was ever counted."""
+        return service in self._demand
+
     def slots_by_key(self, service: ids.ServiceName) -> dict[owners.Key, float]:
         """Return the average number of slots that each key keeps busy."""
         known = self._demand.get(service)
--- a/packages/gateway/tests/test_path.py
+++ b/packages/gateway/tests/test_path.py
@@ -111,6 +111,24 @@
     assert cluster.is_covered()
 
 
+async def test_keys_are_spread_over_later_servers_before_the_first_request(
+    cluster: typing.Any,
+) -> None:
+    # Without requests the first servers kept all keys, and the first requests
+    # overloaded them.
+    await _start(cluster)
+    await cluster.wait_until(cluster.is_covered)
+    for number in range(3, 6):
+        server = type(cluster.servers[0])(f's{number}', cluster.store)
+        await server.start()
+        server.register()
+        cluster.servers.append(server)
+    await cluster.wait_until(
+        lambda: all(server.granted for server in cluster.servers)
+    )
+    await cluster.wait_until(cluster.is_covered, limit_s=2)
+
+
 async def test_keys_of_a_leaving_server_move_within_the_drain_time(
     cluster: typing.Any,
 ) -> None:
