Decide which servers are cold and at what rate they get requests

Cause: a server that is cold tolerates WarmupPerS requests a second from all instances together and crashes well above that. Nothing limited them, and the warm-up time of an entry was never counted down.

--- a/packages/core/src/sycamoreferry_core/traffic/limit_shares.py
+++ b/packages/core/src/sycamoreferry_core/traffic/limit_shares.py
@@ -16,14 +16,19 @@
     own_counter: ids.InstanceId,
     peers: instances.Peers,
     now: clock.Millis,
+    registered: int = 0,
 ) -> float:
-    """Return the share of a server's limit that this instance may grant."""
+    """Return the share of a server's limit that this instance may grant.
+
+    `registered` counts other instances that the store lists; those that were
+    never heard, or not for long, may count for servers as well.
+    """
     members = peers.members(now)
     assigned = int(own_counter == own)
     for peer in members:
         if not peers.is_silent(peer, now):
             assigned += _counter_of(peer, server, own_counter, peers) == own
-    return assigned / (len(members) + 1)
+    return assigned / (max(len(members), registered) + 1)
 
 
 def _counter_of(
--- a/packages/core/src/sycamoreferry_core/traffic/server_choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_choice.py
@@ -11,7 +11,7 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers
-from sycamoreferry_core.traffic import server_load
+from sycamoreferry_core.traffic import request_rates, server_load
 
 # One request may queue at the server for every three slots, so that a slot
 # is not idle until the instances learn that it is free.
@@ -47,12 +47,15 @@
 def usable_slots(
     server: servers.BackendServer,
     loads: server_load.ServerLoads,
+    now: clock.Millis,
 ) -> float:
-    """Return the slots that a server's rate limit lets it keep busy."""
-    limit = loads.rate_limits.get(server.incarnation.server)
-    if limit is None:
+    """Return the slots that a limit or a warm-up lets a server keep busy."""
+    server_id = server.incarnation.server
+    rate = request_rates.rate_of(server_id, server, loads, now)
+    if rate is None:
         return server.slots
-    busy = limit * loads.duration_ms(server) / clock.MILLIS_PER_SECOND
+    requests_per_ms = rate.requests_per_s / clock.MILLIS_PER_SECOND
+    busy = requests_per_ms * loads.duration_ms(server)
     return min(server.slots, busy)
 
 
@@ -109,7 +112,8 @@
     """Return the expected duration of one more request in milliseconds."""
     in_flight = _in_flight(server, loads, inputs)
     duration = loads.duration_ms(server)
-    if server.warmup_ms > 0:
+    may_be_cold = server.warmup_ms > 0 or not loads.warm_ups.is_empty
+    if may_be_cold and loads.warm_ups.is_cold(server, inputs.now):
         duration = max(
             duration,
             loads.service_duration_ms(server.service) * _COLD_FACTOR,
--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -16,6 +16,7 @@
     peer_loads,
     rate_limits,
     reachability,
+    warm_ups,
 )
 
 # The load that a server reports is outdated by the second request after it.
@@ -41,11 +42,12 @@
     What other instances have in flight is added from their reports.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, known_warm_ups: warm_ups.WarmUps | None = None) -> None:
         self._tracked: dict[ids.ServerId, _TrackedServer] = {}
         self.peers = peer_loads.PeerLoads()
         self.rate_limits = rate_limits.RateLimits()
         self.back_offs = back_offs.BackOffs()
+        self.warm_ups = known_warm_ups or warm_ups.WarmUps()
         self.reachability = reachability.Reachability()
         self.durations = durations.ServerDurations(self.peers)
 
