Pace the requests of all instances to cold servers

Cause: only servers that name a rate limit were paced.

Change: PermitService spaces the grants for cold servers; with few instances, requests that may go to one need a permit. Connections that are refused or cut let a server be taken for cold, which heartbeats and permit messages report. The coordinator weighs cold servers by their rate. A warm-up that starts over is forwarded like one that starts.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -152,6 +152,9 @@
             self._loads.reachability.record_failure(
                 server.incarnation.server, now
             )
+        is_cut_off = self._loads.reachability.is_cut_off
+        if failed.may_be_restart and not is_cut_off:
+            self._assume_cold(server, failed, now)
         detail = failed.failure.value
         if not failed.was_sent:
             return proxied_requests.Attempt(
@@ -161,6 +164,21 @@
             proxied_requests.AttemptResult.UNKNOWN, server, detail
         )
 
+    def _assume_cold(
+        self,
+        server: servers.BackendServer,
+        failed: http_client.FailedExchange,
+        now: clock.Millis,
+    ) -> None:
+        if self._loads.warm_ups.assume_failed(server, now):
+            self._log.write_rate_limited(
+                'servers',
+                'server is assumed to be cold',
+                server=server.incarnation.server,
+                reason=failed.failure.value,
+                remaining_ms=self._loads.warm_ups.remaining_ms(server, now),
+            )
+
     def _record_failure(
         self,
         server: servers.BackendServer,
--- a/packages/gateway/src/sycamoreferry_gateway/counting_instances.py
+++ b/packages/gateway/src/sycamoreferry_gateway/counting_instances.py
@@ -42,10 +42,12 @@
         return self.of_line(pool_line(server.service, pool))
 
     def of_limited_servers(self) -> dict[ids.ServerId, ids.InstanceId]:
-        """Return the instances that count for servers with a rate limit."""
+        """Return the instances that count for limited and cold servers."""
+        listed = self._view.fleet.servers.values()
+        cold = self._loads.warm_ups.cold_servers(listed, self._clock.now())
         return {
             server: self.of_server(server)
-            for server in self._loads.rate_limits.limited_servers()
+            for server in (*self._loads.rate_limits.limited_servers(), *cold)
         }
 
     def record_answer(self, instance: ids.InstanceId) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -14,6 +14,7 @@
     rate_limit_reports,
     store_client,
     view,
+    warm_up_reports,
 )
 
 # Durations change slowly, so servers without load are reported only once in so
@@ -99,6 +100,7 @@
             ],
             sent_at=now,
             reports_often=True,
+            warm_ups=warm_up_reports.build_rows(self._loads.warm_ups, now),
         )
 
     def without_reports(
@@ -116,6 +118,7 @@
             leaving=[],
             counters=[],
             silent=[],
+            warm_ups=[],
         )
 
     def with_crashes(
--- a/packages/gateway/src/sycamoreferry_gateway/housekeeping.py
+++ b/packages/gateway/src/sycamoreferry_gateway/housekeeping.py
@@ -46,6 +46,7 @@
         self._loads.keep_only(known)
         self._loads.durations.update_services(known.values(), now)
         self._loads.rate_limits.keep_only(known, now)
+        self._loads.warm_ups.keep_only(known, now)
         self._loads.back_offs.keep_only(self._view.fleet.incarnations)
 
     def _update_crashes(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -50,8 +50,20 @@
 
     failure: ExchangeFailure
     was_sent: bool
+    # Whether the server's machine refused or reset a new connection.
+    was_refused: bool = False
 
+    @property
+    def may_be_restart(self) -> bool:
+        """Tell whether the server may have started again.
+
+        A time-out is the sign of a lost link or a paused process instead.
+        """
+        was_cut = self.failure in _CUTS and self.was_sent
+        return was_cut or self.was_refused
 
+
+_CUTS = frozenset((ExchangeFailure.RESET, ExchangeFailure.CLOSED))
 ExchangeResult = http_messages.HttpResponse | FailedExchange
 
 
@@ -329,8 +341,12 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError):
-            return FailedExchange(ExchangeFailure.CONNECT, was_sent=False)
+        except (OSError, TimeoutError) as error:
+            return FailedExchange(
+                ExchangeFailure.CONNECT,
+                was_sent=False,
+                was_refused=isinstance(error, ConnectionError),
+            )
         self.opened_count += 1
         return connection
 
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -10,7 +10,7 @@
     deployment,
     graceful_shutdown,
 )
-from sycamoreferry_core.traffic import server_load
+from sycamoreferry_core.traffic import server_load, warm_ups
 from sycamoreferry_gateway import (
     coordinator,
     dispatcher,
@@ -49,8 +49,9 @@
         self._parts = part_runner.PartRunner(log)
         self._clock = boot_clock.BootClock()
         self._incarnation = time.time_ns()
-        self._view = view.View(settings, self._clock, log)
-        self._loads = server_load.ServerLoads()
+        cold = warm_ups.WarmUps(settings.bounds)
+        self._view = view.View(settings, self._clock, log, cold)
+        self._loads = server_load.ServerLoads(cold)
         self._pool = http_client.ConnectionPool(self._clock)
         reachability, crashes = server_monitors.build(
             self._view, self._loads, self._pool, log
@@ -223,6 +224,11 @@
             'servers_known': len(self._view.fleet.servers),
             'reaches_no_server': int(self._loads.reachability.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
+            'servers_cold': len(
+                self._loads.warm_ups.cold_servers(
+                    self._view.fleet.servers.values(), now
+                )
+            ),
             'servers_leaving': len(self._view.fleet.leaving),
             'servers_backing_off': self._loads.back_offs.count(now),
             'requests_blocked': len(self._view.crashes.history.blocked(now)),
--- a/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/load_estimator.py
@@ -75,9 +75,16 @@
     def _max_slots(
         self, server: servers.BackendServer, mean_ms: float
     ) -> float:
+        now = self._clock.now()
         limit = self._loads.rate_limits.get_confirmed(
-            server.incarnation.server, self._clock.now()
+            server.incarnation.server, now
         )
+        cold = self._loads.warm_ups.requests_per_s(server, now)
+        if cold is not None:
+            # Keys leave a cold server, and none moves to it for these few
+            # seconds: with so little room, it would be the least busy one and
+            # hold up moves to the others.
+            limit = cold if limit is None else min(cold, limit)
         if limit is None:
             return math.inf
         share = limit * _LIMIT_SHARE
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -298,6 +298,7 @@
             [(row.server, row.requests_per_s) for row in heartbeat.rate_limits],
             heartbeat.leaving,
             heartbeat.counters,
+            [(row.server, row.born) for row in heartbeat.warm_ups],
             self._view.crashes.selection.changes(),
         )
         if state == self._sent_state and not plan.is_due(
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -23,12 +23,13 @@
     record_patches,
     store_sync,
     view,
+    warm_up_reports,
 )
 
 _REQUEST_INTERVAL_MS = 250
 
 _Address = tuple[str, int]
-_WithRateLimits = (
+_WithRates = (
     peer_messages.Heartbeat
     | peer_messages.PermitRequest
     | peer_messages.PermitReturn
@@ -116,7 +117,7 @@
         if heartbeat.loads is not None:
             rows = _reports(heartbeat.loads)
             self._loads.peers.replace_report(instance, rows, now)
-        self._merge_rate_limits(heartbeat)
+        self._merge_rates(heartbeat)
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
         crash_reports.merge(heartbeat, self._view.crashes, now)
         self._request_newer(heartbeat, sender)
@@ -216,13 +217,13 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitRequest, sender: _Address) -> None:
-        self._merge_rate_limits(message)
+        self._merge_rates(message)
         if self.counter is not None:
             self.counter.handle_request(message)
 
     @handle.register
     def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
-        self._merge_rate_limits(message)
+        self._merge_rates(message)
         if self.counter is not None:
             self.counter.handle_return(message)
 
@@ -240,7 +241,7 @@
         if self.permits is not None:
             self.permits.returns.confirm(message)
 
-    def _merge_rate_limits(self, message: _WithRateLimits) -> None:
+    def _merge_rates(self, message: _WithRates) -> None:
         """Apply statements; those that waited on their way are older."""
         now = self._clock.now()
         sender = ids.InstanceId(message.instance)
@@ -250,10 +251,12 @@
             delay_ms = self._delays.delay_ms(
                 sender, status.incarnation, message.sent_at, now
             )
+        sent_at = clock.later(now, -delay_ms)
         rate_limit_reports.merge_rows(
-            self._loads.rate_limits,
-            message.rate_limits,
-            clock.later(now, -delay_ms),
+            self._loads.rate_limits, message.rate_limits, sent_at
+        )
+        warm_up_reports.merge_rows(
+            self._loads.warm_ups, message.warm_ups, sent_at
         )
 
     def _request_newer(
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -80,6 +80,14 @@
     age_ms: decoding.WholeNumber
 
 
+class WarmUpRow(msgspec.Struct, array_like=True):
+    """Report an incarnation that is assumed to be cold for some ms more."""
+
+    server: str
+    born: int
+    remaining_ms: decoding.WholeNumber
+
+
 class CounterRow(msgspec.Struct, array_like=True):
     """Report the instance that the sender asks for a server's permits."""
 
@@ -130,6 +138,7 @@
     # The instances that the coordinator has not heard for `silent_ms`.
     silent: list[str] = []
     silent_ms: decoding.Count = 0
+    warm_ups: list[WarmUpRow] = []
 
 
 class Demand(msgspec.Struct, array_like=True, tag='demand'):
@@ -223,6 +232,7 @@
     rate_limits: list[RateLimitRow] = []
     # The sender's clock; 0 if it is of an earlier version.
     sent_at: decoding.WholeNumber = 0
+    warm_ups: list[WarmUpRow] = []
 
 
 class PermitAnswer(msgspec.Struct, array_like=True, tag='permit-answer'):
@@ -252,6 +262,7 @@
     rate_limits: list[RateLimitRow] = []
     # The sender's clock; 0 if it is of an earlier version.
     sent_at: decoding.WholeNumber = 0
+    warm_ups: list[WarmUpRow] = []
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -10,7 +10,12 @@
 
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import message_intervals, permit_issuers, servers
-from sycamoreferry_core.traffic import permits, queueing, server_load
+from sycamoreferry_core.traffic import (
+    permits,
+    queueing,
+    request_rates,
+    server_load,
+)
 from sycamoreferry_gateway import (
     backlogs,
     counting_instances,
@@ -19,6 +24,7 @@
     permit_returns,
     rate_limit_reports,
     view,
+    warm_up_reports,
 )
 
 # An answer takes one round trip between data centres; an unanswered permit
@@ -108,16 +114,19 @@
         """
         if self.is_in_use:
             return True
-        limits = self._loads.rate_limits
-        if not limits.limited_count:
+        limited_count = self._loads.rate_limits.limited_count
+        if self._loads.warm_ups.is_empty and not limited_count:
             return False
+        now = self._clock.now()
         if request.key is None:
             possible = self._view.servers_of(request.service)
         else:
             owner = self._backlogs.owner_server(request)
             possible = () if owner is None else (owner,)
         return any(
-            limits.get(server.incarnation.server) is not None
+            request_rates.rate_of(
+                server.incarnation.server, server, self._loads, now
+            )
             for server in possible
         )
 
@@ -301,6 +310,7 @@
                 now,
             ),
             sent_at=now,
+            warm_ups=warm_up_reports.build_rows(self._loads.warm_ups, now),
         )
 
     def _limited_of(
@@ -321,6 +331,7 @@
             return
         wait.is_over = True
         self._waits.pop(wait.permit.number, None)
+        now = self._clock.now()
         message = peer_messages.PermitReturn(
             self._own_instance,
             wait.permit.number,
@@ -328,7 +339,8 @@
             wait.failed_server or '',
             wait.answered_server or '',
             wait.rate_limits,
-            self._clock.now(),
+            now,
+            warm_up_reports.build_rows(self._loads.warm_ups, now),
         )
         self.returns.start(wait.target.home, message)
 
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -12,6 +12,7 @@
     permits,
     queueing,
     request_pacer,
+    request_rates,
     server_choice,
     server_load,
 )
@@ -63,6 +64,7 @@
             self._send_decisions(self._desk.decide_due(self._clock.now()))
             self._pacer.drop_unused(self._clock.now())
             self._drop_old_grants()
+            self._drop_warm_servers()
             self._shares.clear()
 
     def handle_request(self, asked: peer_messages.PermitRequest) -> None:
@@ -104,18 +106,20 @@
         self, asked: peer_messages.PermitRequest
     ) -> permits.Supply:
         """Return the capacity of a key's owner."""
+        now = self._clock.now()
         server_id = ids.ServerId(asked.server)
         server = self._view.fleet.get(server_id)
         duration = asked.duration_ms
         if server is not None:
             duration = self._loads.duration_ms(server)
         capacity = server_choice.capacity_of(asked.slots)
-        if self._loads.is_suspended(server_id, self._clock.now()):
+        if self._loads.is_suspended(server_id, now):
             # The server is probably down; one request at a time probes it.
             capacity = 1
         slots: float = min(asked.slots, capacity)
         if server is not None:
-            slots = min(slots, server_choice.usable_slots(server, self._loads))
+            usable = server_choice.usable_slots(server, self._loads, now)
+            slots = min(slots, usable)
         return permits.Supply(
             slots=slots,
             capacity=capacity,
@@ -130,6 +134,7 @@
         self, asked: peer_messages.PermitRequest
     ) -> permits.Supply:
         """Return the capacity of a pool of interchangeable servers."""
+        now = self._clock.now()
         service = ids.ServiceName(asked.service)
         known = self._view.servers_of(service)
         pools = permit_issuers.pool_count(len(known))
@@ -142,7 +147,7 @@
         ready = [server for server in members if server.is_ready]
         return permits.Supply(
             slots=sum(
-                server_choice.usable_slots(server, self._loads)
+                server_choice.usable_slots(server, self._loads, now)
                 for server in ready
             ),
             capacity=sum(
@@ -160,11 +165,13 @@
         counted: typing.Mapping[ids.ServerId, int],
     ) -> ids.ServerId | None:
         now = self._clock.now()
-        due = [
-            server
-            for server in members
-            if self._may_send(server.incarnation.server, now)
-        ]
+        due = members
+        if self._has_paced_servers():
+            due = [
+                server
+                for server in members
+                if self._may_send(server.incarnation.server, now)
+            ]
         chosen = server_choice.choose_server(
             due,
             self._loads,
@@ -190,14 +197,28 @@
             return None
         return owner if self._may_send(owner, self._clock.now()) else None
 
+    def _has_paced_servers(self) -> bool:
+        limited_count = self._loads.rate_limits.limited_count
+        return bool(limited_count) or not self._loads.warm_ups.is_empty
+
     def _may_send(self, server: ids.ServerId, now: clock.Millis) -> bool:
-        """Tell whether a server's rate limit allows a request now."""
-        limit = self._loads.rate_limits.get(server)
-        if limit is None:
+        """Tell whether a server's limit or warm-up allows a request now."""
+        rate = self._rate_of(server, now)
+        if rate is None:
             return True
-        self._pacer.set_rate(server, limit, self._share_of(server, now), now)
+        share = self._share_of(server, now)
+        self._pacer.set_rate(
+            server, rate.requests_per_s, share, now, rate.burst
+        )
         return self._pacer.is_due(server, now)
 
+    def _rate_of(
+        self, server: ids.ServerId, now: clock.Millis
+    ) -> request_rates.RequestRate | None:
+        return request_rates.rate_of(
+            server, self._view.fleet.get(server), self._loads, now
+        )
+
     def _share_of(self, server: ids.ServerId, now: clock.Millis) -> float:
         """Return the share of a limit that is counted here until a sweep."""
         share = self._shares.get(server)
@@ -208,15 +229,23 @@
                 self._counter_of(server),
                 self._view.peers,
                 now,
+                self._count_registered_peers(),
             )
             self._shares[server] = share
         return share
 
+    def _count_registered_peers(self) -> int:
+        """Return how many other instances share the rate of cold servers."""
+        if not self._loads.warm_ups.is_active:
+            return 0
+        known = map(self._view.peers.status, self._view.peer_addresses)
+        return sum(peer is None or not peer.is_leaving for peer in known)
+
     def _record_grant(self, server: ids.ServerId) -> None:
-        limit = self._loads.rate_limits.get(server)
-        if limit is None:
-            return
         now = self._clock.now()
+        rate = self._rate_of(server, now)
+        if rate is None:
+            return
         self._pacer.record_request(server)
         before = self._granted_at.get(server, clock.LONG_AGO)
         self._granted_at[server] = now
@@ -225,7 +254,7 @@
                 'permits',
                 'instance counts for a limited server',
                 server=server,
-                requests_per_s=limit,
+                requests_per_s=rate.requests_per_s,
                 share=self._share_of(server, now),
                 instances_heard=self._view.peers.count(now),
             )
@@ -236,6 +265,11 @@
             if now - granted_at > _COUNTING_MS:
                 self._granted_at.pop(server)
 
+    def _drop_warm_servers(self) -> None:
+        if self._loads.warm_ups.is_active:
+            now = self._clock.now()
+            self._pacer.drop(lambda server: self._rate_of(server, now) is None)
+
     def _send_decisions(self, decided: list[permits.PermitDecision]) -> None:
         for decision in decided:
             self._post(decision.permit.instance, _answer_of(decision))
--- a/packages/gateway/src/sycamoreferry_gateway/server_log.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_log.py
@@ -85,6 +85,18 @@
             source=source,
         )
 
+    def log_cold(
+        self, incarnation: servers.ServerIncarnation, warmup_ms: int
+    ) -> None:
+        """Log that an entry states that a server is cold."""
+        self._log.write_rate_limited(
+            _PART,
+            'server became cold',
+            server=incarnation.server,
+            born=incarnation.born,
+            warmup_ms=warmup_ms,
+        )
+
     def log_gone(self, gone: servers.BackendServer) -> None:
         """Log that the entry of a server has expired."""
         self._log.write(
--- a/packages/gateway/src/sycamoreferry_gateway/server_records.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_records.py
@@ -7,7 +7,7 @@
 from sycamoreferry_adapter import units as platform_units
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import servers, store_records
-from sycamoreferry_core.traffic import crash_guard
+from sycamoreferry_core.traffic import crash_guard, warm_ups
 from sycamoreferry_gateway import blocked_requests, server_log
 
 _Servers = dict[ids.ServerId, servers.BackendServer]
@@ -27,12 +27,14 @@
         blocks: blocked_requests.BlockedRequests,
         time_source: clock.Clock,
         log: server_log.ServerLog,
+        known_warm_ups: warm_ups.WarmUps,
     ) -> None:
         self._fleet = fleet
         self._crashes = crashes
         self._blocks = blocks
         self._clock = time_source
         self._log = log
+        self._warm_ups = known_warm_ups
         self._by_service: dict[ids.ServiceName, _Servers] = {}
         self._last_outage = clock.LONG_AGO
         self._named_services: set[ids.ServiceName] = set()
@@ -120,6 +122,8 @@
             return False
         if previous is not None and _is_heartbeat(previous, entry):
             self._crashes.record_entry(entry.incarnation)
+        if self._warm_ups.is_active:
+            self._record_warm_up(previous, entry)
         if entry.state is servers.ServerState.DRAINING:
             self._fleet.record_leaving(entry.incarnation, self._clock.now())
         entry = self._fleet.servers[server_id]
@@ -127,7 +131,28 @@
             self._replace(known, entry)
         self._list(entry)
         self._log.log_change(known, entry, offset)
-        return known is None or is_back or _has_relevant_change(known, entry)
+        return (
+            known is None
+            or is_back
+            or _has_relevant_change(known, entry)
+            or (self._warm_ups.is_active and _warms_up_again(known, entry))
+        )
+
+    def _record_warm_up(
+        self,
+        previous: servers.BackendServer | None,
+        entry: servers.BackendServer,
+    ) -> None:
+        """Record a warm-up; an older copy of the store ends none."""
+        if previous is not None and previous.incarnation == entry.incarnation:
+            is_same = previous.sequence == entry.sequence
+            is_older = previous.sequence > entry.sequence
+            if is_same or (is_older and not entry.warmup_ms):
+                return
+        if self._warm_ups.record_entry(
+            entry.incarnation, entry.warmup_ms, self._clock.now()
+        ):
+            self._log.log_cold(entry.incarnation, entry.warmup_ms)
 
     def _replace(
         self, known: servers.BackendServer, entry: servers.BackendServer
@@ -185,3 +210,10 @@
         sequence=entry.sequence,
         warmup_ms=entry.warmup_ms,
     )
+
+
+def _warms_up_again(
+    known: servers.BackendServer, entry: servers.BackendServer
+) -> bool:
+    """Tell whether a server that was still cold became cold anew."""
+    return entry.warmup_ms > known.warmup_ms
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -14,7 +14,7 @@
     store_records,
 )
 from sycamoreferry_core.keyspace import owners, pending_moves
-from sycamoreferry_core.traffic import crash_guard, routes
+from sycamoreferry_core.traffic import crash_guard, routes, warm_ups
 from sycamoreferry_gateway import (
     assignment,
     assignment_tracker,
@@ -36,6 +36,7 @@
         settings: deployment.Deployment,
         time_source: clock.Clock,
         log: event_log.EventLog,
+        known_warm_ups: warm_ups.WarmUps | None = None,
     ) -> None:
         self.deployment = settings
         self.clock = time_source
@@ -51,6 +52,7 @@
         self.blocks = blocked_requests.BlockedRequests(
             settings.instance, self.crashes, self.peers, time_source, log
         )
+        self._warm_ups = known_warm_ups or warm_ups.WarmUps(settings.bounds)
         self._server_records: server_records.ServerRecords
         self._server_records = server_records.ServerRecords(
             self.fleet,
@@ -58,6 +60,7 @@
             self.blocks,
             time_source,
             server_log.ServerLog(log, self.mirrors[store_calls.SERVERS_TOPIC]),
+            self._warm_ups,
         )
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
@@ -223,6 +226,7 @@
             return False
         self.config = config
         self._routes = routes.RouteTable(config)
+        self._warm_ups.use_policies(config.services)
         self.log.write(
             'config',
             'configuration in force',
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -302,6 +302,8 @@
         self.running_keys: list[int] = []
         self.peak_running = 0
         self.slots = 2
+        # Until when its entries tell that it is cold.
+        self.cold_until = 0
         # The port that the server registers, such as a proxy's; 0 for its own.
         self.public_port = 0
         self._store = store
@@ -315,7 +317,7 @@
             'Version': 'v1',
             'Slots': self.slots,
             'State': state,
-            'WarmupLeft': '0ms',
+            'WarmupLeft': f'{max(0, self.cold_until - self.clock.now())}ms',
             'Seq': self.sequence,
             'born': self.born,
         }
