Decide which data centres get no requests

An evacuation has to take effect within a bound at all instances, also at one that was suspended or cut off and learns of it late, and moving a third of all keys at once would leave them all without an owner.

ServerFleet marks the servers of a data centre, which are then not ready.

--- a/packages/core/src/sycamoreferry_core/fleet/servers.py
+++ b/packages/core/src/sycamoreferry_core/fleet/servers.py
@@ -45,10 +45,17 @@
     sequence: int
     # When it was first known to leave, by its entry or by an answer.
     leaving_since: clock.Millis | None = None
+    # Set while its data centre is evacuated.
+    is_evacuated: bool = False
 
     @property
     def is_ready(self) -> bool:
-        """Return whether the server accepts new requests."""
+        """Return whether the server may be chosen for new requests."""
+        return self.is_available and not self.is_evacuated
+
+    @property
+    def is_available(self) -> bool:
+        """Return whether the server itself accepts new requests."""
         return self.state is ServerState.READY and self.leaving_since is None
 
 
@@ -94,6 +101,7 @@
         # Kept after a removal, since a copy of the store may list them again.
         self._departures: dict[ids.ServerId, _Departure] = {}
         self._heartbeats: dict[ids.ServerId, _Heartbeats] = {}
+        self._evacuated: set[ids.DataCentre] = set()
 
     @property
     def servers(self) -> typing.Mapping[ids.ServerId, BackendServer]:
@@ -153,9 +161,27 @@
         self._departures[server_id] = _Departure(incarnation.born, now)
         known = self._servers.get(server_id)
         if known is not None:
-            self._servers[server_id] = self._with_departure(known)
+            self._servers[server_id] = self._annotate(known)
         return True
 
+    def mark_evacuated(
+        self, data_centre: ids.DataCentre, *, is_evacuated: bool
+    ) -> list[BackendServer]:
+        """Mark the servers of a data centre; return those that are listed."""
+        if is_evacuated:
+            self._evacuated.add(data_centre)
+        else:
+            self._evacuated.discard(data_centre)
+        marked = [
+            self._annotate(server)
+            for server in self._servers.values()
+            if server.data_centre == data_centre
+        ]
+        self._servers.update(
+            {server.incarnation.server: server for server in marked}
+        )
+        return marked
+
     def apply(self, entry: BackendServer) -> bool:
         """Store an entry and return True unless a newer one is known.
 
@@ -168,9 +194,9 @@
             return False
         if self._is_live(entry):
             self._drop_later_incarnations(entry.incarnation)
-        elif self._is_superseded(entry, known):
+        elif _is_superseded(entry, known, self._removed.get(server_id)):
             return False
-        self._servers[server_id] = self._with_departure(entry)
+        self._servers[server_id] = self._annotate(entry)
         self._removal_times.pop(server_id, None)
         return True
 
@@ -221,25 +247,20 @@
         self._heartbeats[server_id] = beats
         return beats.count >= _HEARTBEATS_OF_LIVE
 
-    def _is_superseded(
-        self, entry: BackendServer, known: BackendServer | None
-    ) -> bool:
-        if known is not None:
-            return entry.incarnation.born < known.incarnation.born
-        removed = self._removed.get(entry.incarnation.server)
-        # The store may return to a copy that still has the entry.
-        return removed is not None and not _is_older(removed, entry)
-
     def _drop_later_incarnations(self, live: ServerIncarnation) -> None:
         departure = self._departures.get(live.server)
         if departure is not None and departure.born > live.born:
             self._departures.pop(live.server)
 
-    def _with_departure(self, entry: BackendServer) -> BackendServer:
+    def _annotate(self, entry: BackendServer) -> BackendServer:
+        """Add what is known of a server beside its entry."""
         since = self.leaving_since(entry.incarnation)
-        if since is None:
+        is_evacuated = entry.data_centre in self._evacuated
+        if since is None and is_evacuated == entry.is_evacuated:
             return entry
-        return dataclasses.replace(entry, leaving_since=since)
+        return dataclasses.replace(
+            entry, leaving_since=since, is_evacuated=is_evacuated
+        )
 
 
 def _contradicts(entry: BackendServer, known: BackendServer) -> bool:
@@ -251,6 +272,17 @@
     )
 
 
+def _is_superseded(
+    entry: BackendServer,
+    known: BackendServer | None,
+    removed: BackendServer | None,
+) -> bool:
+    if known is not None:
+        return entry.incarnation.born < known.incarnation.born
+    # The store may return to a copy that still has the entry.
+    return removed is not None and not _is_older(removed, entry)
+
+
 def _is_older(entry: BackendServer, known: BackendServer) -> bool:
     if entry.incarnation.born != known.incarnation.born:
         return entry.incarnation.born < known.incarnation.born
