Send no requests to evacuated data centres

The key evacuate/NAME in keyed.op was ignored, so requests went on to servers of the data centre that it names.

The view applies the key, also if it comes from another instance, in the listing of a start, or ends by a removal. Servers without keys are not chosen from then on. The coordinator starts the moves of the keys within a second, renews their leases until then, and lets ranges that move at the same time go to different servers. A request for a key that has not moved goes to its owner for half of the bound, then waits, and is rejected at once after the bound or if no other server is left. An instance that was suspended for half of the bound reads the store before it sends requests. A key that a restored copy of the store lacks counts for the bound.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -20,6 +20,7 @@
 )
 
 STOPPING = 'instance is stopping'
+EVACUATED = 'data centre is evacuated'
 BLOCKED = 'request ended the servers that ran it'
 # A repeatable request spends this share of its remaining time on one server,
 # so that time is left for another.
@@ -71,7 +72,7 @@
         has_answered = None
         proxied.current_server = server.incarnation.server
         try:
-            attempt = await self._send(proxied, server, started_at)
+            attempt = await self._send(proxied, server)
             has_answered = (
                 attempt.result is proxied_requests.AttemptResult.ANSWERED
             )
@@ -98,17 +99,19 @@
         self,
         proxied: proxied_requests.ProxiedRequest,
         server: servers.BackendServer,
-        started_at: clock.Millis,
     ) -> proxied_requests.Attempt:
+        evacuations = self._view.evacuations
+        await evacuations.wait_until_current()
+        if not evacuations.accepts(server, is_keyed=proxied.key is not None):
+            return _not_sent(server, EVACUATED)
+        started_at = self._view.clock.now()
         if not self._policy.has_time(proxied, server, started_at):
             detail = 'no time left'
             if started_at < proxied.ends_at:
                 detail = STOPPING
-            return proxied_requests.Attempt(
-                proxied_requests.AttemptResult.NOT_SENT, server, detail
-            )
+            return _not_sent(server, detail)
         if not self._view.blocks.may_send(proxied.signature):
-            return _blocked(server)
+            return _not_sent(server, BLOCKED)
         if self._view.blocks.is_blocked(proxied.signature):
             # A trial that reaches no server would delay those of others.
             if not await self._pool.can_connect(_address_of(server)):
@@ -116,7 +119,7 @@
                     proxied, server, _UNREACHABLE, started_at
                 )
             if not self._view.blocks.may_send(proxied.signature):
-                return _blocked(server)
+                return _not_sent(server, BLOCKED)
         payload = http_client.encode_request(
             proxied.request.method,
             proxied.request.target,
@@ -205,9 +208,11 @@
     return deployment.Address(server.host, server.port)
 
 
-def _blocked(server: servers.BackendServer) -> proxied_requests.Attempt:
+def _not_sent(
+    server: servers.BackendServer, detail: str
+) -> proxied_requests.Attempt:
     return proxied_requests.Attempt(
-        proxied_requests.AttemptResult.NOT_SENT, server, BLOCKED
+        proxied_requests.AttemptResult.NOT_SENT, server, detail
     )
 
 
--- a/packages/gateway/src/sycamoreferry_gateway/backlogs.py
+++ b/packages/gateway/src/sycamoreferry_gateway/backlogs.py
@@ -4,6 +4,7 @@
 import random
 
 from sycamoreferry_core.fleet import servers
+from sycamoreferry_core.keyspace import owners
 from sycamoreferry_core.traffic import queueing, server_load
 from sycamoreferry_gateway import view
 
@@ -44,9 +45,23 @@
         if request.key is None:
             return None
         row = self._view.owner_of(request.service, request.key)
-        if row is None or not self._view.fleet.is_ready(row.owner):
+        if row is None:
             return None
-        return self._view.fleet.get(row.owner.server)
+        server = self._view.fleet.get(row.owner.server)
+        if server is None or server.incarnation != row.owner:
+            return None
+        return server if self.may_get(server, request) else None
+
+    def may_get(
+        self,
+        server: servers.BackendServer,
+        request: queueing.QueuedRequest,
+    ) -> bool:
+        """Tell whether a server that was chosen may get a request now."""
+        is_keyed = request.key is not None
+        return server.is_available and self._view.evacuations.accepts(
+            server, is_keyed=is_keyed
+        )
 
     def is_move_stalled(self, request: queueing.QueuedRequest) -> bool:
         """Tell whether a key still belongs to a server that should be empty.
@@ -62,10 +77,23 @@
             None if row is None else self._view.fleet.leaving_since(row.owner)
         )
         if since is None:
-            return False
+            return self._is_evacuation_overdue(row)
         drain_ms = self._view.deployment.bounds.drain_ms
         return self._view.clock.now() - since > drain_ms
 
+    def is_hopeless(self, request: queueing.QueuedRequest) -> bool:
+        """Tell whether a request would wait for a server in vain."""
+        if self.is_move_stalled(request):
+            return True
+        if not self._view.evacuations.active:
+            return False
+        if self.owner_server(request) is not None:
+            return False
+        known = self._view.servers_of(request.service)
+        return any(server.is_evacuated for server in known) and not any(
+            server.is_ready for server in known
+        )
+
     def is_late(self, request: queueing.QueuedRequest) -> bool:
         """Tell whether a request can no longer be sent in time."""
         duration = self._loads.service_duration_ms(request.service)
@@ -78,7 +106,7 @@
         own_waiting: int,
     ) -> bool:
         """Tell whether a request is expected to be sent in time."""
-        if self.is_move_stalled(request):
+        if self.is_hopeless(request):
             return False
         backlog = self.estimate(request, own_waiting)
         return queueing.can_be_served(request, backlog, self._view.clock.now())
@@ -93,7 +121,7 @@
         if request.key is not None:
             server = self.owner_server(request)
             if server is None:
-                is_stalled = self.is_move_stalled(request)
+                is_stalled = self.is_hopeless(request)
                 move_ms = _STALLED_MOVE_MS if is_stalled else _EXPECTED_MOVE_MS
                 return queueing.Backlog(1, 1, move_ms)
             server_id = server.incarnation.server
@@ -111,6 +139,8 @@
             for server in self._view.servers_of(request.service)
             if server.is_ready
         ]
+        if not ready and self.is_hopeless(request):
+            return queueing.Backlog(1, 1, _STALLED_MOVE_MS)
         ahead = own_waiting * self._view.peers.count(now)
         usable = self._loads.back_offs.open_servers(ready, now) or ready
         slots = sum(server.slots for server in usable)
@@ -173,6 +203,14 @@
         reason = 'no room'
         if request.key is not None and self.owner_server(request) is None:
             reason = 'key has no owner'
+        elif self.is_hopeless(request):
+            reason = 'all data centres are evacuated'
         elif backlog.back_off_ms:
             reason = 'server asked for a back-off'
         return Rejection(reason, retry_after, backlog)
+
+    def _is_evacuation_overdue(self, row: owners.Ownership | None) -> bool:
+        server = None
+        if row is not None:
+            server = self._view.fleet.get(row.owner.server)
+        return server is not None and self._view.evacuations.is_overdue(server)
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -9,6 +9,7 @@
     background,
     event_log,
     http_client,
+    key_evacuator,
     key_mover,
     lease_manager,
     load_estimator,
@@ -73,6 +74,9 @@
             self._tasks,
             announce,
         )
+        self._evacuator = key_evacuator.KeyEvacuator(
+            cluster_view, self._grants, self._estimator, self._mover
+        )
         self._planned_at = clock.LONG_AGO
         self._is_leaving = False
 
@@ -184,7 +188,12 @@
         if is_planning:
             self._planned_at = now
         can_write = not self._terms.are_writes_refused
-        for service in self._keyed_services():
+        is_evacuating = can_write and self._evacuator.is_due
+        services = self._keyed_services()
+        self._evacuator.log_progress(services)
+        for service in services:
+            if is_evacuating:
+                self._evacuator.move_keys(service)
             if can_write:
                 self._mover.relocate_lost(service)
                 self._mover.assign_gaps(service)
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -209,7 +209,7 @@
         )
         latest_start = queueing.latest_start(queued.request, duration)
         is_late = may_start_at >= latest_start
-        if is_late or self._backlogs.is_move_stalled(queued.request):
+        if is_late or self._backlogs.is_hopeless(queued.request):
             queued.result.set_result(
                 self._backlogs.rejection(
                     queued.request,
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -10,6 +10,7 @@
 from sycamoreferry_gateway import (
     assignment_writer,
     background,
+    event_log,
     lease_manager,
     load_estimator,
     order_sender,
@@ -85,9 +86,20 @@
         for row in self._view.assignment.table(service).rows:
             if self._grants.is_blocked(service, row.keys):
                 continue
-            if not self._grants.is_usable(row.owner):
-                self._grants.block_grants(service, [row.keys])
-                self._tasks.start(self._relocate(service, row))
+            if not self._grants.is_renewable(row.owner):
+                self.relocate(service, row, [row.keys])
+
+    def relocate(
+        self,
+        service: ids.ServiceName,
+        row: owners.Ownership,
+        ranges: typing.Iterable[owners.KeyRange],
+    ) -> None:
+        """Start taking ranges of a row from its owner to other servers."""
+        for keys in ranges:
+            part = dataclasses.replace(row, keys=keys)
+            self._grants.block_grants(service, [keys])
+            self._tasks.start(self._relocate(service, part))
 
     def balance(self, service: ids.ServiceName) -> None:
         """Start the moves that balance the load between usable servers."""
@@ -178,24 +190,27 @@
     ) -> None:
         """Take keys from a server that is not usable and reassign them."""
         try:
-            await self._reassign(service, row)
+            handover = await self._release_keys(service, row)
+            destination = self._least_loaded(service, row.keys)
+            if destination is not None:
+                self._destinations[service, row.keys] = destination
+                await self._hand_over(service, row, destination, handover)
         finally:
+            self._destinations.pop((service, row.keys), None)
             self._grants.unblock_grants(service, [row.keys])
 
-    async def _reassign(
-        self,
-        service: ids.ServiceName,
-        row: owners.Ownership,
-    ) -> None:
-        handover = await self._release_keys(service, row)
+    def _least_loaded(
+        self, service: ids.ServiceName, keys: owners.KeyRange
+    ) -> servers.ServerIncarnation | None:
+        """Return the server that has most room for keys; None if none has."""
         placements = placement.assign_unowned(
-            [row.keys],
-            self._view.assignment.table(service).rows,
+            [keys],
+            # Ranges that move at the same time go to different servers.
+            self._planned_table(service).rows,
             self._estimator.slots_by_key(service),
             self._estimator.capacities(service),
         )
-        if placements:
-            await self._hand_over(service, row, placements[0][1], handover)
+        return placements[0][1] if placements else None
 
     async def _release_keys(
         self,
@@ -220,11 +235,11 @@
                 row.owner, row.keys
             )
             await self._wait_until(free_at)
-            self._log_freed(service, row, 'released')
+            _log_freed(self._log, service, row, 'released')
             return released.handover
         free_at = self._orders.book.free_at_without_release(row.owner, row.keys)
         await self._wait_until(free_at)
-        self._log_freed(service, row, 'lease is over')
+        _log_freed(self._log, service, row, 'lease is over')
         return ''
 
     async def _wait_until(self, moment: clock.Millis) -> None:
@@ -302,22 +317,23 @@
             ),
         )
 
-    def _log_freed(
-        self,
-        service: ids.ServiceName,
-        row: owners.Ownership,
-        reason: str,
-    ) -> None:
-        self._log.write(
-            'coordinator',
-            'keys are free',
-            service=service,
-            first=row.keys.first,
-            last=row.keys.last,
-            server=row.owner.server,
-            fence=row.fence,
-            reason=reason,
-        )
+
+def _log_freed(
+    log: event_log.EventLog,
+    service: ids.ServiceName,
+    row: owners.Ownership,
+    reason: str,
+) -> None:
+    log.write(
+        'coordinator',
+        'keys are free',
+        service=service,
+        first=row.keys.first,
+        last=row.keys.last,
+        server=row.owner.server,
+        fence=row.fence,
+        reason=reason,
+    )
 
 
 def _cut_gaps(
--- a/packages/gateway/src/sycamoreferry_gateway/lease_manager.py
+++ b/packages/gateway/src/sycamoreferry_gateway/lease_manager.py
@@ -76,8 +76,18 @@
         )
 
     def is_usable(self, life: servers.ServerIncarnation) -> bool:
-        """Tell whether a server is ready and not suspended."""
-        if not self._view.fleet.is_ready(life):
+        """Tell whether a server may get keys: ready and not suspended."""
+        return self._view.fleet.is_ready(life) and self.is_renewable(life)
+
+    def is_renewable(self, life: servers.ServerIncarnation) -> bool:
+        """Tell whether a server may hold its keys further.
+
+        A server of an evacuated data centre holds them until they move.
+        """
+        server = self._view.fleet.get(life.server)
+        if server is None or server.incarnation != life:
+            return False
+        if not server.is_available:
             return False
         health = self._health.get(life)
         return health is None or health.suspended_until <= self._clock.now()
@@ -103,7 +113,7 @@
         due: dict[servers.ServerIncarnation, list[owners.Ownership]] = {}
         for row in self._view.assignment.table(service).rows:
             self._record_last_known(row.owner)
-            if not self.is_usable(row.owner):
+            if not self.is_renewable(row.owner):
                 continue
             if self._health_of(row.owner).is_renewing:
                 continue
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -200,7 +200,7 @@
         back_offs = self._loads.back_offs
         if (
             server is None
-            or not server.is_ready
+            or not self._backlogs.may_get(server, request)
             or back_offs.remaining_ms(server.incarnation, now)
         ):
             # The server is gone or leaving here, though not yet where it is
@@ -357,7 +357,7 @@
         """Return where to ask; None while no server may be sent to."""
         if request.key is None:
             pool = self._choose_pool(request, draw)
-            if pool is None:
+            if pool is None or self._backlogs.is_hopeless(request):
                 return None
             line = counting_instances.pool_line(request.service, pool)
             return _Target(self.counting.of_line(line), line, None, pool)
--- a/packages/gateway/src/sycamoreferry_gateway/server_records.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_records.py
@@ -90,6 +90,17 @@
         self._log.log_leaving(incarnation, source)
         return True
 
+    def mark_evacuated(
+        self, data_centre: ids.DataCentre, *, is_evacuated: bool
+    ) -> list[servers.BackendServer]:
+        """Mark the servers of a data centre, and return them."""
+        marked = self._fleet.mark_evacuated(
+            data_centre, is_evacuated=is_evacuated
+        )
+        for server in marked:
+            self._list(server)
+        return marked
+
     def record_outage(self, moment: clock.Millis) -> None:
         """Set the time of the last outage, for the expiry of entries."""
         self._last_outage = max(self._last_outage, moment)
--- a/packages/gateway/src/sycamoreferry_gateway/store_sync.py
+++ b/packages/gateway/src/sycamoreferry_gateway/store_sync.py
@@ -13,6 +13,7 @@
 from sycamoreferry_core import clock, ids
 from sycamoreferry_core.fleet import message_intervals, store_records
 from sycamoreferry_gateway import (
+    evacuation_monitor,
     event_log,
     instance_records,
     store_client,
@@ -104,6 +105,12 @@
             )
         }
         self._registration_wake = asyncio.Event()
+        self.evacuations = evacuation_monitor.EvacuationMonitor(
+            cluster_view,
+            self._reader,
+            sharing.is_coordinator_polling,
+            self._wakes[store_calls.CONFIG_TOPIC].set,
+        )
         client.on_new_era = self._on_new_era
 
     async def register(self) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/topic_reader.py
+++ b/packages/gateway/src/sycamoreferry_gateway/topic_reader.py
@@ -20,6 +20,11 @@
         self._view = cluster_view
         self._servers_read_at = clock.LONG_AGO
 
+    @property
+    def servers_read_at(self) -> clock.Millis:
+        """Return when the last read of the server entries that worked began."""
+        return self._servers_read_at
+
     def is_current(self, topic: store_records.TopicName) -> bool:
         """Tell whether the topic was read in the newest era of the store."""
         mirror = self._view.mirrors[topic]
@@ -29,8 +34,19 @@
         self, topic: store_records.TopicName, wait_ms: int = 0
     ) -> bool:
         """Read once, waiting so long for a record; return whether it worked."""
-        mirror = self._view.mirrors[topic]
         asked_at = self._view.clock.now()
+        was_read = await self._read(topic, wait_ms, asked_at)
+        if topic == store_calls.CONFIG_TOPIC:
+            self._view.evacuations.contact.record_read(asked_at)
+        return was_read
+
+    async def _read(
+        self,
+        topic: store_records.TopicName,
+        wait_ms: int,
+        asked_at: clock.Millis,
+    ) -> bool:
+        mirror = self._view.mirrors[topic]
         page: (
             store_records.RecordPage
             | store_records.HistoryTruncated
--- a/packages/gateway/src/sycamoreferry_gateway/view.py
+++ b/packages/gateway/src/sycamoreferry_gateway/view.py
@@ -19,6 +19,7 @@
     assignment,
     assignment_tracker,
     blocked_requests,
+    evacuation_records,
     event_log,
     instance_records,
     read_offsets,
@@ -59,6 +60,12 @@
             time_source,
             server_log.ServerLog(log, self.mirrors[store_calls.SERVERS_TOPIC]),
         )
+        self._evacuations = evacuation_records.EvacuationRecords(
+            settings.bounds.evacuate_ms,
+            self._server_records,
+            time_source,
+            log,
+        )
         self.config: routes.RoutingConfig | None = None
         self._routes: routes.RouteTable | None = None
         self.owners = assignment_tracker.AssignmentTracker(
@@ -84,6 +91,11 @@
         """Return the routes of the configuration in force."""
         return self._routes
 
+    @property
+    def evacuations(self) -> evacuation_records.EvacuationRecords:
+        """Return the evacuated data centres."""
+        return self._evacuations
+
     @property
     def assignment(self) -> assignment.Assignment:
         """Return the newest assignment that this instance knows."""
@@ -201,6 +213,11 @@
             self.offsets.note_server_change(record.offset)
 
     def _fold_config(self, record: store_records.StoredRecord) -> bool:
+        evacuated = store_calls.parse_evacuation_key(record.key)
+        if evacuated is not None:
+            era = self.mirrors[store_calls.CONFIG_TOPIC].era
+            self._evacuations.apply(evacuated, record, era)
+            return False
         if record.key != store_calls.CONFIG_KEY or record.content is None:
             return False
         try:
@@ -223,6 +240,10 @@
             return False
         self.config = config
         self._routes = routes.RouteTable(config)
+        self._evacuations.warmups_ms = {
+            service: policy.warmup_ms
+            for service, policy in config.services.items()
+        }
         self.log.write(
             'config',
             'configuration in force',
@@ -244,34 +265,35 @@
             self._moving.clear()
         return is_applied
 
-    def _fold_instance(self, record: store_records.StoredRecord) -> bool:
-        instance = ids.InstanceId(record.key)
-        if instance == self.deployment.instance:
-            return False
-        if record.content is None:
-            # An instance that is heard registers again if the store lost it.
-            alive = self.peers.alive(self.clock.now())
-            if all(peer.instance != instance for peer in alive):
-                self.peer_addresses.pop(instance, None)
-            return False
-        try:
-            address = instance_records.decode_address(record.content)
-        except msgspec.MsgspecError as error:
-            self.log.write(
-                'peers',
-                'instance record is malformed',
-                instance=instance,
-                reason=str(error),
-            )
-            return False
-        self.peer_addresses[instance] = address
-        return True
-
 
 def _ignore_change() -> None:
     """Ignore changes until the instance sets its own callback."""
 
 
+def _fold_instance(view: View, record: store_records.StoredRecord) -> bool:
+    instance = ids.InstanceId(record.key)
+    if instance == view.deployment.instance:
+        return False
+    if record.content is None:
+        # An instance that is heard registers again if the store lost it.
+        alive = view.peers.alive(view.clock.now())
+        if all(peer.instance != instance for peer in alive):
+            view.peer_addresses.pop(instance, None)
+        return False
+    try:
+        address = instance_records.decode_address(record.content)
+    except msgspec.MsgspecError as error:
+        view.log.write(
+            'peers',
+            'instance record is malformed',
+            instance=instance,
+            reason=str(error),
+        )
+        return False
+    view.peer_addresses[instance] = address
+    return True
+
+
 _TOPICS = (
     store_calls.CONFIG_TOPIC,
     store_calls.SERVERS_TOPIC,
@@ -287,5 +309,5 @@
         record
     ),
     store_calls.OWNERS_TOPIC: View._fold_owners,
-    store_calls.INSTANCES_TOPIC: View._fold_instance,
+    store_calls.INSTANCES_TOPIC: _fold_instance,
 }
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -302,6 +302,7 @@
         self.running_keys: list[int] = []
         self.peak_running = 0
         self.slots = 2
+        self.data_centre = 'here'
         # The port that the server registers, such as a proxy's; 0 for its own.
         self.public_port = 0
         self._store = store
@@ -311,7 +312,7 @@
         entry = {
             'Service': 'keys',
             'Address': f'127.0.0.1:{self.public_port or self.port}',
-            'Zone': 'here',
+            'Zone': self.data_centre,
             'Version': 'v1',
             'Slots': self.slots,
             'State': state,
@@ -667,6 +668,8 @@
         self.servers: list[ServerStandIn] = []
         self.instances: list[instance.Instance] = []
         self.processes: list[InstanceProcess] = []
+        # The bound on evacuations in the instances' settings; None for none.
+        self.evacuate_ms: int | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(
@@ -676,6 +679,7 @@
         kind: str = 'safe',
         *,
         is_keyed: bool = True,
+        data_centres: typing.Sequence[str] = ('here',),
     ) -> None:
         await self.store.start()
         configured = configuration(1, kind, is_keyed=is_keyed)
@@ -683,6 +687,7 @@
         for number in range(servers):
             server = ServerStandIn(f's{number}', self.store)
             server.is_keyed = is_keyed
+            server.data_centre = data_centres[number % len(data_centres)]
             await server.start()
             server.register()
             self.servers.append(server)
@@ -807,7 +812,10 @@
         self, chosen: deployment.Deployment, store_port: int
     ) -> str:
         """Return the settings text of an instance that runs as a process."""
-        return _SETTINGS.format(deployment=chosen, store_port=store_port)
+        text = _SETTINGS.format(deployment=chosen, store_port=store_port)
+        if self.evacuate_ms is not None:
+            text += f'Terms.Bounds.Evacuate={self.evacuate_ms}ms\n'
+        return text
 
     def _deployment(self, name: str) -> deployment.Deployment:
         ports = [web.free_port() for _ in range(4)]
@@ -831,6 +839,7 @@
                 retry_window_ms=10_000,
                 retry_extra=60,
                 longest_hold_ms=10_000,
+                evacuate_ms=self.evacuate_ms,
             ),
         )
 
