Limit the moves of an evacuation to what can be announced

Ranges were cut by the number of rows of the table alone, and a late coordinator started all moves at once. Each is announced to all instances; with 60 at once a coordinator of 195 was not heard for 0.9 s.

At most 12 ranges start in a step and 48 are made by cutting. One range at a time is tried while the store refuses writes, and none while the term is not confirmed, as a released key has no owner until the store has a new one.

--- a/packages/core/src/sycamoreferry_core/keyspace/evacuated_keys.py
+++ b/packages/core/src/sycamoreferry_core/keyspace/evacuated_keys.py
@@ -16,7 +16,10 @@
 _START_MS = 1_000
 # The coordinator starts moves at this interval.
 STEP_MS = 100
-# More ranges would cost more announcements to all instances.
+# Each range costs announcements to all instances. With 60 at once, a
+# coordinator of 195 instances was not heard for 0.9 s and lost its term.
+_MAX_STARTS = 12
+_MAX_RANGES = 48
 _MAX_PARTS = 4
 # With more ranges than this for each server, they are small enough.
 _RANGES_PER_SERVER = 2
@@ -25,14 +28,18 @@
 def count_due(idle_count: int, elapsed_ms: int) -> int:
     """Return how many of the ranges that don't move yet start to move now."""
     left_ms = max(STEP_MS, _START_MS - elapsed_ms)
-    return math.ceil(idle_count * STEP_MS / left_ms)
+    return min(_MAX_STARTS, math.ceil(idle_count * STEP_MS / left_ms))
 
 
-def count_parts(range_count: int, evacuated: int, staying: int) -> int:
-    """Return into how many parts to cut a range, by the numbers of servers."""
-    if range_count > _RANGES_PER_SERVER * (evacuated + staying):
+def count_parts(held: int, evacuated: int, staying: int) -> int:
+    """Return into how many parts to cut each of the held ranges.
+
+    It depends on the numbers of servers that are evacuated and that stay.
+    """
+    if not held or held > _RANGES_PER_SERVER * evacuated:
         return 1
-    return max(1, min(_MAX_PARTS, math.ceil(staying / max(1, evacuated))))
+    wanted = min(math.ceil(staying / evacuated), _MAX_PARTS)
+    return max(1, min(wanted, _MAX_RANGES // held))
 
 
 def cut(
--- a/packages/gateway/src/sycamoreferry_gateway/assignment_writer.py
+++ b/packages/gateway/src/sycamoreferry_gateway/assignment_writer.py
@@ -65,6 +65,11 @@
             return False
         return self._refused_at - self._refused_since >= _MAX_REFUSAL_MS
 
+    @property
+    def has_refused(self) -> bool:
+        """Tell whether the store refused the last write."""
+        return self._refused_at != clock.LONG_AGO
+
     def adopt(self, listing: store_records.RecordPage) -> None:
         """Continue from a listing of the topic, unless its era is over."""
         self._view.replace(store_calls.OWNERS_TOPIC, listing)
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -188,12 +188,19 @@
         if is_planning:
             self._planned_at = now
         can_write = not self._terms.are_writes_refused
-        is_evacuating = can_write and self._evacuator.is_due
+        # Keys that are released have no owner until the store has a new one.
+        is_evacuating = (
+            can_write
+            and not self._terms.is_authority_expiring
+            and self._evacuator.is_due
+        )
         services = self._keyed_services()
         self._evacuator.log_progress(services)
         for service in services:
             if is_evacuating:
-                self._evacuator.move_keys(service)
+                self._evacuator.move_keys(
+                    service, is_trial=self._terms.has_refused_write
+                )
             if can_write:
                 self._mover.relocate_lost(service)
                 self._mover.assign_gaps(service)
--- a/packages/gateway/src/sycamoreferry_gateway/key_evacuator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_evacuator.py
@@ -32,7 +32,6 @@
     def is_due(self) -> bool:
         """Tell whether the next moves may start, at most once per step."""
         if not self._view.evacuations.active:
-            self._moving.clear()
             return False
         now = self._view.clock.now()
         if now - self._stepped_at < evacuated_keys.STEP_MS // 2:
@@ -40,13 +39,13 @@
         self._stepped_at = now
         return True
 
-    def move_keys(self, service: ids.ServiceName) -> None:
-        """Start the moves of a service that are due.
+    def move_keys(self, service: ids.ServiceName, *, is_trial: bool) -> None:
+        """Start the moves of a service that are due, or one on trial.
 
         Without servers elsewhere the keys stay where they are.
         """
-        table = self._view.assignment.table(service)
-        held = [row for row in table.rows if self._is_evacuated(row)]
+        rows = self._view.assignment.table(service).rows
+        held = [row for row in rows if self._is_evacuated(row)]
         idle = [
             row
             for row in held
@@ -58,8 +57,10 @@
         count = evacuated_keys.count_due(
             len(idle), min(self._elapsed_of(row) for row in idle)
         )
+        if is_trial:
+            count = 1 if len(idle) == len(held) else 0
         parts = evacuated_keys.count_parts(
-            len(table.rows), len({row.owner for row in held}), staying
+            len(held), self._count_evacuated(service), staying
         )
         work = self._estimator.slots_by_key(service) if parts > 1 else {}
         for row in idle[:count]:
@@ -68,19 +69,27 @@
 
     def log_progress(self, services: list[ids.ServiceName]) -> None:
         """Log the data centres that the last key has left by now."""
+        active = self._view.evacuations.active
+        self._moving.intersection_update(active)
+        if not active:
+            return
         left = {
             server.data_centre
             for service in services
             for row in self._view.assignment.table(service).rows
             if (server := self._view.fleet.get(row.owner.server)) is not None
         }
-        for data_centre in self._view.evacuations.active:
+        for data_centre in active:
             if data_centre in left:
                 self._moving.add(data_centre)
             elif data_centre in self._moving:
                 self._moving.discard(data_centre)
                 self._log_moved(data_centre)
 
+    def _count_evacuated(self, service: ids.ServiceName) -> int:
+        known = self._view.servers_of(service)
+        return sum(server.is_evacuated for server in known)
+
     def _is_evacuated(self, row: owners.Ownership) -> bool:
         server = self._view.fleet.get(row.owner.server)
         return (
--- a/packages/gateway/src/sycamoreferry_gateway/term_manager.py
+++ b/packages/gateway/src/sycamoreferry_gateway/term_manager.py
@@ -71,6 +71,11 @@
         """Tell whether the store has refused writes for too long to wait."""
         return self._writer.is_refused
 
+    @property
+    def has_refused_write(self) -> bool:
+        """Tell whether the store refused the last write of owners."""
+        return self._writer.has_refused
+
     @property
     def is_authority_expiring(self) -> bool:
         """Tell whether the authority lapses soon without confirmation."""
