Choose servers by the slowdown that they reported last

A fifth of the servers is three times slower for some 400 ms at a time, which the mean duration of 10 s does not show, so requests were sent to slow servers while faster ones had free slots.

Slowdowns keeps the last report of each server. expected_duration_ms is multiplied by the reported slowdown relative to the mean of the service; the factor falls linearly to 1 within 400 ms. Without reports it is 1.

--- a/packages/core/src/sycamoreferry_core/traffic/server_choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_choice.py
@@ -114,6 +114,7 @@
             duration,
             loads.service_duration_ms(server.service) * _COLD_FACTOR,
         )
+    duration *= loads.slowdowns.relative_factor(server, inputs.now)
     ahead = max(0, in_flight + 1 - server.slots) / server.slots
     crowding = in_flight / server.slots / 4
     cost = duration * (1 + ahead + crowding)
--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -16,6 +16,7 @@
     peer_loads,
     rate_limits,
     reachability,
+    slowdowns,
 )
 
 # The load that a server reports is outdated by the second request after it.
@@ -48,6 +49,7 @@
         self.back_offs = back_offs.BackOffs()
         self.reachability = reachability.Reachability()
         self.durations = durations.ServerDurations(self.peers)
+        self.slowdowns = slowdowns.Slowdowns()
 
     def start(self, server: ids.ServerId) -> None:
         """Count a request that is sent to a server."""
@@ -119,6 +121,19 @@
         """Return the expected duration at a server in ms."""
         return self.durations.of_server(server)
 
+    def waiting_duration_ms(
+        self, server: servers.BackendServer, now: clock.Millis
+    ) -> float:
+        """Return the expected duration of a request that waits, in ms.
+
+        It starts about one duration from now. It is no shorter than the mean,
+        since permits expire by it.
+        """
+        mean_ms = self.duration_ms(server)
+        starts_at = clock.later(now, int(mean_ms))
+        factor = self.slowdowns.relative_factor(server, starts_at)
+        return mean_ms * max(1, factor)
+
     def apply_summary(
         self,
         coordinator: ids.InstanceId,
@@ -173,6 +188,7 @@
                 self._tracked.pop(server)
         self.peers.keep_only(known)
         self.durations.keep_only(known)
+        self.slowdowns.keep_only(known)
 
     def _of(self, server: ids.ServerId) -> _TrackedServer:
         found = self._tracked.get(server)
