Report slowdowns to the instances that choose servers

The slowdown of a server was known only to the instance that it answered. It is returned with the permit to the counting instance, and reaches all others with the heartbeat where there is a full mesh. Waits for the owner of a key are estimated with it. Metrics count the servers with a report and give the mean.

--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -62,6 +62,8 @@
                 load.waiting,
                 now,
             )
+            if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+                self._record_slowdown(server, load.slowdown, now)
         if request_headers.reports_not_run(outcome):
             if outcome.status != http.HTTPStatus.MISDIRECTED_REQUEST:
                 self._record_failure(server, now, 'rejected')
@@ -118,6 +120,22 @@
                 requests_per_s=limit,
             )
 
+    def _record_slowdown(
+        self,
+        server: servers.BackendServer,
+        slowdown: float | None,
+        now: clock.Millis,
+    ) -> None:
+        if slowdown is None:
+            return
+        if self._loads.slowdowns.record(server, slowdown, now):
+            self._log.write_rate_limited(
+                'servers',
+                'server reports the slowdown of its machine',
+                server=server.incarnation.server,
+                slowdown=slowdown,
+            )
+
     def _record_back_off(
         self,
         server: servers.BackendServer,
--- a/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
+++ b/packages/gateway/src/sycamoreferry_gateway/heartbeats.py
@@ -12,6 +12,7 @@
     leaving_reports,
     peer_messages,
     rate_limit_reports,
+    slowdown_reports,
     store_client,
     view,
 )
@@ -41,8 +42,10 @@
         self._get_counters = get_counters
         self._heartbeat_count = 0
 
-    def load_rows(self) -> list[peer_messages.LoadRow]:
+    def load_rows(self, *, with_slowdowns: bool) -> list[peer_messages.LoadRow]:
         """Return the load that this instance causes, by server."""
+        now = self._view.clock.now()
+        known = self._loads.slowdowns
         self._heartbeat_count += 1
         with_durations = (
             self._heartbeat_count % _DURATION_REPORT_HEARTBEATS == 0
@@ -54,9 +57,15 @@
                 row.waiting,
                 row.duration_ms,
                 row.samples,
+                *slowdown_reports.fields_of(
+                    known, server if with_slowdowns else None, now
+                ),
             )
             for server, row in self._loads.own_report().items()
-            if with_durations or row.in_flight or row.waiting
+            if with_durations
+            or row.in_flight
+            or row.waiting
+            or (with_slowdowns and known.own_report(server, now))
         ]
 
     def build(
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -215,6 +215,7 @@
     def _gauges(self) -> dict[str, float]:
         config = self._view.config
         now = self._clock.now()
+        slowdowns = self._loads.slowdowns.fresh_reports(now)
         return {
             'requests_in_flight': self._request_handler.in_flight,
             'requests_waiting': self._dispatcher.waiting_count,
@@ -223,6 +224,8 @@
             'servers_known': len(self._view.fleet.servers),
             'reaches_no_server': int(self._loads.reachability.is_cut_off),
             'servers_limited': self._loads.rate_limits.limited_count,
+            'servers_with_slowdown': len(slowdowns),
+            'slowdown_mean': sum(slowdowns) / (len(slowdowns) or 1),
             'servers_leaving': len(self._view.fleet.leaving),
             'servers_backing_off': self._loads.back_offs.count(now),
             'requests_blocked': len(self._view.crashes.history.blocked(now)),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_exchange.py
@@ -186,7 +186,8 @@
         plan = self._spread_plan()
         self._report_demand()
         heartbeat = self._heartbeats.build(
-            self._heartbeats.load_rows(), is_leaving=self.is_leaving
+            self._heartbeats.load_rows(with_slowdowns=plan.is_mesh),
+            is_leaving=self.is_leaving,
         )
         if plan.is_mesh:
             if self._is_due(heartbeat, plan):
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -21,6 +21,7 @@
     permit_service,
     rate_limit_reports,
     record_patches,
+    slowdown_reports,
     store_sync,
     view,
 )
@@ -116,7 +117,10 @@
         if heartbeat.loads is not None:
             rows = _reports(heartbeat.loads)
             self._loads.peers.replace_report(instance, rows, now)
-        self._merge_rate_limits(heartbeat)
+        sent_at = self._merge_rate_limits(heartbeat)
+        slowdown_reports.merge_rows(
+            self._loads.slowdowns, self._view.fleet.get, heartbeat, sent_at
+        )
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
         crash_reports.merge(heartbeat, self._view.crashes, now)
         self._request_newer(heartbeat, sender)
@@ -222,7 +226,10 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
-        self._merge_rate_limits(message)
+        sent_at = self._merge_rate_limits(message)
+        slowdown_reports.merge_return(
+            self._loads.slowdowns, self._view.fleet.get, message, sent_at
+        )
         if self.counter is not None:
             self.counter.handle_return(message)
 
@@ -240,8 +247,11 @@
         if self.permits is not None:
             self.permits.returns.confirm(message)
 
-    def _merge_rate_limits(self, message: _WithRateLimits) -> None:
-        """Apply statements; those that waited on their way are older."""
+    def _merge_rate_limits(self, message: _WithRateLimits) -> clock.Millis:
+        """Apply statements; those that waited on their way are older.
+
+        Return when the message was sent, by the clock of this instance.
+        """
         now = self._clock.now()
         sender = ids.InstanceId(message.instance)
         status = self._view.peers.status(sender)
@@ -250,11 +260,11 @@
             delay_ms = self._delays.delay_ms(
                 sender, status.incarnation, message.sent_at, now
             )
+        sent_at = clock.later(now, -delay_ms)
         rate_limit_reports.merge_rows(
-            self._loads.rate_limits,
-            message.rate_limits,
-            clock.later(now, -delay_ms),
+            self._loads.rate_limits, message.rate_limits, sent_at
         )
+        return sent_at
 
     def _request_newer(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -26,6 +26,10 @@
     # The number of requests of which the duration is the mean; 0 if the sender
     # is of an earlier version.
     samples: decoding.Amount = 0
+    # The slowdown that the server reported last, as a factor, and when by the
+    # sender's clock; 0 if there is no recent report.
+    slowdown: decoding.Amount = 0
+    slowdown_at: decoding.WholeNumber = 0
 
 
 class DemandRow(msgspec.Struct, array_like=True):
@@ -252,6 +256,9 @@
     rate_limits: list[RateLimitRow] = []
     # The sender's clock; 0 if it is of an earlier version.
     sent_at: decoding.WholeNumber = 0
+    # The slowdown that the server reported last, as in a load row.
+    slowdown: decoding.Amount = 0
+    slowdown_at: decoding.WholeNumber = 0
 
 
 class PermitReturned(msgspec.Struct, array_like=True, tag='permit-returned'):
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -18,6 +18,7 @@
     peer_messages,
     permit_returns,
     rate_limit_reports,
+    slowdown_reports,
     view,
 )
 
@@ -321,6 +322,12 @@
             return
         wait.is_over = True
         self._waits.pop(wait.permit.number, None)
+        now = self._clock.now()
+        slowdown, slowdown_at = slowdown_reports.fields_of(
+            self._loads.slowdowns,
+            wait.answered_server or wait.failed_server,
+            now,
+        )
         message = peer_messages.PermitReturn(
             self._own_instance,
             wait.permit.number,
@@ -328,7 +335,9 @@
             wait.failed_server or '',
             wait.answered_server or '',
             wait.rate_limits,
-            self._clock.now(),
+            now,
+            slowdown,
+            slowdown_at,
         )
         self.returns.start(wait.target.home, message)
 
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -108,7 +108,9 @@
         server = self._view.fleet.get(server_id)
         duration = asked.duration_ms
         if server is not None:
-            duration = self._loads.duration_ms(server)
+            duration = self._loads.waiting_duration_ms(
+                server, self._clock.now()
+            )
         capacity = server_choice.capacity_of(asked.slots)
         if self._loads.is_suspended(server_id, self._clock.now()):
             # The server is probably down; one request at a time probes it.
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -283,6 +283,8 @@
         self.rejections: list[tuple[int, Headers]] = []
         # The value of the rate limit header of its answers; '' for none.
         self.rate_limit = ''
+        # The value of the load header of its answers; '' for none.
+        self.load = ''
         # The value of the leaving header of its answers; '' for none.
         self.leaving = ''
         self.granted: list[HeldGrant] = []
@@ -349,6 +351,7 @@
         answer = await self._run(request)
         stated = (
             ('Server-Limit', self.rate_limit),
+            ('Server-Load', self.load),
             ('Server-Leaving', self.leaving),
         )
         headers = tuple(row for row in stated if row[1])
