Estimate waits for an owner by its slowdown of this moment

The wait was estimated with the slowdown one duration from now, and never shorter than by the mean duration, as a guess.

--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -121,18 +121,12 @@
         """Return the expected duration at a server in ms."""
         return self.durations.of_server(server)
 
-    def waiting_duration_ms(
+    def current_duration_ms(
         self, server: servers.BackendServer, now: clock.Millis
     ) -> float:
-        """Return the expected duration of a request that waits, in ms.
-
-        It starts about one duration from now. It is no shorter than the mean,
-        since permits expire by it.
-        """
-        mean_ms = self.duration_ms(server)
-        starts_at = clock.later(now, int(mean_ms))
-        factor = self.slowdowns.relative_factor(server, starts_at)
-        return mean_ms * max(1, factor)
+        """Return the expected duration of work that starts now, in ms."""
+        factor = self.slowdowns.relative_factor(server, now)
+        return self.duration_ms(server) * factor
 
     def apply_summary(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/backlogs.py
+++ b/packages/gateway/src/sycamoreferry_gateway/backlogs.py
@@ -102,7 +102,7 @@
                 0,
                 self._loads.total_in_flight(server_id, now) - server.slots,
             )
-            duration = self._loads.waiting_duration_ms(server, now)
+            duration = self._loads.current_duration_ms(server, now)
             return queueing.Backlog(
                 ahead, server.slots, duration, self.back_off_ms(request)
             )
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -108,7 +108,7 @@
         server = self._view.fleet.get(server_id)
         duration = asked.duration_ms
         if server is not None:
-            duration = self._loads.waiting_duration_ms(
+            duration = self._loads.current_duration_ms(
                 server, self._clock.now()
             )
         capacity = server_choice.capacity_of(asked.slots)
