Compare four open servers where they report slowdowns

In the mesh each instance compared sixteen drawn servers, so many chose the one that had just been reported to be fast. Servers that are full or suspended took part in the draw.

Four of the ready servers with room are compared now if a server of the service has reported a slowdown; otherwise nothing changes.

--- a/packages/core/src/sycamoreferry_core/traffic/server_choice.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_choice.py
@@ -25,6 +25,14 @@
 _NOISE_SHARE = 0.15
 # Comparing more servers takes longer and makes all instances choose the same.
 MAX_CANDIDATES = 16
+# Of servers that report slowdowns this many are compared: most instances would
+# choose those that have just reported to be fast.
+_CANDIDATES_BY_SLOWDOWN = 4
+
+
+_Draw = typing.Callable[
+    [typing.Sequence[servers.BackendServer], int], list[servers.BackendServer]
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +74,29 @@
     return loads.total_in_flight(server_id, now) < capacity_of(server.slots)
 
 
+def draw_candidates(
+    known: typing.Sequence[servers.BackendServer],
+    loads: server_load.ServerLoads,
+    inputs: ChoiceInputs,
+    draw: _Draw,
+) -> typing.Sequence[servers.BackendServer]:
+    """Return the servers to compare where many instances choose at once."""
+    if not any(loads.slowdowns.is_reported(one.service) for one in known[:1]):
+        if len(known) <= MAX_CANDIDATES:
+            return known
+        return draw(known, MAX_CANDIDATES)
+    open_servers = [
+        server
+        for server in known
+        if _is_usable(server, loads, inputs)
+        and not loads.is_suspended(server.incarnation.server, inputs.now)
+    ]
+    if len(open_servers) <= _CANDIDATES_BY_SLOWDOWN:
+        # If there is none, one that is suspended may still be used.
+        return open_servers or known
+    return draw(open_servers, _CANDIDATES_BY_SLOWDOWN)
+
+
 def choose_server(
     candidates: typing.Iterable[servers.BackendServer],
     loads: server_load.ServerLoads,
@@ -78,11 +109,7 @@
     """
     now = inputs.now
     usable = [
-        server
-        for server in candidates
-        if server.is_ready
-        and server.incarnation.server not in inputs.excluded
-        and _in_flight(server, loads, inputs) < capacity_of(server.slots)
+        server for server in candidates if _is_usable(server, loads, inputs)
     ]
     healthy = [
         server
@@ -127,6 +154,19 @@
     return cost
 
 
+def _is_usable(
+    server: servers.BackendServer,
+    loads: server_load.ServerLoads,
+    inputs: ChoiceInputs,
+) -> bool:
+    """Return whether a server is ready, not excluded and has room."""
+    return (
+        server.is_ready
+        and server.incarnation.server not in inputs.excluded
+        and _in_flight(server, loads, inputs) < capacity_of(server.slots)
+    )
+
+
 def _in_flight(
     server: servers.BackendServer,
     loads: server_load.ServerLoads,
--- a/packages/core/src/sycamoreferry_core/traffic/slowdowns.py
+++ b/packages/core/src/sycamoreferry_core/traffic/slowdowns.py
@@ -91,6 +91,10 @@
             if _weight(report, now)
         ]
 
+    def is_reported(self, service: ids.ServiceName) -> bool:
+        """Return whether a server of a service has reported a slowdown."""
+        return service in self._means
+
     def relative_factor(
         self, server: servers.BackendServer, at: clock.Millis
     ) -> float:
--- a/packages/core/tests/traffic/test_even_load.py
+++ b/packages/core/tests/traffic/test_even_load.py
@@ -210,15 +210,18 @@
         return server_choice.choose_server(
             candidates,
             self.loads,
-            server_choice.ChoiceInputs(
-                HERE,
-                frozenset(),
-                clock.Millis(self.now),
-                in_flight=in_flight,
-            ),
+            self.inputs(in_flight),
             self.choice_rng.random,
         )
 
+    def inputs(
+        self, in_flight: typing.Mapping[ids.ServerId, int]
+    ) -> server_choice.ChoiceInputs:
+        now = clock.Millis(self.now)
+        return server_choice.ChoiceInputs(
+            HERE, frozenset(), now, in_flight=in_flight
+        )
+
     def send(self, request: Request, server: ids.ServerId, pool: int) -> None:
         request.sent = self.now
         self.later(self.hop(), self.start, request, server, pool)
@@ -302,8 +305,6 @@
 class Alone(Simulation):
     """Let each instance choose by its own requests and delayed reports."""
 
-    candidate_count = server_choice.MAX_CANDIDATES
-
     def set_up(self) -> None:
         self.totals: collections.Counter[ids.ServerId] = collections.Counter()
         self.own: collections.Counter[tuple[int, ids.ServerId]] = (
@@ -323,8 +324,9 @@
     def place(self, request: Request) -> None:
         if self.is_late(request):
             return
-        candidates = self.candidates(request.instance)
-        server = self.choose(candidates, self.view(request.instance))
+        view = self.view(request.instance)
+        candidates = self.candidates(request.instance, view)
+        server = self.choose(candidates, view)
         if server is None:
             self.later(RETRY_MS, self.place, request)
             return
@@ -333,9 +335,12 @@
         self.own[request.instance, server_id] += 1
         self.send(request, server_id, request.instance)
 
-    def candidates(self, _instance: int) -> list[servers.BackendServer]:
-        count = min(len(self.known), self.candidate_count)
-        return self.choice_rng.sample(self.known, count)
+    def candidates(
+        self, _instance: int, view: typing.Mapping[ids.ServerId, int]
+    ) -> typing.Sequence[servers.BackendServer]:
+        return server_choice.draw_candidates(
+            self.known, self.loads, self.inputs(view), self.choice_rng.sample
+        )
 
     def view(self, instance: int) -> dict[ids.ServerId, int]:
         shown = self.shown()
@@ -403,13 +408,18 @@
 
 
 class TwoChoices(Alone):
-    candidate_count = 2
+    def candidates(
+        self, _instance: int, _view: typing.Mapping[ids.ServerId, int]
+    ) -> typing.Sequence[servers.BackendServer]:
+        return self.choice_rng.sample(self.known, 2)
 
 
 class Subset(Alone):
     """Let each instance use eight servers."""
 
-    def candidates(self, instance: int) -> list[servers.BackendServer]:
+    def candidates(
+        self, instance: int, _view: typing.Mapping[ids.ServerId, int]
+    ) -> typing.Sequence[servers.BackendServer]:
         return random.Random(instance).sample(self.known, 8)
 
 
@@ -436,6 +446,12 @@
     assert _mean(Simulation, LOADS) < 0.93 * _mean(unaware(Simulation), LOADS)
 
 
+def test_few_instances_that_know_slowdowns_serve_sooner() -> None:
+    """Fails if all instances choose the servers that were just reported."""
+    loads = (Load(40, 2, 400, 0.6, 17), Load(32, 2, 90, 0.75, 9, 10))
+    assert _mean(Alone, loads) < 0.93 * _mean(unaware(Alone), loads)
+
+
 @pytest.mark.parametrize('instances', [77, 300])
 def test_counting_in_one_place_is_better_than_any_stale_report(
     instances: int,
--- a/packages/core/tests/traffic/test_slowdowns.py
+++ b/packages/core/tests/traffic/test_slowdowns.py
@@ -1,5 +1,7 @@
 """Check the factor that is expected from the slowdowns of servers."""
 
+import random
+
 import pytest
 
 from sycamoreferry_core import clock, ids
@@ -85,3 +87,26 @@
     mean_ms = loads.duration_ms(SLOW)
     assert loads.current_duration_ms(SLOW, _at(50)) > mean_ms
     assert loads.current_duration_ms(FAST, _at(50)) < mean_ms
+
+
+def test_few_open_servers_are_compared_where_slowdowns_are_reported() -> None:
+    """Fails if drawing few leaves a request to a suspended or full server."""
+    known = [_server(f's{number}') for number in range(8)]
+    ids_of = [server.incarnation.server for server in known]
+    loads = server_load.ServerLoads()
+    inputs = server_choice.ChoiceInputs(
+        SLOW.data_centre, frozenset(ids_of[:2]), _at(0)
+    )
+    draw = random.Random(1).sample
+    drawn = server_choice.draw_candidates(known, loads, inputs, draw)
+    assert drawn == known
+    loads.slowdowns = _reported()
+    for _ in range(3):
+        loads.record_failure(ids_of[2], _at(0))
+        loads.start(ids_of[3])
+    drawn = server_choice.draw_candidates(known, loads, inputs, draw)
+    assert set(drawn) == set(known[4:])
+    loads.finish(ids_of[3])
+    drawn = server_choice.draw_candidates(known, loads, inputs, draw)
+    assert len(drawn) == 4
+    assert known[2] not in drawn
--- a/packages/gateway/src/sycamoreferry_gateway/server_selector.py
+++ b/packages/gateway/src/sycamoreferry_gateway/server_selector.py
@@ -47,13 +47,11 @@
         candidates = self._loads.back_offs.open_servers(
             self._view.servers_of(request.service), now
         )
-        if len(candidates) > server_choice.MAX_CANDIDATES:
-            candidates = self._random.sample(
-                candidates,
-                server_choice.MAX_CANDIDATES,
-            )
+        drawn = server_choice.draw_candidates(
+            candidates, self._loads, choosing, self._random.sample
+        )
         return server_choice.choose_server(
-            candidates,
+            drawn,
             self._loads,
             choosing,
             self._random.random,
