--- a/packages/core/src/sycamoreferry_core/traffic/server_load.py
+++ b/packages/core/src/sycamoreferry_core/traffic/server_load.py
@@ -16,6 +16,7 @@
     peer_loads,
     rate_limits,
     reachability,
+    slowdowns,
     warm_ups,
 )
 
@@ -50,6 +51,7 @@
         self.warm_ups = known_warm_ups or warm_ups.WarmUps()
         self.reachability = reachability.Reachability()
         self.durations = durations.ServerDurations(self.peers)
+        self.slowdowns = slowdowns.Slowdowns()
 
     def start(self, server: ids.ServerId) -> None:
         """Count a request that is sent to a server."""
@@ -121,6 +123,13 @@
         """Return the expected duration at a server in ms."""
         return self.durations.of_server(server)
 
+    def current_duration_ms(
+        self, server: servers.BackendServer, now: clock.Millis
+    ) -> float:
+        """Return the expected duration of work that starts now, in ms."""
+        factor = self.slowdowns.relative_factor(server, now)
+        return self.duration_ms(server) * factor
+
     def apply_summary(
         self,
         coordinator: ids.InstanceId,
@@ -175,6 +184,7 @@
                 self._tracked.pop(server)
         self.peers.keep_only(known)
         self.durations.keep_only(known)
+        self.slowdowns.keep_only(known)
 
     def _of(self, server: ids.ServerId) -> _TrackedServer:
         found = self._tracked.get(server)
--- a/packages/gateway/src/sycamoreferry_gateway/instance.py
+++ b/packages/gateway/src/sycamoreferry_gateway/instance.py
@@ -217,6 +217,7 @@
     def _gauges(self) -> dict[str, float]:
         config = self._view.config
         now = self._clock.now()
+        slowdowns = self._loads.slowdowns.fresh_reports(now)
         return {
             'requests_in_flight': self._request_handler.in_flight,
             'requests_waiting': self._dispatcher.waiting_count,
@@ -230,6 +231,8 @@
                     self._view.fleet.servers.values(), now
                 )
             ),
+            'servers_with_slowdown': len(slowdowns),
+            'slowdown_mean': sum(slowdowns) / (len(slowdowns) or 1),
             'servers_leaving': len(self._view.fleet.leaving),
             'servers_backing_off': self._loads.back_offs.count(now),
             'data_centres_evacuated': len(self._view.evacuations.active),
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -21,6 +21,7 @@
     permit_service,
     rate_limit_reports,
     record_patches,
+    slowdown_reports,
     store_sync,
     view,
     warm_up_reports,
@@ -117,7 +118,10 @@
         if heartbeat.loads is not None:
             rows = _reports(heartbeat.loads)
             self._loads.peers.replace_report(instance, rows, now)
-        self._merge_rates(heartbeat)
+        sent_at = self._merge_rates(heartbeat)
+        slowdown_reports.merge_rows(
+            self._loads.slowdowns, self._view.fleet.get, heartbeat, sent_at
+        )
         leaving_reports.merge_rows(self._view, heartbeat.leaving, instance)
         crash_reports.merge(heartbeat, self._view.crashes, now)
         self._request_newer(heartbeat, sender)
@@ -224,7 +228,10 @@
 
     @handle.register
     def _(self, message: peer_messages.PermitReturn, sender: _Address) -> None:
-        self._merge_rates(message)
+        sent_at = self._merge_rates(message)
+        slowdown_reports.merge_return(
+            self._loads.slowdowns, self._view.fleet.get, message, sent_at
+        )
         if self.counter is not None:
             self.counter.handle_return(message)
 
@@ -242,8 +249,11 @@
         if self.permits is not None:
             self.permits.returns.confirm(message)
 
-    def _merge_rates(self, message: _WithRates) -> None:
-        """Apply statements; those that waited on their way are older."""
+    def _merge_rates(self, message: _WithRates) -> clock.Millis:
+        """Apply statements; those that waited on their way are older.
+
+        Return when the message was sent, by the clock of this instance.
+        """
         now = self._clock.now()
         sender = ids.InstanceId(message.instance)
         status = self._view.peers.status(sender)
@@ -259,6 +269,7 @@
         warm_up_reports.merge_rows(
             self._loads.warm_ups, message.warm_ups, sent_at
         )
+        return sent_at
 
     def _request_newer(
         self,
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -23,6 +23,7 @@
     peer_messages,
     permit_returns,
     rate_limit_reports,
+    slowdown_reports,
     view,
     warm_up_reports,
 )
@@ -332,6 +333,11 @@
         wait.is_over = True
         self._waits.pop(wait.permit.number, None)
         now = self._clock.now()
+        slowdown, slowdown_at = slowdown_reports.fields_of(
+            self._loads.slowdowns,
+            wait.answered_server or wait.failed_server,
+            now,
+        )
         message = peer_messages.PermitReturn(
             self._own_instance,
             wait.permit.number,
@@ -341,6 +347,8 @@
             wait.rate_limits,
             now,
             warm_up_reports.build_rows(self._loads.warm_ups, now),
+            slowdown,
+            slowdown_at,
         )
         self.returns.start(wait.target.home, message)
 
