--- a/packages/gateway/tests/test_slowdown_reports.py
+++ b/packages/gateway/tests/test_slowdown_reports.py
@@ -94,7 +94,9 @@
 
 
 def test_earlier_instance_reads_a_return_with_a_slowdown() -> None:
-    sent = peer_messages.PermitReturn('i', 1, 'line', '', 's', [], 9, 3.0, 5)
+    sent = peer_messages.PermitReturn(
+        'i', 1, 'line', '', 's', sent_at=9, slowdown=3.0, slowdown_at=5
+    )
     encoded = peer_messages.encode(sent)
     assert peer_messages.decode(encoded) == sent
     earlier = msgspec.msgpack.decode(encoded, type=_EarlierReturn)
