Place requests behind one that all servers were excluded from

A request without a key that failed at the only server of its service excludes it and waits at the head of the queue. The placement took its lack of room for that of the service, so all requests behind it waited until it was rejected: 21 s in the crowd of unread answers, where the ordinary request got 503.

Only a request without exclusions tells that the service is full now.

--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -165,12 +165,11 @@
         for queued in in_turn:
             if queued.result.done():
                 continue
-            is_keyed = queued.request.key is not None
-            if is_keyed or not is_full:
-                is_placed = self._assign(queued, duration, now)
-                is_full = is_full or not (is_keyed or is_placed)
-            else:
+            if queued.request.key is None and is_full:
                 self._reject_if_late(queued, duration, now)
+                continue
+            is_placed = self._assign(queued, duration, now)
+            is_full = is_full or not (is_placed or _is_bound(queued.request))
         remaining = [queued for queued in in_turn if not queued.result.done()]
         if remaining:
             self._queues[service] = remaining
@@ -263,3 +262,12 @@
                     counts[server_id] = counts.get(server_id, 0) + 1
         for server_id in self._view.fleet.servers:
             self._loads.set_waiting(server_id, counts.get(server_id, 0))
+
+
+def _is_bound(request: queueing.QueuedRequest) -> bool:
+    """Tell whether others may have room where a request has none.
+
+    It has a key, or an earlier attempt excludes servers: a request that all
+    servers were excluded from held back all others until it was rejected.
+    """
+    return request.key is not None or bool(request.excluded)
