Parse received bytes without copying the rest for each slice

Each slice of 4 KiB copied what was left of a part of up to 256 KiB, some 8 MB of copies for each part. An offset takes its place, and the size is counted as bytes come and go.

--- a/packages/gateway/src/sycamoreferry_gateway/caller_input.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_input.py
@@ -18,27 +18,37 @@
         self._parts: collections.deque[tuple[clock.Millis, bytes]] = (
             collections.deque()
         )
+        # What was taken of the first part.
+        self._taken = 0
+        self._size = 0
 
     def __len__(self) -> int:
         """Return the number of bytes."""
-        return sum(len(data) for _, data in self._parts)
+        return self._size
 
     def append(self, received_at: clock.Millis, data: bytes) -> None:
         """Add received bytes."""
         self._parts.append((received_at, data))
+        self._size += len(data)
 
     def take_slice(self) -> tuple[clock.Millis, bytes] | None:
         """Remove and return the first bytes with their time of receipt."""
         if not self._parts:
             return None
-        received_at, data = self._parts.popleft()
-        if len(data) > _SLICE_BYTES:
-            self._parts.appendleft((received_at, data[_SLICE_BYTES:]))
-        return received_at, data[:_SLICE_BYTES]
+        received_at, data = self._parts[0]
+        part = data[self._taken : self._taken + _SLICE_BYTES]
+        self._taken += len(part)
+        self._size -= len(part)
+        if self._taken >= len(data):
+            self._parts.popleft()
+            self._taken = 0
+        return received_at, part
 
     def clear(self) -> None:
         """Discard all bytes."""
         self._parts.clear()
+        self._taken = 0
+        self._size = 0
 
     def pause_or_resume(self, transport: asyncio.Transport) -> None:
         """Read the transport only while there is room."""
