--- a/packages/core/src/sycamoreferry_core/http_messages.py
+++ b/packages/core/src/sycamoreferry_core/http_messages.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# A copy of less costs less than another write.
+_COPIED_BYTES = 65_536
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -29,3 +32,10 @@
             if known == name:
                 return content
         return None
+
+
+def join_small(head: bytes, body: bytes) -> tuple[bytes, ...]:
+    """Return the parts to write: one, unless the body is too large to copy."""
+    if len(body) <= _COPIED_BYTES:
+        return (head + body,)
+    return (head, body)
--- a/packages/core/src/sycamoreferry_core/traffic/caller_memory.py
+++ b/packages/core/src/sycamoreferry_core/traffic/caller_memory.py
@@ -15,8 +15,10 @@
 
 from sycamoreferry_core import clock
 
-# Ordinary requests and connections hold less than this.
-SMALL_BYTES = 16_384
+# Ordinary requests hold less than this with their connection.
+SMALL_BYTES = 32_768
+# A new connection has this time to send the start of a request.
+_FIRST_REQUEST_MS = 1_000
 # This share of the memory is left to them.
 _SMALL_SHARE = 1 / 8
 
@@ -129,22 +131,30 @@
         if known is not None:
             self._subtract(known)
 
-    def longest_unused(self, among: typing.Collection[Holder]) -> Holder | None:
+    def longest_unused(
+        self, among: typing.Collection[Holder], now: clock.Millis
+    ) -> Holder | None:
         """Return the holder to close if there are too many; None if none may.
 
         It is the one that has been idle longest, or else the one that has been
         sending a request for longest.
         """
+        idle = self._longest(HolderState.IDLE, among)
+        if idle is None or now - idle[0] < _FIRST_REQUEST_MS:
+            incomplete = self._longest(HolderState.INCOMPLETE, among)
+            idle = incomplete or idle
+        return None if idle is None else idle[2]
+
+    def _longest(
+        self, state: HolderState, among: typing.Collection[Holder]
+    ) -> tuple[clock.Millis, int, Holder] | None:
         known = self._known
-        for state in (HolderState.IDLE, HolderState.INCOMPLETE):
-            closable = [
-                (known[holder].entered_at, number, holder)
-                for number, holder in enumerate(among)
-                if holder in known and known[holder].state is state
-            ]
-            if closable:
-                return min(closable)[2]
-        return None
+        found = (
+            (known[holder].entered_at, number, holder)
+            for number, holder in enumerate(among)
+            if holder in known and known[holder].state is state
+        )
+        return min(found, default=None)
 
     def _subtract(self, known: _Held) -> None:
         self._total -= known.size
--- a/packages/core/tests/traffic/test_caller_memory.py
+++ b/packages/core/tests/traffic/test_caller_memory.py
@@ -89,12 +89,21 @@
 def test_connection_that_is_idle_for_longest_is_closed_first() -> None:
     memory = caller_memory.CallerMemory(LIMIT)
     names = ['sent', 'slow', 'later', 'first', 'unknown']
-    assert memory.longest_unused(names) is None
+    assert memory.longest_unused(names, _at(9)) is None
     memory.reserve('sent', 10, State.FORWARDED, _at(0))
     memory.reserve('slow', 10, State.INCOMPLETE, _at(0))
     memory.reserve('later', 10, State.IDLE, _at(2))
     memory.reserve('first', 10, State.IDLE, _at(1))
     memory.reserve('first', 20, State.IDLE, _at(3))
-    assert memory.longest_unused(names) == 'first'
-    assert memory.longest_unused(['sent', 'slow']) == 'slow'
-    assert memory.longest_unused(['sent']) is None
+    assert memory.longest_unused(names, _at(5_000)) == 'first'
+    assert memory.longest_unused(['sent', 'slow'], _at(5_000)) == 'slow'
+    assert memory.longest_unused(['sent'], _at(5_000)) is None
+
+
+def test_new_connection_may_send_a_request_before_it_is_closed() -> None:
+    memory = caller_memory.CallerMemory(LIMIT)
+    memory.reserve('slow', 10, State.INCOMPLETE, _at(100))
+    memory.reserve('new', 10, State.IDLE, _at(0))
+    assert memory.longest_unused(['new'], _at(200)) == 'new'
+    assert memory.longest_unused(['new', 'slow'], _at(200)) == 'slow'
+    assert memory.longest_unused(['new', 'slow'], _at(1_000)) == 'new'
