Read the limits of connections and memory of an instance

Cause: the settings bound each request, but not what all callers hold together. This reads bounds.connections and bounds.memory_mb; nothing enforces them yet.

--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -89,6 +89,10 @@
     whole_answer_bytes: _Positive = 262_144
     header_bytes: _Positive = 8192
     key_bytes: _Positive = 256
+    # Connections of callers that are open at once.
+    connections: _Positive = 8192
+    # Memory of the process; by default enough for many of the longest bodies.
+    memory_mb: typing.Annotated[int | None, pydantic.Field(gt=0)] = None
 
 
 class Admission(_Section):
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -24,6 +24,7 @@
 )
 _UNITS = (
     ('_ms', 'milliseconds'),
+    ('_mb', 'MB'),
     ('_bytes', 'bytes'),
     ('_share', 'share of 1'),
     ('_port', 'port'),
