Bound the memory and connections of callers of an instance

Cause: sanic bounds each body, but nothing bounds their total, nor that of heads, waiting requests, unread answers and connections. An incomplete or waiting request that has to give way is answered 503 OVERLOADED and its connection closed; an idle connection or one whose answer isn't read is closed. From the moment a request is sent on it is not refused.

--- a/packages/ports/src/sycamoreferry_ports/http_forward.py
+++ b/packages/ports/src/sycamoreferry_ports/http_forward.py
@@ -29,6 +29,10 @@
 )
 
 
+def _hold_any(size: int) -> bool:
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardedRequest:
     """Hold a request for a backend server.
@@ -45,6 +49,8 @@
     request_id: ids.RequestId
     # Whether the server got the request before.
     is_repeated: bool = False
+    # Whether an answer of so many bytes may be held; otherwise it is streamed.
+    may_hold: typing.Callable[[int], bool] = _hold_any
 
 
 class Download:
@@ -196,7 +202,9 @@
         async with asyncio.timeout(clock.seconds(request.timeout_ms)):
             answer = await self._send(request, server, reusable=reusable)
             try:
-                return await self._receive(answer, ends_at, reusable)
+                return await self._receive(
+                    answer, ends_at, reusable, request.may_hold
+                )
             except BaseException:
                 answer.close()
                 raise
@@ -234,6 +242,7 @@
         answer: aiohttp.ClientResponse,
         ends_at: float,
         needs_echo: bool,
+        may_hold: typing.Callable[[int], bool],
     ) -> Received | IncompleteAnswer:
         if answer.status not in bounded_body.FINAL_STATUSES:
             answer.close()
@@ -243,7 +252,10 @@
             return IncompleteAnswer(
                 'the answer has neither Content-Length nor chunked encoding'
             )
-        body = await _read_up_to(answer, self._max_buffered_bytes)
+        max_bytes = _bytes_to_hold(answer, self._max_buffered_bytes)
+        if not may_hold(max_bytes):
+            max_bytes = 0
+        body = await _read_up_to(answer, max_bytes)
         download = None
         if not answer.content.at_eof():
             download = Download(answer, body, ends_at)
@@ -277,6 +289,11 @@
     return coding.lower() == 'chunked'
 
 
+def _bytes_to_hold(answer: aiohttp.ClientResponse, max_bytes: int) -> int:
+    length = answer.content_length
+    return max_bytes if length is None else min(length, max_bytes)
+
+
 async def _read_up_to(answer: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     length = answer.content_length
     if length is not None and length <= max_bytes:
--- a/packages/router/src/sycamoreferry_router/attempts.py
+++ b/packages/router/src/sycamoreferry_router/attempts.py
@@ -100,6 +100,14 @@
                 return await self._run(admitted, progress)
         except time_limits.TimeLimitError:
             return progress.failure()
+        except asyncio.CancelledError:
+            if not admitted.incoming.holder.is_refused:
+                raise
+            # Cancelled to free its memory, not because the caller left.
+            _uncancel()
+            return progress.attempt.final_failure(
+                admit.overloaded(self._dependencies.rng)
+            )
 
     async def _run(
         self,
@@ -217,6 +225,7 @@
         release = functools.partial(self._dispatcher.release, selected)
         sent_at = self._dependencies.clock.now()
         progress.sent_to = selected.way
+        admitted.incoming.holder.mark_forwarded()
         is_repeated = selected.server.server in tried
         try:
             outcome = await self._forward(
@@ -257,6 +266,12 @@
         )
 
 
+def _uncancel() -> None:
+    task = asyncio.current_task()
+    if task is not None:
+        task.uncancel()
+
+
 def _release_at_end(
     outcome: outcomes.Outcome,
     release: typing.Callable[[], None],
--- a/packages/router/src/sycamoreferry_router/cli.py
+++ b/packages/router/src/sycamoreferry_router/cli.py
@@ -7,7 +7,7 @@
 import typer
 import uvloop
 
-from sycamoreferry_router import instance, logs, settings, traces
+from sycamoreferry_router import allocator, instance, logs, settings, traces
 
 BAD_SETTINGS_STATUS = 2
 
@@ -28,6 +28,7 @@
 def run(path: _SettingsPath) -> None:
     """Run a routing instance until SIGTERM."""
     config = _load(path)
+    allocator.return_large_blocks()
     logs.set_up_logs(config.logging)
     traces.set_up_traces(config.tracing, config.instance.name)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/packages/router/src/sycamoreferry_router/filters/admit.py
+++ b/packages/router/src/sycamoreferry_router/filters/admit.py
@@ -1,11 +1,14 @@
 """Admit a request, or reject it before it is forwarded."""
 
+import random
 import typing
 
 from sycamoreferry_core import outcomes, result_codes
 from sycamoreferry_router import messages, view
 
 RETRY_AFTER_MS = 1000
+# Random jitter keeps callers rejected together from retrying together.
+RETRY_JITTER_MS = 2000
 
 
 class Gate(typing.Protocol):
@@ -30,6 +33,14 @@
     return outcomes.NotRun(result_codes.ResultCode.LEAVING, RETRY_AFTER_MS)
 
 
+def overloaded(rng: random.Random) -> outcomes.NotRun:
+    """Return the failure of a request that there is no memory for."""
+    return outcomes.NotRun(
+        result_codes.ResultCode.OVERLOADED,
+        RETRY_AFTER_MS + rng.randrange(RETRY_JITTER_MS),
+    )
+
+
 class ReadinessGate:
     """Reject requests while the instance is starting or draining."""
 
--- a/packages/router/src/sycamoreferry_router/filters/forward.py
+++ b/packages/router/src/sycamoreferry_router/filters/forward.py
@@ -47,6 +47,7 @@
         remaining_ms=remaining,
         request_id=selected.identified.request_id,
         is_repeated=selected.is_repeated,
+        may_hold=incoming.holder.may_hold,
     )
     outcome = await guard.forward(
         selected,
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import math
+import random
 import typing
 
 from sanic import app as sanic_app
@@ -13,6 +14,8 @@
 
 from sycamoreferry_core import clock, ids, outcomes
 from sycamoreferry_router import (
+    bounded_protocol,
+    caller_connections,
     lingering_protocol,
     logs,
     messages,
@@ -22,7 +25,7 @@
     settings,
     view,
 )
-from sycamoreferry_router.filters import answer
+from sycamoreferry_router.filters import admit, answer
 
 App = sanic_app.Sanic[typing.Any, typing.Any]
 
@@ -59,6 +62,7 @@
         self._metrics = router_metrics
         self._instance = instance
         self._clock = time_source
+        self._rng = random.Random()
         self._app = self._build_app(config)
         self._listening: sanic_server.AsyncioServer | None = None
         self.in_flight = 0
@@ -88,7 +92,7 @@
             port=port,
             access_log=False,
             return_asyncio_server=True,
-            protocol=lingering_protocol.LingeringProtocol,
+            protocol=bounded_protocol.BoundedProtocol,
         )
         if server is None:
             raise RuntimeError('sanic returned no server from create_server')
@@ -106,7 +110,12 @@
         app: App = sanic_app.Sanic(
             config.instance.name,
             configure_logging=False,
+            request_class=bounded_protocol.BoundedRequest,
         )
+        app.ctx.callers = caller_connections.CallerConnections(
+            config.bounds, self._clock
+        )
+        app.exception(bounded_protocol.RefusedError)(self._answer_refused)
         app.config.REQUEST_MAX_SIZE = (
             config.bounds.body_bytes + _BODY_SLACK_BYTES
         )
@@ -151,6 +160,16 @@
         )
         return response.raw(content, headers=extra)
 
+    async def _answer_refused(
+        self,
+        request: sanic_request.Request,
+        error: Exception,
+    ) -> response.HTTPResponse:
+        overloaded = admit.overloaded(self._rng)
+        return responses.buffered_response(
+            answer.answer(overloaded, self._instance)
+        )
+
     async def _serve_caller(
         self,
         request: sanic_request.Request,
@@ -166,13 +185,25 @@
         self,
         request: sanic_request.Request,
     ) -> response.HTTPResponse | None:
-        outcome = await self._pipeline.serve(self._to_incoming(request))
+        connection = bounded_protocol.connection_of(request)
+        connection.start_waiting(request.head)
+        outcome = await self._pipeline.serve(
+            self._to_incoming(request, connection)
+        )
+        # The request isn't needed any more, and a caller may read slowly.
+        request.body = b''
         rendered = answer.answer(outcome, self._instance)
+        connection.held.start_answer(rendered)
+        connection.record()
         if self._pipeline.draining:
             responses.close_after_answer(request)
         if rendered.download is None:
             return responses.buffered_response(rendered)
-        await self._send_download(request, rendered, rendered.download)
+        try:
+            await self._send_download(request, rendered, rendered.download)
+        finally:
+            connection.held.end_answer()
+            connection.record()
         return None
 
     async def _send_download(
@@ -200,6 +231,7 @@
     def _to_incoming(
         self,
         request: sanic_request.Request,
+        holder: messages.Holder,
     ) -> messages.Incoming:
         # Keep the path undecoded: decoding could change its meaning.
         _, service, *rest = request.path.split('/', 2)
@@ -211,6 +243,7 @@
             headers=request.headers,
             body=request.body,
             received_at=self._clock.now(),
+            holder=holder,
         )
 
 
--- a/packages/router/src/sycamoreferry_router/messages.py
+++ b/packages/router/src/sycamoreferry_router/messages.py
@@ -10,6 +10,33 @@
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
+class Holder(typing.Protocol):
+    """Account for the memory of a request."""
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether the request was refused before it was forwarded."""
+
+    def mark_forwarded(self) -> None:
+        """Protect the request, which a server may run from now on."""
+
+    def may_hold(self, size: int) -> bool:
+        """Count an answer to hold in memory; return False if it is too long."""
+
+
+class UnlimitedHolder:
+    """Account for nothing."""
+
+    is_refused = False
+
+    def mark_forwarded(self) -> None:
+        """Do nothing; the memory has no limit."""
+
+    def may_hold(self, size: int) -> bool:
+        """Return True; the memory has no limit."""
+        return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Incoming:
     """Hold a request as received from the caller."""
@@ -20,6 +47,7 @@
     headers: typing.Mapping[str, str]
     body: bytes
     received_at: clock.Millis
+    holder: Holder = UnlimitedHolder()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/src/sycamoreferry_router/settings.py
+++ b/packages/router/src/sycamoreferry_router/settings.py
@@ -1,5 +1,6 @@
 """Read and check the settings of an instance."""
 
+import math
 import pathlib
 import typing
 
@@ -13,6 +14,20 @@
 # The id of an instance and the records about it hold its name and more.
 MAX_NAME_LENGTH = 128
 MAX_PARTITIONS = 256
+MAX_CONNECTIONS = 1_000_000
+
+_BYTES_PER_MB = 1_000_000
+# Measured: an instance takes 70 MB before it has callers.
+_OWN_BYTES = 80_000_000
+# The rest is left to copies that are in use for a moment, and to memory that
+# the allocator keeps.
+_CALLER_SHARE = 0.5
+_DEFAULT_CALLER_BYTES = 512_000_000
+_DEFAULT_LARGEST_REQUESTS = 16
+# The head and what is read ahead of a request.
+_BESIDE_BODY_BYTES = 1_000_000
+# Small requests have an eighth of the memory for themselves.
+_LARGE_SHARE = 0.875
 
 _Port = typing.Annotated[int, pydantic.Field(gt=0, le=MAX_PORT)]
 _Positive = typing.Annotated[int, pydantic.Field(gt=0)]
@@ -90,10 +105,39 @@
     header_bytes: _Positive = 8192
     key_bytes: _Positive = 256
     # Connections of callers that are open at once.
-    connections: _Positive = 8192
+    connections: typing.Annotated[
+        int, pydantic.Field(gt=0, le=MAX_CONNECTIONS)
+    ] = 8192
     # Memory of the process; by default enough for many of the longest bodies.
     memory_mb: typing.Annotated[int | None, pydantic.Field(gt=0)] = None
 
+    @property
+    def caller_bytes(self) -> int:
+        """Return the memory in bytes for the connections of callers."""
+        if self.memory_mb is None:
+            return max(
+                _DEFAULT_CALLER_BYTES,
+                _DEFAULT_LARGEST_REQUESTS * self._largest_bytes,
+            )
+        return int(
+            (self.memory_mb * _BYTES_PER_MB - _OWN_BYTES) * _CALLER_SHARE
+        )
+
+    @pydantic.model_validator(mode='after')
+    def check_memory(self) -> typing.Self:
+        """Raise ValueError if the longest body does not fit the memory."""
+        if self.caller_bytes >= self._largest_bytes:
+            return self
+        needed = _OWN_BYTES + self._largest_bytes / _CALLER_SHARE
+        raise ValueError(
+            'memory_mb is too small for body_bytes;'
+            f' set it to {math.ceil(needed / _BYTES_PER_MB)} or more'
+        )
+
+    @property
+    def _largest_bytes(self) -> int:
+        return int((self.body_bytes + _BESIDE_BODY_BYTES) / _LARGE_SHARE)
+
 
 class Admission(_Section):
     """Set how repeats of non-idempotent requests are recognised.
--- a/packages/router/tests/test_settings.py
+++ b/packages/router/tests/test_settings.py
@@ -50,6 +50,7 @@
         ('services.0.shards', -1, 'services.0.shards: Input should be'),
         ('services.0.shards', 70_000, 'services.0.shards: Input should be'),
         ('services.0.slots', 2, 'services.0.slots: unknown field'),
+        ('bounds', {'memory_mb': 84}, 'bounds: Value error, memory_mb is'),
         ('shutdown_ms', 0, 'shutdown_ms: Input should be greater than 0'),
         ('logging', {'level': 'loud'}, 'logging.level: Input should be'),
         (
