Test the port between instances against crowds of connections

Cause: gRPC bounds neither the length of a message nor the number of connections. Change: two crowds on the port between instances, with the bounds of the others.

--- a/packages/router/tests/test_crowds.py
+++ b/packages/router/tests/test_crowds.py
@@ -9,7 +9,9 @@
 import socket
 import typing
 
+import hpack
 import pytest
+from hyperframe import frame
 
 from sycamoreferry_core import ids
 from sycamoreferry_ports import headers
@@ -70,12 +72,42 @@
 _BODY = bytes(BODY_BYTES)
 
 
+def _call(message_bytes: int) -> bytes:
+    """Return a call of another instance that ends in its message."""
+    settings, head = frame.SettingsFrame(), frame.HeadersFrame(1)
+    # The instance sends its settings twice; the second has its long window.
+    taken = frame.SettingsFrame(flags=['ACK']).serialize() * 2
+    head.data = hpack.Encoder().encode(
+        [
+            (':method', 'POST'),
+            (':scheme', 'http'),
+            (':path', '/sycamoreferry.peer.Peer/Status'),
+            (':authority', 'a'),
+            ('te', 'trailers'),
+            ('content-type', 'application/grpc'),
+        ]
+    )
+    head.flags.add('END_HEADERS')
+    part = frame.DataFrame(1, b'.' * 10_000).serialize()
+    length = frame.DataFrame(1, message_bytes.to_bytes(5)).serialize()
+    return b''.join(
+        (
+            b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n',
+            settings.serialize() + taken,
+            head.serialize(),
+            length,
+            part * (message_bytes // 10_000),
+        )
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class _Crowd:
     """Describe what each connection of a crowd sends before it waits."""
 
     sent: bytes
     size: int = 200
+    is_peer: bool = False
 
 
 CROWDS = {
@@ -100,6 +132,8 @@
         _head(_PATIENT, service='documents', method='GET') * 10, size=100
     ),
     'silent': _Crowd(b'', size=600),
+    'silent-peers': _Crowd(b'', size=600, is_peer=True),
+    'long-messages-of-peers': _Crowd(_call(4_000_001), size=48, is_peer=True),
 }
 
 
@@ -114,7 +148,9 @@
     async with _Cluster(tmp_path, bounds) as system:
         entry = system.entries[0]
         process = system.started[entry.name]
-        async with _sent_by_crowd(entry.request_port, CROWDS[name]):
+        crowd = CROWDS[name]
+        port = entry.peer_port if crowd.is_peer else entry.request_port
+        async with _sent_by_crowd(port, crowd):
             descriptors = _descriptors(process.process.pid)
             await cluster.wait_for(
                 lambda: system.control.answers(f'{entry.url}/plain/a'),
