Keep a short bound on evacuations from stopping all requests

Half of a bound below 200 ms is less than the interval of the checks for suspensions, so each pause between two checks counted as one and requests waited for reads of the store all the time. The gap is now at least 1 s; the new decision test fails without that.

--- a/packages/core/src/sycamoreferry_core/fleet/store_contact.py
+++ b/packages/core/src/sycamoreferry_core/fleet/store_contact.py
@@ -10,6 +10,8 @@
 # An instance may miss the store's changes for one part in so many of the time
 # within which they have to take effect.
 _GAP_DIVISOR = 2
+# The periodic checks of a busy process are late by up to this time.
+_MIN_GAP_MS = 1_000
 # The time in which the store or another instance is asked after a suspension.
 # One that gets no reply by then does not reach the store.
 _READ_TIMEOUT_MS = 1_500
@@ -20,7 +22,9 @@
 
     def __init__(self, limit_ms: int | None) -> None:
         """Start out of touch; a limit of None disables the checks."""
-        self._gap_ms = None if limit_ms is None else limit_ms // _GAP_DIVISOR
+        self._gap_ms: int | None = None
+        if limit_ms is not None:
+            self._gap_ms = max(limit_ms // _GAP_DIVISOR, _MIN_GAP_MS)
         self._checked_at: clock.Millis | None = None
         self._in_touch_since: clock.Millis | None = None
         self._resumed_at: clock.Millis | None = None
--- a/packages/core/tests/fleet/test_evacuations.py
+++ b/packages/core/tests/fleet/test_evacuations.py
@@ -148,3 +148,10 @@
     contact = store_contact.StoreContact(None)
     contact.record_check(clock.Millis(0), is_in_touch=True)
     assert not contact.is_outdated(clock.Millis(LIMIT_MS))
+
+
+def test_short_limit_does_not_keep_requests_waiting() -> None:
+    """Every pause between two checks would count as a suspension."""
+    contact = store_contact.StoreContact(STEP_MS)
+    contact.record_check(clock.Millis(0), is_in_touch=True)
+    assert not contact.is_outdated(clock.Millis(2 * STEP_MS))
