Bound messages and connections on the port between instances

Cause: grpclib takes messages of any length and any number of connections. The messages of all connections together are bounded by a quarter of the memory of callers, and their number by bounds.connections (at least 128) and a fifth of the descriptors; callers get three fifths of these. CallerConnections becomes ConnectionLimits, as both ports use it.

--- a/packages/router/src/sycamoreferry_router/admission_setup.py
+++ b/packages/router/src/sycamoreferry_router/admission_setup.py
@@ -8,6 +8,7 @@
 from sycamoreferry_ports import http_log
 from sycamoreferry_router import (
     admission_partitions,
+    admission_service,
     partition_calls,
     partition_loop,
     settings,
@@ -50,6 +51,14 @@
     return admission_partitions.AdmissionPartitions(loops, parts)
 
 
+def build_service(
+    instance_id: ids.InstanceId,
+    partitions: admission_partitions.AdmissionPartitions,
+) -> admission_service.AdmissionService:
+    """Return the service that other instances call."""
+    return admission_service.AdmissionService(instance_id, partitions.loops)
+
+
 def _timing(config: settings.Admission) -> admission_state.Timing:
     return admission_state.Timing(
         window_ms=config.window_ms,
--- a/packages/router/src/sycamoreferry_router/bounded_protocol.py
+++ b/packages/router/src/sycamoreferry_router/bounded_protocol.py
@@ -9,7 +9,7 @@
 
 from sycamoreferry_core.traffic import caller_memory
 from sycamoreferry_router import (
-    caller_connections,
+    connection_limits,
     held_memory,
     lingering_protocol,
 )
@@ -25,13 +25,11 @@
 class BoundedProtocol(lingering_protocol.LingeringProtocol):
     """Record what a connection holds, and free it if it has to give way."""
 
-    __slots__ = ('_callers', '_is_counted', 'held', 'is_refused')
+    __slots__ = ('_limits', '_is_counted', 'held', 'is_refused')
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
-        self._callers: caller_connections.CallerConnections = (
-            self.app.ctx.callers
-        )
+        self._limits: connection_limits.ConnectionLimits = self.app.ctx.limits
         self._is_counted = False
         self.held = held_memory.HeldMemory()
         self.is_refused = False
@@ -43,12 +41,12 @@
         # Writing pauses whenever something is unsent, so that its end is known.
         typing.cast(asyncio.Transport, transport).set_write_buffer_limits(0)
         self._is_counted = True
-        self._callers.add(self)
+        self._limits.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
         self._is_counted = False
-        self._callers.remove(self)
+        self._limits.remove(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -81,7 +79,7 @@
         self.held.start_body(head)
         self.record()
         self._check_refused()
-        if expected > self._callers.free_bytes:
+        if expected > self._limits.free_bytes:
             raise RefusedError()
 
     def take_body(self) -> bytes:
@@ -105,14 +103,14 @@
 
     def may_hold(self, size: int) -> bool:
         """Count an answer to hold in memory; return False if it is too long."""
-        may_hold = self.held.may_hold(size, self._callers.free_bytes)
+        may_hold = self.held.may_hold(size, self._limits.free_bytes)
         self.record()
         return may_hold
 
     def record(self) -> None:
         """Record what is held; have others give way if it is too much."""
         if self._is_counted:
-            self._callers.record(self)
+            self._limits.record(self)
 
     def give_way(self) -> None:
         """Refuse a request that has not run; otherwise close."""
@@ -139,7 +137,7 @@
     def drop(self) -> None:
         """Close the connection at once."""
         self._is_counted = False
-        self._callers.remove(self)
+        self._limits.remove(self)
         if self.transport is not None:
             self.transport.abort()
 
--- a/packages/router/src/sycamoreferry_router/caller_connections.py
+++ b/packages/router/src/sycamoreferry_router/connection_limits.py
@@ -1,4 +1,4 @@
-"""Keep the connections of callers within their memory and number."""
+"""Keep the connections of a port within their memory and number."""
 
 import abc
 import resource
@@ -6,17 +6,37 @@
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import caller_memory
-from sycamoreferry_router import held_memory, settings
+from sycamoreferry_router import settings
 
 # Connections to backend servers, other instances and the platform need the
 # rest of the descriptors.
-_DESCRIPTOR_SHARE = 0.75
+_CALLER_DESCRIPTORS = 0.6
+_PEER_DESCRIPTORS = 0.2
+_PEER_SHARE = 0.25
+# Several of the longest messages between instances.
+_MIN_PEER_BYTES = 4_000_000
+# A limit below the number of instances would cut them off from each other.
+_MIN_PEERS = 128
+
+
+class Held(typing.Protocol):
+    """Tell what a connection holds."""
+
+    @property
+    def state(self) -> caller_memory.HolderState:
+        """Return why the memory is held."""
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the bytes that the connection holds in all."""
 
 
 class Connection(typing.Protocol):
-    """Hold memory for a caller."""
+    """Hold memory for a caller or another instance."""
 
-    held: held_memory.HeldMemory
+    @property
+    def held(self) -> Held:
+        """Return what the connection holds."""
 
     @abc.abstractmethod
     def __hash__(self) -> int:
@@ -29,17 +49,18 @@
         """Close the connection at once."""
 
 
-class CallerConnections:
+class ConnectionLimits:
     """Choose the connections to close when there are too many, or too large."""
 
     def __init__(
         self,
-        bounds: settings.RequestBounds,
+        limit_bytes: int,
+        max_connections: int,
         time_source: clock.Clock,
     ) -> None:
         self._clock = time_source
-        self._memory = caller_memory.CallerMemory(bounds.caller_bytes)
-        self._limit = min(bounds.connections, _usable_descriptors())
+        self._memory = caller_memory.CallerMemory(limit_bytes)
+        self._limit = max_connections
         self._open: dict[Connection, None] = {}
 
     @property
@@ -75,8 +96,35 @@
         self._memory.release(connection)
 
 
-def _usable_descriptors() -> int:
+def limits_of_callers(
+    bounds: settings.RequestBounds,
+    time_source: clock.Clock,
+) -> ConnectionLimits:
+    """Return the limits of the connections of callers."""
+    return ConnectionLimits(
+        bounds.caller_bytes,
+        min(bounds.connections, _descriptors(_CALLER_DESCRIPTORS)),
+        time_source,
+    )
+
+
+def limits_of_peers(
+    bounds: settings.RequestBounds,
+    time_source: clock.Clock,
+) -> ConnectionLimits:
+    """Return the limits of the connections of other instances."""
+    return ConnectionLimits(
+        max(_MIN_PEER_BYTES, int(bounds.caller_bytes * _PEER_SHARE)),
+        min(
+            max(_MIN_PEERS, bounds.connections),
+            _descriptors(_PEER_DESCRIPTORS),
+        ),
+        time_source,
+    )
+
+
+def _descriptors(share: float) -> int:
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft == resource.RLIM_INFINITY:
         return settings.MAX_CONNECTIONS
-    return int(soft * _DESCRIPTOR_SHARE)
+    return int(soft * share)
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -15,7 +15,7 @@
 from sycamoreferry_core import clock, ids, outcomes
 from sycamoreferry_router import (
     bounded_protocol,
-    caller_connections,
+    connection_limits,
     lingering_protocol,
     logs,
     messages,
@@ -112,7 +112,7 @@
             configure_logging=False,
             request_class=bounded_protocol.BoundedRequest,
         )
-        app.ctx.callers = caller_connections.CallerConnections(
+        app.ctx.limits = connection_limits.limits_of_callers(
             config.bounds, self._clock
         )
         app.exception(bounded_protocol.RefusedError)(self._answer_refused)
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -6,7 +6,6 @@
 import signal
 
 import aiohttp
-from grpclib import server as grpc_server
 
 from sycamoreferry_core import (
     clock,
@@ -24,7 +23,6 @@
     wire,
 )
 from sycamoreferry_router import (
-    admission_service,
     admission_setup,
     coordination_loop,
     crash_guard,
@@ -34,6 +32,7 @@
     logs,
     membership_loop,
     metrics,
+    peer_server,
     peer_service,
     pipeline,
     settings,
@@ -150,7 +149,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             event_loop.add_signal_handler(signal_number, stop_requested.set)
         event_loop.add_signal_handler(signal.SIGHUP, _log_hangup)
-        peer_server = grpc_server.Server(
+        served_peers = peer_server.PeerServer(
             [
                 peer_service.PeerService(
                     self._instance_id,
@@ -160,14 +159,15 @@
                     self._build_reporter(),
                 ),
                 self._loads,
-                admission_service.AdmissionService(
-                    self._instance_id,
-                    self._admissions.loops,
+                admission_setup.build_service(
+                    self._instance_id, self._admissions
                 ),
-            ]
+            ],
+            self._settings.bounds,
+            self._clock,
         )
         listen = self._settings.listen
-        await peer_server.start(str(listen.host), listen.peer_port)
+        await served_peers.start(str(listen.host), listen.peer_port)
         request_server = await self._server.start(
             str(listen.host),
             listen.request_port,
@@ -186,7 +186,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await request_server.close()  # type: ignore[no-untyped-call]
-        peer_server.close()
+        served_peers.close()
         self._peers.close()
 
     def _build_reporter(self) -> status_report.StatusReporter:
