--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -115,6 +115,7 @@
         app.ctx.limits = connection_limits.limits_of_callers(
             config.bounds, self._clock
         )
+        self._metrics.watch(app.ctx.limits)
         app.exception(bounded_protocol.RefusedError)(self._answer_refused)
         app.config.REQUEST_MAX_SIZE = (
             config.bounds.body_bytes + _BODY_SLACK_BYTES
--- a/packages/router/src/sycamoreferry_router/instance.py
+++ b/packages/router/src/sycamoreferry_router/instance.py
@@ -164,6 +164,7 @@
                 ),
             ],
             self._settings.bounds,
+            self._metrics,
             self._clock,
         )
         listen = self._settings.listen
--- a/packages/router/src/sycamoreferry_router/metrics.py
+++ b/packages/router/src/sycamoreferry_router/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus import renderer
 
 from sycamoreferry_core import outcomes, result_codes, state
+from sycamoreferry_router import connection_limits
 
 _OutcomeKey = tuple[str, result_codes.ResultCode]
 
@@ -44,6 +45,15 @@
             'ferry_coordinator_authority',
             'Whether this instance may give orders, by service.',
         )
+        self.held_bytes = self._gauge(
+            'ferry_connection_bytes',
+            'Bytes that connections hold, by port (callers or peers).',
+        )
+        self.evictions = self._counter(
+            'ferry_connections_evicted_total',
+            'Connections refused or closed at a limit, by port and reason.',
+        )
+        self._limits: list[connection_limits.ConnectionLimits] = []
         self.profile_number = self._gauge(
             'ferry_profile_number',
             'Number of the profile in force, by name.',
@@ -53,6 +63,10 @@
         """Count how a request ended."""
         self._outcome_counts[service, outcome.code] += 1
 
+    def watch(self, limits: connection_limits.ConnectionLimits) -> None:
+        """Render what the connections of a port hold from now on."""
+        self._limits.append(limits)
+
     def set_gauges(self, log_state: state.LogState, in_flight: int) -> None:
         """Set the gauges whose values are read at a scrape."""
         self.in_flight.set({}, in_flight)
@@ -65,6 +79,11 @@
         for (service, code), count in self._outcome_counts.items():
             labels = {'service': service, 'code': str(int(code))}
             self.requests.set(labels, count)
+        for limits in self._limits:
+            port = {'port': limits.port}
+            self.held_bytes.set(port, limits.held_bytes)
+            for reason, evicted in limits.evicted.items():
+                self.evictions.set({**port, 'reason': reason}, evicted)
         content, headers = renderer.render(self.registry, [accept])
         return content, dict(headers)
 
--- a/packages/router/src/sycamoreferry_router/peer_server.py
+++ b/packages/router/src/sycamoreferry_router/peer_server.py
@@ -8,7 +8,7 @@
 
 from sycamoreferry_core import clock
 from sycamoreferry_core.traffic import caller_memory
-from sycamoreferry_router import connection_limits, logs, settings
+from sycamoreferry_router import connection_limits, logs, metrics, settings
 
 # A copy of 500 admissions, the longest message, takes some 130 KB.
 MAX_MESSAGE_BYTES = 1_048_576
@@ -27,10 +27,12 @@
         self,
         handlers: typing.Collection[typing.Any],
         bounds: settings.RequestBounds,
+        router_metrics: metrics.Metrics,
         time_source: clock.Clock,
     ) -> None:
         super().__init__(handlers)
         self._limits = connection_limits.limits_of_peers(bounds, time_source)
+        router_metrics.watch(self._limits)
 
     def _protocol_factory(self) -> protocol.H2Protocol:
         """Return a protocol that takes the place of the library's own."""
--- a/packages/router/tests/test_connection_limits.py
+++ b/packages/router/tests/test_connection_limits.py
@@ -52,7 +52,10 @@
         assert b'Retry-After: ' in refused
         served = await _send(url, GET)
         assert b' 200 OK' in await _read_head(served)
-        _close(served, *stalled)
+        scraped = await _send(url, GET.replace(b'/plain/a', b'/metrics'))
+        async with asyncio.timeout(10):
+            await scraped[0].readuntil(b'reason="incomplete"')
+        _close(scraped, served, *stalled)
     assert len(server.heads) == 1
 
 
