--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -101,18 +101,11 @@
         proxied: proxied_requests.ProxiedRequest,
         server: servers.BackendServer,
     ) -> proxied_requests.Attempt:
-        evacuations = self._view.evacuations
-        await evacuations.wait_until_current()
-        if not evacuations.accepts(server, is_keyed=proxied.key is not None):
-            return _not_sent(server, EVACUATED)
+        await self._view.evacuations.wait_until_current()
         started_at = self._view.clock.now()
-        if not self._policy.has_time(proxied, server, started_at):
-            detail = 'no time left'
-            if started_at < proxied.ends_at:
-                detail = STOPPING
-            return _not_sent(server, detail)
-        if not self._view.blocks.may_send(proxied.signature):
-            return _not_sent(server, BLOCKED)
+        obstacle = self._obstacle(proxied, server, started_at)
+        if obstacle is not None:
+            return _not_sent(server, obstacle)
         if self._view.blocks.is_blocked(proxied.signature):
             # A trial that reaches no server would delay those of others.
             if not await self._pool.can_connect(_address_of(server)):
@@ -138,6 +131,22 @@
             proxied, server, payload, started_at
         )
 
+    def _obstacle(
+        self,
+        proxied: proxied_requests.ProxiedRequest,
+        server: servers.BackendServer,
+        now: clock.Millis,
+    ) -> str | None:
+        """Return why a request must not be sent to a server now, if so."""
+        is_keyed = proxied.key is not None
+        if not self._view.evacuations.accepts(server, is_keyed=is_keyed):
+            return EVACUATED
+        if not self._policy.has_time(proxied, server, now):
+            return STOPPING if now < proxied.ends_at else 'no time left'
+        if not self._view.blocks.may_send(proxied.signature):
+            return BLOCKED
+        return None
+
     async def _exchange_or_go_on(
         self,
         proxied: proxied_requests.ProxiedRequest,
--- a/packages/gateway/src/sycamoreferry_gateway/move_announcements.py
+++ b/packages/gateway/src/sycamoreferry_gateway/move_announcements.py
@@ -68,9 +68,6 @@
                     keys.first,
                     keys.last,
                     is_over,
-                    [
-                        peer_messages.KeysRow(other, more.first, more.last)
-                        for other, more in others
-                    ],
+                    [(other, more.first, more.last) for other, more in others],
                 ),
             )
--- a/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_message_handler.py
@@ -212,13 +212,13 @@
 
     @handle.register
     def _(self, message: peer_messages.KeysMoving, sender: _Address) -> None:
-        first = peer_messages.KeysRow(
-            message.service, message.first, message.last
-        )
-        for row in (first, *message.others):
-            keys = owners.KeyRange(owners.Key(row.first), owners.Key(row.last))
-            service = ids.ServiceName(row.service)
-            self._view.mark_moving(service, keys, is_over=message.is_over)
+        named = (message.service, message.first, message.last)
+        for service, first, last in (named, *message.others):
+            self._view.mark_moving(
+                ids.ServiceName(service),
+                owners.KeyRange(owners.Key(first), owners.Key(last)),
+                is_over=message.is_over,
+            )
 
     @handle.register
     def _(self, message: peer_messages.PermitRequest, sender: _Address) -> None:
--- a/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
+++ b/packages/gateway/src/sycamoreferry_gateway/peer_messages.py
@@ -202,14 +202,6 @@
     era: decoding.WholeNumber = 0
 
 
-class KeysRow(msgspec.Struct, array_like=True):
-    """Name a range of keys of a service."""
-
-    service: str
-    first: Key
-    last: Key
-
-
 class KeysMoving(msgspec.Struct, array_like=True, tag='moving'):
     """Announce that moves of keys have begun, or that they are over."""
 
@@ -217,8 +209,9 @@
     first: Key
     last: Key
     is_over: bool
-    # Further ranges; earlier versions read the first one only.
-    others: list[KeysRow] = []
+    # Further ranges as service, first and last key; earlier versions read the
+    # first one only.
+    others: list[tuple[str, Key, Key]] = []
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag='permit-ask'):
--- a/packages/gateway/tests/test_move_announcements.py
+++ b/packages/gateway/tests/test_move_announcements.py
@@ -62,7 +62,7 @@
         assert isinstance(message, peer_messages.KeysMoving)
         assert message.is_over is is_over
         rows = [(message.first, message.last)]
-        rows.extend((row.first, row.last) for row in message.others)
+        rows.extend((first, last) for _, first, last in message.others)
         assert rows == [(keys.first, keys.last) for keys in RANGES]
 
 
