Mend what the review of the merged parts found

- A connection above the limit could be closed with a 503 while a request of it had been sent on; connections with requests are left out now.
- Input behind a full pipeline could not be freed, so eviction recursed.
- Relayed bodies counted twice, and small holders gave way for large ones.
- Keys of an evacuated data centre were released while unanswered grants of an earlier term still covered them.
- A closed idle connection made a warm server count as cold; an assumption lasts until an entry can have been read.
- A failed read of the store ended the wait after a suspension.
- Permit messages report only the servers that they are about.
- Instances of the previous build saw moves begin whose end they never read.
- A server was reported as failed for requests that were not sent to it.
- Keys are spread by number only where they got their first owners.
- An issuer tried all servers again for each queued request.

--- a/packages/core/src/sycamoreferry_core/traffic/caller_memory.py
+++ b/packages/core/src/sycamoreferry_core/traffic/caller_memory.py
@@ -177,7 +177,8 @@
         )
         evicted = []
         for _, _, _, holder in ranked:
-            if not self._is_over():
+            is_small = not self._known[holder].is_large
+            if not self._is_over() or (is_small and self._total <= self._limit):
                 break
             self._evicted[self._known[holder].state] += 1
             self.release(holder)
--- a/packages/core/src/sycamoreferry_core/traffic/permits.py
+++ b/packages/core/src/sycamoreferry_core/traffic/permits.py
@@ -217,8 +217,16 @@
         )
         decided = []
         ahead = 0
+        # The exclusions with which no server had room. Trying each queued
+        # request took most of an issuer's processor time while servers were
+        # paced.
+        full: list[frozenset[ids.ServerId]] = []
         for permit, asked in in_turn:
-            server = queue.choose(asked.request)
+            server = None
+            if not any(tried <= asked.request.excluded for tried in full):
+                server = queue.choose(asked.request)
+                if server is None:
+                    full.append(asked.request.excluded)
             if server is None and _can_start_in_time(
                 asked.request, queue, ahead, now
             ):
--- a/packages/core/src/sycamoreferry_core/traffic/warm_ups.py
+++ b/packages/core/src/sycamoreferry_core/traffic/warm_ups.py
@@ -24,6 +24,11 @@
 # Entries are 870 ms apart and are read up to a second late, so the first two
 # that are read may have been written before.
 _ENTRIES_TO_LIFT = 3
+# A server that refuses connections may start up to 1.5 s later, as it is not
+# tried more often, and its entry is read up to two seconds after that.
+_ASSUMED_DOWN_MS = 3_600
+# A reset may be that of a connection that was idle for too long.
+_ASSUMED_RESET_MS = 2_000
 # Reports of one assumption by the same instance differ by the time on the way.
 _SAME_MS = 500
 
@@ -150,7 +155,11 @@
             known.reported_until = max(known.reported_until, until)
 
     def assume_failed(
-        self, server: servers.BackendServer, now: clock.Millis
+        self,
+        server: servers.BackendServer,
+        now: clock.Millis,
+        *,
+        was_refused: bool,
     ) -> bool:
         """Record a connection that failed; return whether it turns cold.
 
@@ -160,7 +169,8 @@
         if not self.is_active or policy is None or not policy.warmup_ms:
             return False
         was_cold = self._is_cold(server.incarnation.server, now)
-        until = clock.later(now, policy.warmup_ms)
+        assumed_ms = _ASSUMED_DOWN_MS if was_refused else _ASSUMED_RESET_MS
+        until = clock.later(now, min(policy.warmup_ms, assumed_ms))
         self.assume_cold(server.incarnation, until, is_reported=True)
         return not was_cold
 
--- a/packages/core/tests/traffic/test_permits.py
+++ b/packages/core/tests/traffic/test_permits.py
@@ -226,3 +226,25 @@
     assert issuer.waiting_count == 1
     issuer.decide_due(clock.Millis(800))
     assert issuer.waiting_count == 0
+
+
+def test_full_servers_are_tried_once_for_all_queued_requests() -> None:
+    """An issuer of paced servers tried them for each queued request."""
+    tried: list[queueing.QueuedRequest] = []
+
+    def choose(
+        request: queueing.QueuedRequest,
+        _counted: typing.Mapping[ids.ServerId, int],
+    ) -> None:
+        tried.append(request)
+
+    supply = permits.Supply(SLOTS, SLOTS + 1, WORK_MS, choose)
+    issuer = permits.PermitIssuer()
+    for number in range(10):
+        permit = _permit(number)
+        issuer.request_permit(
+            QUEUE_NAME, permit, _request(0), supply, clock.Millis(0)
+        )
+    tried.clear()
+    issuer.decide_due(clock.Millis(1))
+    assert len(tried) == 1
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_classifier.py
@@ -189,7 +189,9 @@
         failed: http_client.FailedExchange,
         now: clock.Millis,
     ) -> None:
-        if self._loads.warm_ups.assume_failed(server, now):
+        if self._loads.warm_ups.assume_failed(
+            server, now, was_refused=failed.was_refused
+        ):
             self._log.write_rate_limited(
                 'servers',
                 'server is assumed to be cold',
--- a/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
+++ b/packages/gateway/src/sycamoreferry_gateway/attempt_runner.py
@@ -23,6 +23,8 @@
 EVACUATED = 'data centre is evacuated'
 REFUSED = 'memory for callers is used up'
 BLOCKED = 'request ended the servers that ran it'
+# These tell nothing of the server.
+_NO_FAULT_OF_SERVER = frozenset((EVACUATED, REFUSED))
 # A repeatable request spends this share of its remaining time on one server,
 # so that time is left for another.
 _ATTEMPT_SHARE = 0.5
@@ -74,9 +76,10 @@
         proxied.current_server = server.incarnation.server
         try:
             attempt = await self._send(proxied, server)
-            has_answered = (
-                attempt.result is proxied_requests.AttemptResult.ANSWERED
-            )
+            if attempt.detail not in _NO_FAULT_OF_SERVER:
+                has_answered = (
+                    attempt.result is proxied_requests.AttemptResult.ANSWERED
+                )
         except asyncio.CancelledError:
             proxied.attempts.append(_interrupted(server))
             raise
--- a/packages/gateway/src/sycamoreferry_gateway/caller_account.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_account.py
@@ -48,6 +48,11 @@
         self._is_ordinary = False
         self._sent_on_bytes = 0
 
+    @property
+    def has_requests(self) -> bool:
+        """Tell whether a request was read and is not answered yet."""
+        return bool(self._pipeline)
+
     def update(self) -> None:
         """Record what the connection holds now, unless it is an ordinary one.
 
@@ -65,6 +70,11 @@
         elif not self._is_ordinary:
             self.refresh()
 
+    def record_forward(self) -> None:
+        """Record that a request is sent on; ordinary ones are counted alike."""
+        if not self._is_ordinary:
+            self.update()
+
     def refresh(self) -> None:
         """Record what the connection holds, and its state."""
         if self._is_closed:
@@ -81,7 +91,11 @@
     def give_way(self) -> None:
         """Refuse what was not sent on; else close the connection."""
         is_reading = self._reader.reading_since is not None
-        may_refuse = is_reading or bool(self._pipeline.parted_bytes[1])
+        may_refuse = (
+            is_reading
+            or bool(len(self._input))
+            or bool(self._pipeline.parted_bytes[1])
+        )
         if self._has_refused or self._output.bytes_in_process:
             may_refuse = False
         if may_refuse:
@@ -97,7 +111,7 @@
 
     def close_surplus(self) -> None:
         """Close a connection without a request in flight."""
-        if self._reader.reading_since is not None:
+        if self._reader.reading_since is not None and not self._pipeline:
             self._output.write_rejection(http.HTTPStatus.SERVICE_UNAVAILABLE)
         self.close()
         self._output.close()
@@ -134,6 +148,9 @@
     def _state(self) -> caller_memory.HolderState:
         if self._output.bytes_in_process:
             return _State.UNREAD
+        if self._has_refused and self._pipeline:
+            # Only what was sent on is still held.
+            return _State.FORWARDED
         if self._pipeline.parted_bytes[1]:
             return _State.WAITING
         if self._reader.reading_since is not None or len(self._input):
--- a/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_connection.py
@@ -199,7 +199,7 @@
     def _add_request(self, request: caller_messages.CallerRequest) -> None:
         if self._is_ending:
             return
-        request.on_forward = self.account.update
+        request.on_forward = self.account.record_forward
         self._pipeline.append(
             request, is_idempotent=self._server.is_idempotent(request)
         )
--- a/packages/gateway/src/sycamoreferry_gateway/coordinator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/coordinator.py
@@ -192,7 +192,7 @@
         is_evacuating = (
             can_write
             and not self._terms.is_authority_expiring
-            and self._evacuator.is_due
+            and self._evacuator.start_step()
         )
         services = self._keyed_services()
         self._evacuator.log_progress(services)
--- a/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
+++ b/packages/gateway/src/sycamoreferry_gateway/dispatcher.py
@@ -69,6 +69,8 @@
 
         The caller must release the server when the request has ended.
         """
+        # After a suspension, what was read of the store may be outdated.
+        await self._view.evacuations.wait_until_current()
         found = None
         if not self.permits.is_needed(request):
             found = await self._acquire_directly(request)
--- a/packages/gateway/src/sycamoreferry_gateway/http_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_client.py
@@ -65,14 +65,13 @@
     def may_be_restart(self) -> bool:
         """Tell whether the server may have started again.
 
-        A time-out is the sign of a lost link or a paused process instead.
+        A time-out is the sign of a lost link or a paused process instead, and
+        a connection that is closed may have been idle for too long.
         """
-        was_cut = self.failure in _CUTS and self.was_sent
-        return was_cut or self.was_refused
+        was_reset = self.failure is ExchangeFailure.RESET and self.was_sent
+        return was_reset or self.was_refused
 
 
-_CUTS = frozenset((ExchangeFailure.RESET, ExchangeFailure.CLOSED))
-
 # An encoded request, whole or in parts of which none is copied.
 Payload = bytes | tuple[bytes, ...]
 
--- a/packages/gateway/src/sycamoreferry_gateway/http_server.py
+++ b/packages/gateway/src/sycamoreferry_gateway/http_server.py
@@ -90,11 +90,12 @@
         if len(self.connections) <= self._max_connections:
             return
         self.budget.surplus_count += 1
-        # The new connection has had no time to send a request.
+        # The new connection has had no time to send a request, and a request
+        # that may have been sent on must not be refused.
         accounts: dict[typing.Hashable, caller_connection.CallerConnection] = {
             one.account: one
             for one in self.connections
-            if one is not connection
+            if one is not connection and not one.account.has_requests
         }
         surplus = self._longest_unused(accounts) or connection
         self.connections.discard(surplus)
--- a/packages/gateway/src/sycamoreferry_gateway/key_evacuator.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_evacuator.py
@@ -28,9 +28,11 @@
         # Data centres whose servers were seen with keys, until they have none.
         self._moving: set[ids.DataCentre] = set()
 
-    @property
-    def is_due(self) -> bool:
-        """Tell whether the next moves may start, at most once per step."""
+    def start_step(self) -> bool:
+        """Tell whether the next moves may start, and note that they do.
+
+        The coordinator's ticks are a step apart, or a little less.
+        """
         if not self._view.evacuations.active:
             return False
         now = self._view.clock.now()
@@ -50,6 +52,7 @@
             row
             for row in held
             if not self._grants.is_blocked(service, row.keys)
+            and self._mover.can_move_soon(row)
         ]
         staying = len(self._estimator.capacities(service)) if idle else 0
         if not staying:
--- a/packages/gateway/src/sycamoreferry_gateway/key_mover.py
+++ b/packages/gateway/src/sycamoreferry_gateway/key_mover.py
@@ -52,6 +52,7 @@
             tuple[ids.ServiceName, owners.KeyRange],
             servers.ServerIncarnation,
         ] = {}
+        # The services whose keys got their first owners in this term.
         self._registrations: dict[
             ids.ServiceName, idle_keys.RegistrationWatch
         ] = {}
@@ -73,6 +74,8 @@
         capacities = self._estimator.capacities(service) if gaps else []
         if not capacities:
             return
+        if not table.rows:
+            self._registrations[service] = idle_keys.RegistrationWatch()
         pieces = _cut_gaps(gaps, len(capacities))
         placements = placement.assign_unowned(
             pieces,
@@ -107,6 +110,11 @@
             self._grants.block_grants(service, [keys])
             self._tasks.start(self._relocate(service, part))
 
+    def can_move_soon(self, row: owners.Ownership) -> bool:
+        """Tell whether no unanswered grant would delay a move of a row."""
+        free_at = self._orders.book.free_at_after_release(row.owner, row.keys)
+        return free_at <= self._clock.now() + _MAX_EXTRA_WAIT_MS
+
     def balance(self, service: ids.ServiceName) -> None:
         """Start the moves that balance the load between usable servers.
 
@@ -130,10 +138,14 @@
                 )
 
     def _spread_idle_keys(self, service: ids.ServiceName) -> None:
-        capacities = self._estimator.capacities(service)
-        watch = self._registrations.setdefault(
-            service, idle_keys.RegistrationWatch()
-        )
+        watch = self._registrations.get(service)
+        if watch is None:
+            return
+        capacities = [
+            capacity
+            for capacity in self._estimator.capacities(service)
+            if not capacity.is_limited
+        ]
         known = [capacity.incarnation for capacity in capacities]
         if not watch.has_settled(known, self._clock.now()):
             return
@@ -165,11 +177,7 @@
             return None
         if self._grants.is_blocked(service, move.keys):
             return None
-        book = self._orders.book
-        free_at = book.free_at_after_release(move.source, row.keys)
-        if free_at > self._clock.now() + _MAX_EXTRA_WAIT_MS:
-            return None
-        return row
+        return row if self.can_move_soon(row) else None
 
     def _start_move(
         self,
@@ -309,23 +317,18 @@
     ) -> None:
         part = dataclasses.replace(row, keys=move.keys)
         try:
-            await self._release_and_hand_over(service, part, move)
+            handover = await self._release_keys(service, part)
+            is_usable = self._grants.is_usable(move.destination)
+            await self._hand_over(
+                service,
+                part,
+                move.destination if is_usable else move.source,
+                handover,
+            )
         finally:
             self._destinations.pop((service, move.keys), None)
             self._grants.unblock_grants(service, [move.keys])
 
-    async def _release_and_hand_over(
-        self,
-        service: ids.ServiceName,
-        part: owners.Ownership,
-        move: placement.Move,
-    ) -> None:
-        handover = await self._release_keys(service, part)
-        destination = move.destination
-        if not self._grants.is_usable(destination):
-            destination = move.source
-        await self._hand_over(service, part, destination, handover)
-
 
 def _log_freed(
     log: event_log.EventLog,
--- a/packages/gateway/src/sycamoreferry_gateway/move_announcements.py
+++ b/packages/gateway/src/sycamoreferry_gateway/move_announcements.py
@@ -32,6 +32,8 @@
         self._announce = announce
         self._begun: list[_Row] = []
         self._ended: list[_Row] = []
+        # The first ranges of messages, which earlier versions read alone.
+        self._first: set[_Row] = set()
 
     def begin(self, service: ids.ServiceName, keys: owners.KeyRange) -> None:
         """Announce that keys change owner, with all that begin by now."""
@@ -57,11 +59,17 @@
     def _send_ended(self) -> None:
         rows = self._ended
         self._ended = []
+        for row in self._first.intersection(rows):
+            self._first.discard(row)
+            rows.remove(row)
+            self._send([row], is_over=True)
         self._send(rows, is_over=True)
 
     def _send(self, rows: list[_Row], *, is_over: bool) -> None:
         for start in range(0, len(rows), _MAX_ROWS):
             (service, keys), *others = rows[start : start + _MAX_ROWS]
+            if not is_over:
+                self._first.add((service, keys))
             self._announce(
                 peer_messages.KeysMoving(
                     service,
--- a/packages/gateway/src/sycamoreferry_gateway/permit_client.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_client.py
@@ -217,6 +217,7 @@
             # counted, or asked this instance for a back-off, so the permit goes
             # back and another one is asked for.
             self._end_wait(wait)
+            await asyncio.sleep(clock.seconds(_OWNER_CHECK_MS))
             return None
         back_offs.record_start(server.incarnation, now)
         return server
@@ -311,9 +312,22 @@
                 now,
             ),
             sent_at=now,
-            warm_ups=warm_up_reports.build_rows(self._loads.warm_ups, now),
+            warm_ups=self._warm_up_rows(request.service, wait, now),
         )
 
+    def _warm_up_rows(
+        self, service: ids.ServiceName, wait: _Wait, now: clock.Millis
+    ) -> list[peer_messages.WarmUpRow]:
+        """Report the servers that a request may be sent to."""
+        if self._loads.warm_ups.is_empty:
+            return []
+        among = {
+            one.incarnation.server for one in self._view.servers_of(service)
+        }
+        if wait.target.server is not None:
+            among = {wait.target.server}
+        return warm_up_reports.build_rows(self._loads.warm_ups, now, among)
+
     def _limited_of(
         self, service: ids.ServiceName, owner: ids.ServerId | None
     ) -> list[ids.ServerId]:
@@ -346,7 +360,15 @@
             wait.answered_server or '',
             wait.rate_limits,
             now,
-            warm_up_reports.build_rows(self._loads.warm_ups, now),
+            warm_up_reports.build_rows(
+                self._loads.warm_ups,
+                now,
+                [
+                    server
+                    for server in (wait.answered_server, wait.failed_server)
+                    if server
+                ],
+            ),
             slowdown,
             slowdown_at,
         )
--- a/packages/gateway/src/sycamoreferry_gateway/permit_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/permit_service.py
@@ -231,14 +231,20 @@
                 self._counter_of(server),
                 self._view.peers,
                 now,
-                self._count_registered_peers(),
+                self._count_registered_peers(server, now),
             )
             self._shares[server] = share
         return share
 
-    def _count_registered_peers(self) -> int:
-        """Return how many other instances share the rate of cold servers."""
-        if not self._loads.warm_ups.is_active:
+    def _count_registered_peers(
+        self, server: ids.ServerId, now: clock.Millis
+    ) -> int:
+        """Return how many others share the rate of a server if it is cold."""
+        listed = self._view.fleet.get(server)
+        if (
+            listed is None
+            or self._loads.warm_ups.requests_per_s(listed, now) is None
+        ):
             return 0
         known = map(self._view.peers.status, self._view.peer_addresses)
         return sum(peer is None or not peer.is_leaving for peer in known)
--- a/packages/gateway/src/sycamoreferry_gateway/relay_service.py
+++ b/packages/gateway/src/sycamoreferry_gateway/relay_service.py
@@ -76,7 +76,6 @@
             return _empty(http.HTTPStatus.BAD_REQUEST)
         # The body is held once, as the decoded one.
         envelope.body = b''
-        envelope.copied_bytes = len(relayed.body)
         request = _request_of(relayed, envelope.received_at)
         request.on_forward = envelope.record_decoded_forward
         final = await self._serve_relayed(request, relayed)
--- a/packages/gateway/src/sycamoreferry_gateway/request_reader.py
+++ b/packages/gateway/src/sycamoreferry_gateway/request_reader.py
@@ -90,7 +90,6 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self.discard()
         self._has_progress = True
         self.reading_since = self._received_at
 
--- a/packages/gateway/src/sycamoreferry_gateway/topic_reader.py
+++ b/packages/gateway/src/sycamoreferry_gateway/topic_reader.py
@@ -36,7 +36,7 @@
         """Read once, waiting so long for a record; return whether it worked."""
         asked_at = self._view.clock.now()
         was_read = await self._read(topic, wait_ms, asked_at)
-        if topic == store_calls.CONFIG_TOPIC:
+        if was_read and topic == store_calls.CONFIG_TOPIC:
             self._view.evacuations.contact.record_read(asked_at)
         return was_read
 
--- a/packages/gateway/src/sycamoreferry_gateway/warm_up_reports.py
+++ b/packages/gateway/src/sycamoreferry_gateway/warm_up_reports.py
@@ -9,17 +9,21 @@
 
 
 def build_rows(
-    known: warm_ups.WarmUps, now: clock.Millis
+    known: warm_ups.WarmUps,
+    now: clock.Millis,
+    among: typing.Container[ids.ServerId] | None = None,
 ) -> list[peer_messages.WarmUpRow]:
     """Return the rows that report assumptions; clocks differ, so by duration.
 
     What entries state is not reported, since all instances get the entries.
+    With `among`, only those servers are reported.
     """
     if known.is_empty:
         return []
     return [
         peer_messages.WarmUpRow(server.server, server.born, until - now)
         for server, until in known.reports(now).items()
+        if among is None or server.server in among
     ]
 
 
--- a/packages/router/src/sycamoreferry_router/http_server.py
+++ b/packages/router/src/sycamoreferry_router/http_server.py
@@ -125,9 +125,9 @@
         )
         app.config.KEEP_ALIVE_TIMEOUT = _KEEP_ALIVE_SECONDS
         app.config.RESPONSE_TIMEOUT = _RESPONSE_TIMEOUT_SECONDS
-        app.add_route(self._show_health, '/healthz')
-        app.add_route(self._show_readiness, '/readyz')
-        app.add_route(self._show_metrics, '/metrics')
+        app.add_route(self._show_health, '/healthz', ignore_body=True)
+        app.add_route(self._show_readiness, '/readyz', ignore_body=True)
+        app.add_route(self._show_metrics, '/metrics', ignore_body=True)
         app.add_route(
             self._serve_caller,
             '/<path:path>',
