Return memory until the last of a crowd has left

Memory was returned to the system once, when most of what callers held was freed.

Memory is now returned again while the rest is freed, and once more after that.

--- a/packages/gateway/src/sycamoreferry_gateway/caller_budget.py
+++ b/packages/gateway/src/sycamoreferry_gateway/caller_budget.py
@@ -18,8 +18,10 @@
 _MAX_SHARE = 0.5
 _MIN_SHARE = 0.1
 _MEGABYTE = 1_000_000
-# Returning memory takes a few milliseconds, so it is worth for much only.
+# Returning memory takes a few milliseconds, so it starts with much only.
 _MUCH_BYTES = 8_000_000
+# Once it has started, it goes on until no more than this is held.
+_REST_BYTES = 1_000_000
 _PART = 'callers'
 
 
@@ -41,6 +43,7 @@
         self._reported = self.counts
         # The most that was held since memory was returned.
         self._peak_bytes = 0
+        self._has_rest = False
 
     @property
     def counts(self) -> dict[str, int]:
@@ -74,12 +77,21 @@
         return bool(evicted)
 
     def has_shrunk(self) -> bool:
-        """Tell whether much less is held than at the last peak; forget it."""
+        """Tell whether memory is to be returned; forget the last peak if so.
+
+        It is returned again while the rest is freed, and once more after that.
+        What is freed last may keep much more of the heap from being returned.
+        """
         held = self.memory.held_bytes
-        has_shrunk = self._peak_bytes - held > max(_MUCH_BYTES, held)
-        if has_shrunk:
-            self._peak_bytes = held
-        return has_shrunk
+        least = _REST_BYTES if self._has_rest else _MUCH_BYTES
+        if self._peak_bytes - held > max(least, held):
+            self._has_rest = True
+        elif self._has_rest and held <= _REST_BYTES:
+            self._has_rest = False
+        else:
+            return False
+        self._peak_bytes = held
+        return True
 
     def report(self, log: event_log.EventLog) -> None:
         """Log how many gave way, if any did since the last call."""
--- a/packages/gateway/tests/test_caller_budget.py
+++ b/packages/gateway/tests/test_caller_budget.py
@@ -121,3 +121,18 @@
     assert await asyncio.wait_for(reader.read(), 2) == b''
     assert len(gate.server.connections) == 1
     assert gate.budget.counts['callers_closed_surplus'] == 1
+
+
+def test_memory_is_returned_until_the_last_holder_has_left() -> None:
+    """Guard against memory that is kept as its last part is freed late.
+
+    It was returned once, when most was freed. What was freed after that was
+    less than returning starts with, and a process kept 22 MB.
+    """
+    budget = caller_budget.CallerBudget(40_000_000, boot_clock.BootClock())
+    state = caller_memory.HolderState.INCOMPLETE
+    has_shrunk = []
+    for held in (27_000_000, 7_000_000, 6_900_000, 0, 0, 0):
+        budget.update('caller', held, state)
+        has_shrunk.append(budget.has_shrunk())
+    assert has_shrunk == [False, True, False, True, True, False]
