--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -266,13 +266,22 @@
 class Target(_Server):
     """Run requests as a sound target does."""
 
-    def __init__(self, store, service, record, work_s=0.01, is_sharded=False):
+    def __init__(
+        self,
+        store,
+        service,
+        record,
+        work_s=0.01,
+        is_sharded=False,
+        slots=8,
+    ):
         super().__init__('127.0.0.1', 0)
         self.store = store
         self.service = service
         self.record = record
         self.work_s = work_s
         self.is_sharded = is_sharded
+        self.slots = slots
         self.id = f'i-{random.getrandbits(40):010x}'
         self.born = int(time.time() * 1000)
         self.runs = []
@@ -299,7 +308,7 @@
             'Address': f'{self.host}:{self.port}',
             'Zone': ZONE,
             'Version': 'v1',
-            'Slots': 8,
+            'Slots': self.slots,
             'State': self.state,
             'WarmupLeft': '0ms',
             'Seq': self.seq,
